--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,870 @@
+//! All decisions. Types, events and actions: `src/interface.rs`.
+//!
+//! Sections: constants, state, list, ranking, queue estimate, choice (JSQ-DAS), cold servers, health,
+//! requests, admission, attempts, timers.
+
+use crate::interface::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+// ---- Constants: ratios of settings or of observations ----
+
+/// Servers drawn for a request, and how many of them from the accomplished set.
+const DRAWN: usize = 6;
+const FROM_TOP: usize = 3;
+/// Size of the accomplished set where the listed sizes do not tell fast from slow.
+const TOP_SHARE: f64 = 0.5;
+/// About how many nodes each server is ranked by, and the least that a node ranks in a zone.
+const COVER: f64 = 3.0;
+const LEAST_PART: f64 = 2.0 * DRAWN as f64;
+/// Accomplishment fades by e within this many cold ramps: a noisy neighbour must not stay on top for good.
+const FADE_RAMPS: f64 = 1.0;
+/// The lag of a server is believed for this many give-up times.
+const LAG_MEMORY: f64 = 3.0;
+/// Least weight of a new response in a server's lag.
+const LAG_WEIGHT: f64 = 0.15;
+/// Weight of a new response in the fleet's pressure, and how slowly a class's usual response follows.
+const PRESSURE_WEIGHT: f64 = 0.1;
+/// Without news, pressure fades by e in this many aims.
+const RELIEF: f64 = 3.0;
+const TYPICAL_UP: f64 = 200.0;
+const TYPICAL_DOWN: f64 = 50.0;
+/// Weight of a new answer in what is learnt of hints, and the least answer time given to a light one.
+const HINT_WEIGHT: f64 = 0.01;
+const LIGHTEST: f64 = 0.25;
+/// A reported queue is believed for this part of the lag's memory; usual ones average this many reports.
+const REPORT_MEMORY: f64 = 0.15;
+const USUAL_OVER: f64 = 100.0;
+/// Queues closer than this part of a mean response count as tied.
+const TIE_STEP: f64 = 0.1;
+/// Another zone is looked at when the local answer is expected after this part of the aim ...
+const WIDEN_AT: f64 = 0.6;
+/// ... and taken when it is expected to be this much quicker.
+const CROSS_GAIN: f64 = 0.6;
+/// A cold server gets this part of its ramp share of what a like warm one gets.
+const COLD_SHARE: f64 = 0.9;
+/// A second copy goes out when this part of the aim is over.
+const HEDGE_AT: f64 = 0.5;
+/// Repeats that may cost servers work, as a part of requests.
+const RETRY_SHARE: f64 = 0.1;
+/// ... which shrinks with this power of the fleet's pressure.
+const CALM_STEEP: i32 = 4;
+/// No more than this part of a zone is ejected on soft evidence.
+const EJECT_CAP: f64 = 0.5;
+/// Refuse when the answer is expected after this multiple of the aim.
+const ADMIT_AIMS: f64 = 0.75;
+/// Lesser worth for the work lowers the limit with this power of its ratio to the best.
+const WORTH_POWER: f64 = 0.5;
+/// A tenant is over its share when it gets this many deviations of chance more.
+const CHANCE: f64 = 1.0;
+/// What a key's own server may be behind the best: it saves work there.
+const KEY_BONUS: f64 = 0.6;
+
+// ---- State ----
+
+struct Node {
+    server: Server,
+    size: f64,
+    out: u32,
+    load: f64,
+    silent_since: Nanos,
+    lag: f64,
+    lag_at: Nanos,
+    queued: f64,
+    report_at: Nanos,
+    sent_since: f64,
+    score: f64,
+    place: Option<usize>,
+    blocked_until: Nanos,
+    strikes: u32,
+    cold_next: Nanos,
+}
+
+struct Attempt {
+    node: usize,
+    credit: f64,
+    weight: f64,
+    open: bool,
+}
+
+struct Pending {
+    request: Request,
+    arrived: Nanos,
+    attempts: Vec<Attempt>,
+    fence: Option<(usize, Nanos)>,
+    answered: bool,
+    streaming: bool,
+}
+
+impl Pending {
+    fn open(&self) -> usize {
+        self.attempts.iter().filter(|a| a.open).count()
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Job {
+    Hedge(RequestId),
+    Relist,
+}
+
+/// The decisions of one node. Equal settings, seed and events give equal actions.
+pub struct Balancer {
+    settings: Settings,
+    rng: Pcg64Mcg,
+    nodes: Vec<Node>,
+    by_endpoint: BTreeMap<Endpoint, usize>,
+    ready: Vec<Vec<usize>>,
+    ranks: Vec<Vec<usize>>,
+    epoch: Nanos,
+    pending: BTreeMap<RequestId, Pending>,
+    typical: Vec<f64>,
+    hints: Vec<[f64; 3]>,
+    pressure: f64,
+    pressure_at: Nanos,
+    arrivals: Rate,
+    tenants: Vec<Rate>,
+    budget: f64,
+    usual_queue: f64,
+    jobs: BinaryHeap<Reverse<(Nanos, Job)>>,
+    armed: Nanos,
+    list_failures: u32,
+    memory: f64,
+    relief: f64,
+    longest: Nanos,
+}
+
+/// A rate a second, averaged over the memory it is read with.
+#[derive(Clone, Copy, Default)]
+struct Rate {
+    sum: f64,
+    at: Nanos,
+}
+
+impl Rate {
+    fn read(&self, now: Nanos, memory: f64) -> f64 {
+        self.sum * (-(now.saturating_sub(self.at) as f64) / memory).exp() / (memory / 1e9)
+    }
+    fn count(&mut self, now: Nanos, memory: f64) {
+        self.sum = self.sum * (-(now.saturating_sub(self.at) as f64) / memory).exp() + 1.0;
+        self.at = now;
+    }
+}
+
+impl Balancer {
+    /// A balancer without any servers yet. The seed settles all its random draws.
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.validate()?;
+        let longest = settings.classes.iter().map(|c| c.give_up).max().unwrap_or(1);
+        Ok(Balancer {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            nodes: Vec::new(),
+            by_endpoint: BTreeMap::new(),
+            ready: Vec::new(),
+            ranks: Vec::new(),
+            epoch: 0,
+            pending: BTreeMap::new(),
+            typical: settings.classes.iter().map(|c| c.aim as f64 / 3.0).collect(),
+            hints: vec![[0.0; 3]; settings.classes.len()],
+            pressure: 1.0,
+            pressure_at: 0,
+            arrivals: Rate::default(),
+            tenants: vec![Rate::default(); settings.tenant_quota.len()],
+            budget: 1.0,
+            usual_queue: 0.0,
+            jobs: BinaryHeap::new(),
+            armed: Nanos::MAX,
+            list_failures: 0,
+            memory: LAG_MEMORY * longest as f64,
+            relief: RELIEF * settings.classes.iter().map(|c| c.aim).max().unwrap_or(1) as f64,
+            longest,
+            settings,
+        })
+    }
+
+    /// Takes one event at the given time and writes what is to be done about it into `sink`, in order.
+    pub fn handle(&mut self, now: Nanos, event: Event, sink: &mut Vec<Action>) {
+        match event {
+            Event::List { kind, servers } => self.follow_list(now, kind, &servers, sink),
+            Event::Request(request) => self.admit(now, request, sink),
+            Event::Outcome { request, server, attempt, finished, took, ending, report } => {
+                self.learn(now, server, report);
+                self.outcome(now, (request, attempt), finished, took, ending, sink)
+            }
+            Event::StreamStarted { request, .. } => {
+                if let Some(p) = self.pending.get_mut(&request) {
+                    p.streaming = true;
+                }
+            }
+            Event::ClientGone { request } => self.close(request, sink),
+            Event::Probed { server, report, .. } => self.learn(now, server, report),
+            Event::Message { .. } => {}
+            Event::Timer { .. } => {
+                self.armed = Nanos::MAX;
+                while let Some(&Reverse((at, job))) = self.jobs.peek() {
+                    if at > now {
+                        break;
+                    }
+                    self.jobs.pop();
+                    match job {
+                        Job::Hedge(id) => self.hedge(now, id, sink),
+                        Job::Relist => sink.push(Action::Subscribe),
+                    }
+                }
+            }
+        }
+        self.arm(now, sink);
+    }
+
+    fn draw(&mut self, below: usize) -> usize {
+        ((u64::from(self.rng.next_u32()) * below as u64) >> 32) as usize
+    }
+
+    fn chance(&mut self) -> f64 {
+        f64::from(self.rng.next_u32()) / f64::from(u32::MAX)
+    }
+
+    // ---- List ----
+
+    fn follow_list(&mut self, now: Nanos, kind: ListKind, servers: &[Server], sink: &mut Vec<Action>) {
+        match kind {
+            // The whole group may have been cut off at once: come back spread out, later each time.
+            ListKind::Failed => {
+                self.list_failures = (self.list_failures + 1).min(4);
+                let pause = self.longest as f64 * f64::from(1 << self.list_failures) * (0.5 + self.chance());
+                return self.jobs.push(Reverse((now + pause as Nanos, Job::Relist)));
+            }
+            ListKind::Cached if self.settings.must_subscribe => sink.push(Action::Subscribe),
+            ListKind::Cached => {}
+            ListKind::Full | ListKind::Changes => self.list_failures = 0,
+        }
+        if kind != ListKind::Changes {
+            for i in 0..self.nodes.len() {
+                if !servers.iter().any(|s| s.endpoint == self.nodes[i].server.endpoint) {
+                    self.leave(i, Phase::Gone);
+                }
+            }
+        }
+        for server in servers {
+            match self.by_endpoint.get(&server.endpoint).copied() {
+                Some(i) => self.update(now, i, *server),
+                None if server.phase == Phase::Ready => self.add(now, *server),
+                None => {}
+            }
+        }
+        (0..self.ready.len()).for_each(|zone| self.regroup(now, zone));
+    }
+
+    /// Ranks this node's own part of a zone: with many nodes each would see any one server too seldom. Parts
+    /// are windows of one order, set off by the golden ratio, so that all servers are in about as many.
+    fn regroup(&mut self, now: Nanos, zone: usize) {
+        let count = self.ready[zone].len();
+        let nodes = f64::from(self.settings.group_size) / self.ready.len() as f64;
+        let part = (count as f64 * COVER / nodes).max(LEAST_PART);
+        let start = f64::from(self.settings.ordinal) * 0.618_033_988_749_895 % 1.0 * count as f64;
+        let mut filled = 0.0;
+        for k in 0..count {
+            let i = self.ready[zone][(start as usize + k) % count];
+            let inside = filled < part;
+            // Cold ones count for what they can take: a fleet that grows must not leave a node with few warm.
+            filled += self.cold_share(now, i);
+            match self.nodes[i].place {
+                None if inside => {
+                    self.nodes[i].place = Some(self.ranks[zone].len());
+                    self.ranks[zone].push(i);
+                    self.credit(i, 0.0);
+                }
+                Some(_) if !inside => self.unrank(i),
+                _ => {}
+            }
+        }
+    }
+
+    fn unrank(&mut self, i: usize) {
+        let Some(place) = self.nodes[i].place.take() else { return };
+        let rank = &mut self.ranks[usize::from(self.nodes[i].server.zone)];
+        rank.remove(place);
+        for (k, &j) in rank.iter().enumerate().skip(place) {
+            self.nodes[j].place = Some(k);
+        }
+    }
+
+    fn add(&mut self, now: Nanos, server: Server) {
+        let size = if server.size > 0.0 && self.settings.sizes_known { f64::from(server.size) } else { 1.0 };
+        let i = self.nodes.len();
+        self.nodes.push(Node {
+            server: Server { phase: Phase::Gone, ..server },
+            size,
+            out: 0,
+            load: 0.0,
+            silent_since: now,
+            lag: 1.0,
+            lag_at: now,
+            queued: 0.0,
+            report_at: 0,
+            sent_since: 0.0,
+            score: 0.0,
+            place: None,
+            blocked_until: 0,
+            strikes: 0,
+            cold_next: 0,
+        });
+        self.by_endpoint.insert(server.endpoint, i);
+        self.update(now, i, server);
+    }
+
+    fn update(&mut self, now: Nanos, i: usize, server: Server) {
+        let restarted = server.started_at > self.nodes[i].server.started_at;
+        let fresh = self.nodes[i].server.phase != Phase::Ready;
+        if server.phase != Phase::Ready || server.zone != self.nodes[i].server.zone {
+            self.leave(i, server.phase);
+        }
+        self.nodes[i].server = server;
+        if server.phase == Phase::Ready && (fresh || restarted) {
+            let node = &mut self.nodes[i];
+            (node.lag, node.lag_at, node.strikes, node.blocked_until) = (1.0, now, 0, 0);
+            let zone = usize::from(server.zone);
+            if self.ranks.len() <= zone {
+                self.ranks.resize(zone + 1, Vec::new());
+                self.ready.resize(zone + 1, Vec::new());
+            }
+            if fresh {
+                node.score = 0.0;
+                let at =
+                    self.ready[zone].partition_point(|&j| self.nodes[j].server.endpoint < server.endpoint);
+                self.ready[zone].insert(at, i);
+            }
+            // Every node hears of a cold server at about the same time: first sends are spread over an
+            // interval, or all of them together would spend its tipping budget at once.
+            if self.cold_share(now, i) < 1.0 {
+                let wait = self.cold_interval(now, i) * self.chance();
+                self.nodes[i].cold_next = now.saturating_add(wait as Nanos);
+            }
+        }
+    }
+
+    /// Takes a server out of the ranking: nothing new goes to one that drains or is gone.
+    fn leave(&mut self, i: usize, phase: Phase) {
+        if self.nodes[i].server.phase == Phase::Ready {
+            self.unrank(i);
+            self.ready[usize::from(self.nodes[i].server.zone)].retain(|&j| j != i);
+        }
+        self.nodes[i].server.phase = if phase == Phase::Ready { Phase::Gone } else { phase };
+    }
+
+    // ---- Ranking: accomplishment counters, faded by growing the increment ----
+
+    fn increment(&mut self, now: Nanos) -> f64 {
+        let fade = FADE_RAMPS * self.settings.ramp as f64;
+        let mut grown = (now.saturating_sub(self.epoch) as f64 / fade).exp();
+        if grown > 1e100 {
+            self.nodes.iter_mut().for_each(|n| n.score /= grown);
+            self.pending.values_mut().flat_map(|p| &mut p.attempts).for_each(|a| a.credit /= grown);
+            self.epoch = now;
+            grown = 1.0;
+        }
+        grown
+    }
+
+    fn credit(&mut self, i: usize, by: f64) {
+        self.nodes[i].score += by;
+        let Some(mut at) = self.nodes[i].place else { return };
+        let rank = &mut self.ranks[usize::from(self.nodes[i].server.zone)];
+        let score = self.nodes[i].score;
+        while at > 0 && self.nodes[rank[at - 1]].score < score {
+            rank[at] = rank[at - 1];
+            self.nodes[rank[at]].place = Some(at);
+            at -= 1;
+        }
+        while at + 1 < rank.len() && self.nodes[rank[at + 1]].score > score {
+            rank[at] = rank[at + 1];
+            self.nodes[rank[at]].place = Some(at);
+            at += 1;
+        }
+        rank[at] = i;
+        self.nodes[i].place = Some(at);
+    }
+
+    // ---- Queue estimate, in mean responses ----
+
+    fn learn(&mut self, now: Nanos, endpoint: Endpoint, report: Option<Report>) {
+        let (Some(&i), Some(report)) = (self.by_endpoint.get(&endpoint), report) else { return };
+        let node = &mut self.nodes[i];
+        node.queued = f64::from(report.queued.unwrap_or(0.0)).max(0.0);
+        node.report_at = now;
+        self.usual_queue += (node.queued / node.size - self.usual_queue) / USUAL_OVER;
+        node.sent_since = 0.0;
+    }
+
+    /// The answer time of a request in its class's mean responses, by its hint and the slope met so far. One
+    /// mean for all would send the heaviest, which hold most of the worth, anywhere.
+    fn weight(&self, request: &Request) -> f64 {
+        let class = usize::from(request.class);
+        let [mean, spread, both] = self.hints[class];
+        match request.work_hint {
+            Some(hint) if spread > 0.0 => {
+                let more = (both / spread).max(0.0) * (hint as f64 - mean) / self.typical[class];
+                (1.0 + more).max(LIGHTEST)
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// How long an answer takes here, in the class's mean responses: recent lag, or the silence while work is
+    /// out if that is longer (a hung server must not look idle), and the work that waits per unit of size.
+    fn queue(&self, now: Nanos, i: usize, mean: f64, weight: f64) -> f64 {
+        let node = &self.nodes[i];
+        let faded = (-(now.saturating_sub(node.lag_at) as f64) / self.memory).exp();
+        let fleet = self.pressure_now(now);
+        let mut lag = fleet * (1.0 + (node.lag - 1.0) * faded) * weight;
+        if node.out > 0 {
+            lag = lag.max(now.saturating_sub(node.silent_since) as f64 / mean);
+        }
+        // An old report says little; what is not known is taken to be as usual, not to be idle.
+        let age = now.saturating_sub(node.report_at) as f64;
+        let known = (-age / (REPORT_MEMORY * self.memory)).exp();
+        let own = node.load / node.size;
+        let since = node.sent_since / node.size;
+        let waiting =
+            (node.queued / node.size * known + since.min(own) + self.usual_queue * (1.0 - known)).max(own);
+        // The lag already holds the usual queue: only what differs from it counts.
+        (lag + waiting - self.usual_queue).max(own)
+    }
+
+    /// How much longer than usual the fleet takes to answer. It fades: a node that refuses all has to find
+    /// out that a jam is over.
+    fn pressure_now(&self, now: Nanos) -> f64 {
+        let faded = (-(now.saturating_sub(self.pressure_at) as f64) / self.relief).exp();
+        1.0 + (self.pressure - 1.0) * faded
+    }
+
+    // ---- Choice: JSQ-DAS within a zone ----
+
+    fn usable(&self, now: Nanos, i: usize, pending: &Pending) -> bool {
+        let node = &self.nodes[i];
+        node.blocked_until <= now
+            && (node.strikes == 0 || node.out == 0)
+            && node.cold_next <= now
+            && (node.place.is_some() || self.cold_share(now, i) >= 1.0)
+            && !pending.attempts.iter().any(|a| a.node == i)
+            && self.inside(now, i, pending)
+    }
+
+    /// A keyed request that may have run stays with the servers that drop its repeats, in their time.
+    fn inside(&self, now: Nanos, i: usize, pending: &Pending) -> bool {
+        let class = &self.settings.classes[usize::from(pending.request.class)];
+        let Some((first, until)) = pending.fence.filter(|_| class.effect == Effect::Keyed) else {
+            return true;
+        };
+        let (a, b) = (&self.nodes[first].server, &self.nodes[i].server);
+        let same = match class.group {
+            Group::All => true,
+            Group::Zone => a.zone == b.zone,
+            Group::Cell => a.cell == b.cell,
+        };
+        same && now < until
+    }
+
+    fn choose_in(&mut self, now: Nanos, zone: usize, pending: &Pending) -> Option<(usize, f64)> {
+        let count = self.ranks.get(zone).map_or(0, Vec::len);
+        if count == 0 {
+            return None;
+        }
+        let mean = self.typical[usize::from(pending.request.class)];
+        let top = ((TOP_SHARE * count as f64).ceil() as usize).clamp(1, count.max(2) - 1).min(count);
+        let weight = self.weight(&pending.request);
+        let mut drawn = [usize::MAX; DRAWN + 1];
+        let mut have = 0;
+        for (from, to, want) in [(0, top, FROM_TOP), (top, count, DRAWN - FROM_TOP)] {
+            let (mut tries, goal) = (0, have + want.min(to - from));
+            while have < goal && tries < 4 * want {
+                let place = from + self.draw(to - from);
+                let i = self.ranks[zone][place];
+                tries += 1;
+                if !drawn[..have].contains(&i) && self.usable(now, i, pending) {
+                    drawn[have] = i;
+                    have += 1;
+                }
+            }
+        }
+        let favourite = self.favourite(now, zone, pending);
+        if let Some(i) = favourite.filter(|i| !drawn[..have].contains(i)) {
+            drawn[have] = i;
+            have += 1;
+        }
+        if have == 0 {
+            // Nearly all are out: take any that is left.
+            drawn[0] = *self.ready[zone].iter().find(|&&i| self.usable(now, i, pending))?;
+            have = 1;
+        }
+        drawn[..have]
+            .iter()
+            .map(|&i| {
+                let queue =
+                    self.queue(now, i, mean, weight) * if favourite == Some(i) { KEY_BONUS } else { 1.0 };
+                (i, queue)
+            })
+            .min_by(|a, b| {
+                let (qa, qb) = ((a.1 / TIE_STEP).round(), (b.1 / TIE_STEP).round());
+                let place = |i: usize| self.nodes[i].place.unwrap_or(usize::MAX);
+                qa.total_cmp(&qb).then(place(a.0).cmp(&place(b.0)))
+            })
+    }
+
+    /// The server that has most likely met the key: highest hash of key and server.
+    fn favourite(&self, now: Nanos, zone: usize, pending: &Pending) -> Option<usize> {
+        let key = pending.request.key;
+        if key == 0 || !self.settings.warm_keys {
+            return None;
+        }
+        let hash = |i: usize| {
+            let e = self.nodes[i].server.endpoint;
+            let id = (u64::from(u32::from_be_bytes(e.address)) << 16) | u64::from(e.port);
+            let mixed = (id ^ key).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+            (mixed ^ (mixed >> 29)).wrapping_mul(0xBF58_476D_1CE4_E5B9) >> 11
+        };
+        let best = *self.ranks[zone].iter().max_by_key(|&&i| (hash(i), i))?;
+        Some(best).filter(|&i| self.usable(now, i, pending))
+    }
+
+    /// The home zone first; another where the local answer would be late and the other much sooner.
+    fn choose(&mut self, now: Nanos, pending: &Pending) -> Option<(usize, f64)> {
+        let class = usize::from(pending.request.class);
+        let (mean, aim) = (self.typical[class], self.settings.classes[class].aim as f64);
+        let home = usize::from(self.settings.zone);
+        let local = self.choose_in(now, home, pending);
+        if local.is_some_and(|(_, q)| q * mean < WIDEN_AT * aim) || self.ranks.len() < 2 {
+            return local;
+        }
+        let skip = self.draw(self.ranks.len());
+        let mut best = local.map(|(i, q)| (i, q, q * CROSS_GAIN));
+        for k in 0..self.ranks.len() {
+            let zone = (k + skip) % self.ranks.len();
+            if zone != home {
+                if let Some((i, q)) = self.choose_in(now, zone, pending) {
+                    if best.is_none_or(|b| q < b.2) && self.cold_share(now, i) >= 1.0 {
+                        best = Some((i, q, q));
+                    }
+                }
+            }
+        }
+        best.map(|(i, q, _)| (i, q))
+    }
+
+    // ---- Cold servers ----
+
+    fn cold_share(&self, now: Nanos, i: usize) -> f64 {
+        let started = self.nodes[i].server.started_at;
+        let age = now.saturating_sub(started) as f64 / self.settings.ramp as f64;
+        if started == 0 {
+            return 1.0;
+        }
+        (self.settings.cold_from + (1.0 - self.settings.cold_from) * age).min(1.0)
+    }
+
+    /// Time between two sends to a cold server: its ramp share of what this node sends a like warm server.
+    fn cold_interval(&self, now: Nanos, i: usize) -> f64 {
+        let zone = usize::from(self.settings.zone);
+        let size: f64 = self.ranks.get(zone).map_or(0.0, |r| r.iter().map(|&j| self.nodes[j].size).sum());
+        let rate = self.arrivals.read(now, self.settings.ramp as f64) / size.max(self.nodes[i].size);
+        1e9 / (COLD_SHARE * self.cold_share(now, i) * rate * self.nodes[i].size).max(1e-6)
+    }
+
+    // ---- Health ----
+
+    fn strike(&mut self, now: Nanos, i: usize, ending: Ending, sink: &mut Vec<Action>) {
+        let zone = usize::from(self.nodes[i].server.zone);
+        if self.nodes[i].blocked_until > now || self.nodes[i].server.phase != Phase::Ready {
+            return;
+        }
+        let hard = ending == Ending::ConnectFailed;
+        let out = self.ranks[zone].iter().filter(|&&j| self.nodes[j].blocked_until > now).count();
+        if !hard && out as f64 >= EJECT_CAP * self.ranks[zone].len() as f64 {
+            return;
+        }
+        let jitter = 0.75 + 0.5 * self.chance();
+        let node = &mut self.nodes[i];
+        node.strikes = (node.strikes + 1).min(4);
+        let pause = self.longest as f64 / 2.0 * f64::from(1 << node.strikes) * jitter;
+        node.blocked_until = now + pause as Nanos;
+        if node.strikes == 2 {
+            let e = node.server.endpoint;
+            sink.push(Action::Log { text: format!("ejected {:?}:{} after {:?}", e.address, e.port, ending) });
+        }
+    }
+
+    // ---- Requests ----
+
+    fn admit(&mut self, now: Nanos, request: Request, sink: &mut Vec<Action>) {
+        let ramp = self.settings.ramp as f64;
+        self.arrivals.count(now, ramp);
+        let most = 1.0 + RETRY_SHARE * self.arrivals.read(now, ramp) * ramp / 1e9;
+        // Copies into a jam make it worse: the budget dries up as answers take longer than usual.
+        let calm = self.pressure_now(now).max(1.0).powi(-CALM_STEEP);
+        self.budget = (self.budget + RETRY_SHARE * calm).min(most);
+        let pending = Pending {
+            request,
+            arrived: now,
+            attempts: Vec::new(),
+            fence: None,
+            answered: false,
+            streaming: false,
+        };
+        let class = usize::from(request.class);
+        if class < self.settings.classes.len() {
+            if let Some((i, queue)) = self.choose(now, &pending) {
+                let wait = queue * self.typical[class] - self.limit(now, &request);
+                if wait <= 0.0 {
+                    if let Some(rate) = self.tenants.get_mut(request.tenant as usize) {
+                        rate.count(now, self.memory);
+                    }
+                    self.pending.insert(request.id, pending);
+                    self.send(now, request.id, i, sink);
+                    let class = &self.settings.classes[class];
+                    if class.effect == Effect::Safe && self.settings.second_copies && !class.stream {
+                        let at = now + (HEDGE_AT * class.aim as f64) as Nanos;
+                        if at < request.give_up_at {
+                            self.jobs.push(Reverse((at, Job::Hedge(request.id))));
+                        }
+                    }
+                    return;
+                }
+                return self.refuse(request.id, wait, sink);
+            }
+        }
+        self.refuse(request.id, self.longest as f64, sink);
+    }
+
+    // ---- Admission ----
+
+    /// Whether a tenant already gets its share here. What is let in counts: clients that ask again after a
+    /// refusal would put their tenant over its share and be refused the more.
+    fn over_share(&self, now: Nanos, tenant: usize) -> bool {
+        let Some(rate) = self.tenants.get(tenant) else { return false };
+        let fair = self.settings.tenant_quota[tenant] / f64::from(self.settings.group_size);
+        // One node of many sees a few of a tenant's requests: chance alone must not put it over.
+        let seconds = self.memory / 1e9;
+        rate.read(now, self.memory) > fair + CHANCE * (fair / seconds).sqrt()
+    }
+
+    /// The expected answer time beyond which the request is not worth its work.
+    fn limit(&self, now: Nanos, request: &Request) -> f64 {
+        let class = &self.settings.classes[usize::from(request.class)];
+        let cost = |c: usize| if self.settings.worth_by_work { 1.0 } else { self.typical[c] };
+        let best = (0..self.typical.len())
+            .map(|c| self.settings.classes[c].worth / cost(c))
+            .fold(f64::MIN_POSITIVE, f64::max);
+        let mut value = class.worth / cost(usize::from(request.class)) / best;
+        if self.over_share(now, request.tenant as usize) {
+            value *= self.settings.over_share_worth;
+        }
+        let left = request.give_up_at.saturating_sub(now) as f64;
+        // A late answer that still earns something is worth a longer wait.
+        let most = (ADMIT_AIMS * (1.0 + class.late_worth) * class.aim as f64).min(left);
+        most * value.clamp(0.0, 1.0).powf(WORTH_POWER)
+    }
+
+    fn refuse(&mut self, id: RequestId, wait: f64, sink: &mut Vec<Action>) {
+        let spread = 0.5 + self.chance();
+        let advice = (wait * spread).min(self.settings.max_retry_after as f64) as Nanos;
+        let retry_after = if self.settings.retry_after { advice } else { 0 };
+        sink.push(Action::Refuse { request: id, retry_after });
+    }
+
+    // ---- Attempts ----
+
+    fn send(&mut self, now: Nanos, id: RequestId, i: usize, sink: &mut Vec<Action>) {
+        let credit = self.increment(now);
+        let weight = self.pending.get(&id).map_or(1.0, |p| self.weight(&p.request));
+        if self.cold_share(now, i) < 1.0 {
+            let wait = self.cold_interval(now, i) as Nanos;
+            self.nodes[i].cold_next = now.saturating_add(wait);
+        } else {
+            self.nodes[i].cold_next = 0;
+        }
+        let node = &mut self.nodes[i];
+        if node.out == 0 {
+            node.silent_since = now;
+        }
+        node.out += 1;
+        node.load += weight;
+        node.sent_since += weight;
+        let server = node.server.endpoint;
+        self.credit(i, credit);
+        if let Some(p) = self.pending.get_mut(&id) {
+            p.attempts.push(Attempt { node: i, credit, weight, open: true });
+            sink.push(Action::Send { request: id, server, timeout: 0 });
+        }
+    }
+
+    fn outcome(
+        &mut self,
+        now: Nanos,
+        (id, attempt): (RequestId, u8),
+        finished: bool,
+        took: Nanos,
+        ending: Ending,
+        sink: &mut Vec<Action>,
+    ) {
+        let Some(p) = self.pending.get_mut(&id) else { return };
+        let Some(a) = p.attempts.get_mut(usize::from(attempt)).filter(|a| a.open) else { return };
+        a.open = false;
+        let (i, credit, weight, class) = (a.node, a.credit, a.weight, usize::from(p.request.class));
+        let hint = p.request.work_hint;
+        let window = self.settings.classes[class].window;
+        if !ending.never_ran() && p.fence.is_none() {
+            p.fence = Some((i, now.saturating_sub(took) + window));
+        }
+        self.judge(now, i, (class, weight, hint), took, ending, credit, sink);
+        if finished {
+            return self.close(id, sink);
+        }
+        let Some(p) = self.pending.get(&id) else { return };
+        if p.answered {
+            return self.close(id, sink);
+        }
+        if p.open() > 0 && now < p.request.give_up_at {
+            return;
+        }
+        self.again(now, id, ending, sink);
+    }
+
+    /// What an ending says of its server.
+    #[allow(clippy::too_many_arguments)]
+    fn judge(
+        &mut self,
+        now: Nanos,
+        i: usize,
+        (class, weight, hint): (usize, f64, Option<Nanos>),
+        took: Nanos,
+        ending: Ending,
+        credit: f64,
+        sink: &mut Vec<Action>,
+    ) {
+        let fleet = self.pressure_now(now);
+        let node = &mut self.nodes[i];
+        node.out = node.out.saturating_sub(1);
+        node.load = if node.out == 0 { 0.0 } else { (node.load - weight).max(0.0) };
+        if matches!(ending, Ending::Ok | Ending::Error | Ending::Full | Ending::Reset) {
+            node.silent_since = now;
+        }
+        if matches!(ending, Ending::Ok | Ending::TimedOut) {
+            let typical = &mut self.typical[class];
+            if let Some(hint) = hint {
+                let [mean, spread, both] = &mut self.hints[class];
+                let (far, late) = (hint as f64 - *mean, took as f64 - *typical);
+                *mean += far * HINT_WEIGHT;
+                *spread += (far * far - *spread) * HINT_WEIGHT;
+                *both += (far * late - *both) * HINT_WEIGHT;
+            }
+            let ratio = took as f64 / (*typical * weight);
+            // The yardstick follows slowly, upwards slowest: it has to outlive a jam.
+            *typical += (took as f64 - *typical) / if ratio > 1.0 { TYPICAL_UP } else { TYPICAL_DOWN };
+            let gap = (-(now.saturating_sub(node.lag_at) as f64) / self.memory).exp();
+            node.lag = 1.0 + (node.lag - 1.0) * gap;
+            node.lag += (ratio / fleet - node.lag) * LAG_WEIGHT.max(1.0 - gap);
+            self.pressure = fleet + (ratio - fleet) * PRESSURE_WEIGHT;
+            self.pressure_at = now;
+            node.lag_at = now;
+        }
+        match ending {
+            Ending::Ok => {
+                if node.blocked_until <= now {
+                    node.strikes = 0;
+                }
+            }
+            Ending::Cancelled | Ending::NotSent => {}
+            // A server that fails fast would drain its queue and climb: take back its credit.
+            Ending::Error | Ending::Full | Ending::TimedOut | Ending::ConnectFailed | Ending::Reset => {
+                self.credit(i, -credit);
+                // A time-out tells of load as well as of a fault, and the lag already counts it: ejecting
+                // for it would push an overloaded fleet's work onto ever fewer servers.
+                if ending != Ending::TimedOut {
+                    self.strike(now, i, ending, sink);
+                }
+            }
+        }
+    }
+
+    /// Sends a request again whose attempts have all ended without an answer, or ends it.
+    fn again(&mut self, now: Nanos, id: RequestId, ending: Ending, sink: &mut Vec<Action>) {
+        let Some(p) = self.pending.remove(&id) else { return };
+        let class = usize::from(p.request.class);
+        let effect = self.settings.classes[class].effect;
+        let may_have_run = p.fence.is_some();
+        let free = ending.never_ran();
+        let allowed = !p.streaming
+            && p.attempts.len() < self.settings.max_attempts as usize
+            && (!may_have_run || effect != Effect::Unsafe)
+            && (free || self.budget >= 1.0)
+            && now + (self.typical[class] / 2.0) as Nanos <= p.request.give_up_at;
+        let mut p = p;
+        let next = if allowed { self.choose(now, &p) } else { None };
+        let all = self.settings.classes[class].group == Group::All;
+        let harmless = !may_have_run || effect == Effect::Safe || (effect == Effect::Keyed && all);
+        if next.is_none() {
+            p.answered = true;
+            if harmless && now < p.request.give_up_at {
+                self.refuse(id, self.typical[class], sink);
+            } else {
+                sink.push(Action::Fail { request: id });
+            }
+        }
+        self.pending.insert(id, p);
+        match next {
+            Some((i, _)) => {
+                if !free {
+                    self.budget -= 1.0;
+                }
+                self.send(now, id, i, sink)
+            }
+            None => self.close(id, sink),
+        }
+    }
+
+    /// A second copy for a request that is slow to come back, within the budget.
+    fn hedge(&mut self, now: Nanos, id: RequestId, sink: &mut Vec<Action>) {
+        let Some(p) = self.pending.remove(&id) else { return };
+        let fits = !p.answered && p.open() == 1 && p.attempts.len() < self.settings.max_attempts as usize;
+        let class = &self.settings.classes[usize::from(p.request.class)];
+        let left = (p.arrived + class.aim).saturating_sub(now) as f64;
+        let mean = self.typical[usize::from(p.request.class)];
+        let next = if fits && self.budget >= 1.0 && now < p.request.give_up_at {
+            self.choose(now, &p).filter(|&(_, q)| q * mean < left)
+        } else {
+            None
+        };
+        self.pending.insert(id, p);
+        if let Some((i, _)) = next {
+            self.budget -= 1.0;
+            self.send(now, id, i, sink);
+        }
+    }
+
+    /// Nothing more is owed: calls off what is still out and forgets the request once all is in.
+    fn close(&mut self, id: RequestId, sink: &mut Vec<Action>) {
+        let Some(p) = self.pending.get_mut(&id) else { return };
+        if !p.answered && self.settings.cancel && !p.streaming {
+            for (k, _) in p.attempts.iter().enumerate().filter(|(_, a)| a.open) {
+                sink.push(Action::Cancel { request: id, attempt: k as u8 });
+            }
+        }
+        p.answered = true;
+        if p.open() == 0 {
+            self.pending.remove(&id);
+        }
+    }
+
+    // ---- Timers ----
+
+    fn arm(&mut self, now: Nanos, sink: &mut Vec<Action>) {
+        if let Some(&Reverse((at, _))) = self.jobs.peek() {
+            if at < self.armed {
+                self.armed = at;
+                sink.push(Action::StartTimer { after: at.saturating_sub(now), token: 0 });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,479 @@
+//! The types between a proxy node and its [`Balancer`](crate::Balancer): settings, events and actions.
+//!
+//! All times and durations are nanoseconds. The node owns connections, clocks and timers; the balancer owns
+//! nothing but its own picture of the fleet.
+
+/// A point in time or a duration, in nanoseconds.
+pub type Nanos = u64;
+/// The node's own number for one request; never used twice.
+pub type RequestId = u32;
+
+/// Where a server listens. Order and value carry no meaning beyond identity.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Endpoint {
+    /// IPv4 address, first byte first.
+    pub address: [u8; 4],
+    /// TCP port.
+    pub port: u16,
+}
+
+/// Where a server stands in its life, as the list tells it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Takes work.
+    Ready,
+    /// Finishes what it has; takes nothing new.
+    Draining,
+    /// Removed from the list.
+    Gone,
+}
+
+/// One entry of the server list.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Server {
+    /// The server's identity.
+    pub endpoint: Endpoint,
+    /// Zone it stands in, as an index into the node's zones.
+    pub zone: u8,
+    /// Machine kind, as an index.
+    pub kind: u16,
+    /// Group of servers with shared memory of keys.
+    pub cell: u16,
+    /// Ready, draining or gone.
+    pub phase: Phase,
+    /// Listed size for comparison with other servers; no unit, 0 when unknown.
+    pub size: f32,
+    /// When its process last started; 0 when long ago.
+    pub started_at: Nanos,
+}
+
+impl Server {
+    /// A ready, long-started server of size 1 in zone 0.
+    pub fn warm(endpoint: Endpoint) -> Self {
+        Server { endpoint, zone: 0, kind: 0, cell: 0, phase: Phase::Ready, size: 1.0, started_at: 0 }
+    }
+}
+
+/// How far a request may be repeated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Repeats do no harm.
+    Safe,
+    /// Servers of one group drop repeats within a window.
+    Keyed,
+    /// Must not run twice.
+    Unsafe,
+}
+
+/// Which servers drop the repeats of a keyed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// All servers.
+    All,
+    /// The servers of one zone.
+    Zone,
+    /// The servers of one cell.
+    Cell,
+}
+
+/// One class of requests.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Class {
+    /// An answer within this earns the full worth.
+    pub aim: Nanos,
+    /// How long a client waits over all its tries.
+    pub give_up: Nanos,
+    /// Worth of one request (or of a unit of its work, see [`Settings::worth_by_work`]).
+    pub worth: f64,
+    /// Share of the worth left for an answer after the aim, 0 to 1.
+    pub late_worth: f64,
+    /// How far it may be repeated.
+    pub effect: Effect,
+    /// For keyed classes: who drops repeats.
+    pub group: Group,
+    /// For keyed classes: for how long, from the first attempt that may have run.
+    pub window: Nanos,
+    /// The answer is a stream.
+    pub stream: bool,
+}
+
+/// The values that a load report may carry.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Requests in hand.
+    pub concurrent: Option<f32>,
+    /// Requests that wait.
+    pub queued: Option<f32>,
+    /// Share of its processor in use, 0 to 1.
+    pub utilisation: Option<f32>,
+    /// Recent service time without waiting, milliseconds.
+    pub service_ms: Option<f32>,
+    /// Requests served a second.
+    pub rate: Option<f32>,
+    /// Errors a second.
+    pub error_rate: Option<f32>,
+}
+
+/// What a node is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The request classes; at least one.
+    pub classes: Vec<Class>,
+    /// Each tenant's share in requests a second over all nodes; empty where there are none.
+    pub tenant_quota: Vec<f64>,
+    /// Part of its worth that a request over its tenant's share keeps, 0 to 1.
+    pub over_share_worth: f64,
+    /// Requests count by their work, not each alike.
+    pub worth_by_work: bool,
+    /// The node's own zone.
+    pub zone: u8,
+    /// The node's number in its group, from 0.
+    pub ordinal: u32,
+    /// Number of nodes in the group; at least one.
+    pub group_size: u32,
+    /// The list comes only to those who subscribe.
+    pub must_subscribe: bool,
+    /// Most attempts for one request; at least one.
+    pub max_attempts: u32,
+    /// Two attempts of a request may be out at once.
+    pub second_copies: bool,
+    /// Attempts may be called off.
+    pub cancel: bool,
+    /// Servers may be probed.
+    pub probes: bool,
+    /// Nodes may send each other messages.
+    pub peers: bool,
+    /// Clients are told when to come back.
+    pub retry_after: bool,
+    /// The longest such advice that a client heeds.
+    pub max_retry_after: Nanos,
+    /// A server starts at this share of its capacity or more; above 0, at most 1.
+    pub cold_from: f64,
+    /// A started server is warm after this.
+    pub ramp: Nanos,
+    /// More than this multiple of its present capacity, for `fall`, pushes a cold server over.
+    pub tip_multiple: f64,
+    /// See `tip_multiple`.
+    pub fall: Nanos,
+    /// Listed sizes can be compared between servers.
+    pub sizes_known: bool,
+    /// Servers that met a key lately do less work for it.
+    pub warm_keys: bool,
+    /// Points lost for each request that crosses zones, as a share of 1.
+    pub cross_price: f64,
+}
+
+impl Settings {
+    /// Settings for one safe class on a plain site, to start from.
+    pub fn single_class(aim: Nanos, give_up: Nanos) -> Self {
+        let class = Class {
+            aim,
+            give_up,
+            worth: 1.0,
+            late_worth: 0.0,
+            effect: Effect::Safe,
+            group: Group::All,
+            window: 0,
+            stream: false,
+        };
+        Settings {
+            classes: vec![class],
+            tenant_quota: Vec::new(),
+            over_share_worth: 1.0,
+            worth_by_work: false,
+            zone: 0,
+            ordinal: 0,
+            group_size: 1,
+            must_subscribe: false,
+            max_attempts: 3,
+            second_copies: false,
+            cancel: true,
+            probes: false,
+            peers: false,
+            retry_after: true,
+            max_retry_after: give_up,
+            cold_from: 0.3,
+            ramp: 10 * give_up,
+            tip_multiple: 3.0,
+            fall: give_up,
+            sizes_known: true,
+            warm_keys: false,
+            cross_price: 0.0,
+        }
+    }
+
+    /// Refuses settings that no node could act on, naming the one at fault.
+    pub fn validate(&self) -> Result<(), SettingsError> {
+        if self.classes.is_empty() {
+            return Err(SettingsError::Empty("classes"));
+        }
+        for class in &self.classes {
+            for (name, value) in [("aim", class.aim), ("give_up", class.give_up)] {
+                if value == 0 {
+                    return Err(SettingsError::Zero(name));
+                }
+            }
+            share("late_worth", class.late_worth)?;
+            if !(class.worth.is_finite() && class.worth >= 0.0) {
+                return Err(SettingsError::OutOfRange("worth"));
+            }
+        }
+        for (name, value) in [
+            ("group_size", u64::from(self.group_size)),
+            ("max_attempts", u64::from(self.max_attempts)),
+            ("ramp", self.ramp),
+            ("fall", self.fall),
+        ] {
+            if value == 0 {
+                return Err(SettingsError::Zero(name));
+            }
+        }
+        share("over_share_worth", self.over_share_worth)?;
+        share("cold_from", self.cold_from)?;
+        share("cross_price", self.cross_price)?;
+        if self.cold_from == 0.0 {
+            return Err(SettingsError::Zero("cold_from"));
+        }
+        if !(self.tip_multiple.is_finite() && self.tip_multiple > 0.0) {
+            return Err(SettingsError::OutOfRange("tip_multiple"));
+        }
+        if self.tenant_quota.iter().any(|q| !(q.is_finite() && *q >= 0.0)) {
+            return Err(SettingsError::OutOfRange("tenant_quota"));
+        }
+        Ok(())
+    }
+}
+
+fn share(name: &'static str, value: f64) -> Result<(), SettingsError> {
+    if (0.0..=1.0).contains(&value) {
+        Ok(())
+    } else {
+        Err(SettingsError::NotAShare(name))
+    }
+}
+
+/// Why settings were refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsError {
+    /// A list has no items.
+    #[error("setting `{0}` must not be empty")]
+    Empty(&'static str),
+    /// A value must be above zero.
+    #[error("setting `{0}` must be above zero")]
+    Zero(&'static str),
+    /// A value must lie between 0 and 1.
+    #[error("setting `{0}` must lie between 0 and 1")]
+    NotAShare(&'static str),
+    /// A value makes no sense.
+    #[error("setting `{0}` is out of range")]
+    OutOfRange(&'static str),
+}
+
+/// A client's request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Request {
+    /// The node's number for it.
+    pub id: RequestId,
+    /// Its class, as an index into [`Settings::classes`].
+    pub class: u8,
+    /// Its tenant, as an index into [`Settings::tenant_quota`].
+    pub tenant: u32,
+    /// Routing key, 0 for none.
+    pub key: u64,
+    /// When the client abandons this try.
+    pub give_up_at: Nanos,
+    /// Rough work, as time on a standard core, where known.
+    pub work_hint: Option<Nanos>,
+    /// The client says that it tries again.
+    pub is_retry: bool,
+    /// It writes.
+    pub is_write: bool,
+}
+
+impl Request {
+    /// A first try of class 0 without tenant or key.
+    pub fn new(id: RequestId, give_up_at: Nanos) -> Self {
+        Request {
+            id,
+            class: 0,
+            tenant: 0,
+            key: 0,
+            give_up_at,
+            work_hint: None,
+            is_retry: false,
+            is_write: false,
+        }
+    }
+}
+
+/// What a list event holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Only the entries that changed.
+    Changes,
+    /// All servers; whoever is absent is gone.
+    Full,
+    /// All servers as last seen by this node's earlier life, possibly out of date.
+    Cached,
+    /// A call to the list service failed or the subscription broke; the old list stands.
+    Failed,
+}
+
+/// How an attempt or probe ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// Served.
+    Ok,
+    /// The server returned an error; it may have run.
+    Error,
+    /// Turned away unseen; it never ran.
+    Full,
+    /// No answer in time; it may have run or still run.
+    TimedOut,
+    /// No connection came about; it never ran.
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off by the node; it may have run.
+    Cancelled,
+    /// Never sent.
+    NotSent,
+}
+
+impl Ending {
+    /// True where the attempt is proved never to have run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Full | Ending::ConnectFailed | Ending::NotSent)
+    }
+}
+
+/// What a node tells its balancer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The list service spoke.
+    List {
+        /// What the entries are.
+        kind: ListKind,
+        /// The entries.
+        servers: Vec<Server>,
+    },
+    /// A client's request came in; it is owed exactly one final answer.
+    Request(Request),
+    /// An attempt ended; each send gets exactly one.
+    Outcome {
+        /// The request.
+        request: RequestId,
+        /// The server it was sent to.
+        server: Endpoint,
+        /// Attempt number, from 0 in the order of sending.
+        attempt: u8,
+        /// Nothing more is owed for the request.
+        finished: bool,
+        /// Time since it was sent.
+        took: Nanos,
+        /// How it ended.
+        ending: Ending,
+        /// The server's load, where told.
+        report: Option<Report>,
+    },
+    /// The answer of a streamed request has begun.
+    StreamStarted {
+        /// The request.
+        request: RequestId,
+        /// Attempt number.
+        attempt: u8,
+        /// The server it was sent to.
+        server: Endpoint,
+        /// Time since it was sent.
+        took: Nanos,
+    },
+    /// The client is gone; nothing more is owed.
+    ClientGone {
+        /// The request.
+        request: RequestId,
+    },
+    /// A probe came back.
+    Probed {
+        /// The server.
+        server: Endpoint,
+        /// How it went.
+        ending: Ending,
+        /// How long it took.
+        took: Nanos,
+        /// The server's load, where told.
+        report: Option<Report>,
+    },
+    /// Bytes from another node.
+    Message {
+        /// The sender's number.
+        from: u32,
+        /// The bytes.
+        bytes: Vec<u8>,
+    },
+    /// A timer asked for has run out.
+    Timer {
+        /// The token given with it.
+        token: u32,
+    },
+}
+
+/// What a balancer asks its node to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send the request to the server as its next attempt.
+    Send {
+        /// The request.
+        request: RequestId,
+        /// The server.
+        server: Endpoint,
+        /// The attempt's time-out; 0 means until the client gives up.
+        timeout: Nanos,
+    },
+    /// Final answer: turned away, a repeat is harmless.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// Advice when to come back; 0 for none.
+        retry_after: Nanos,
+    },
+    /// Final answer: failed, with no word on its effect.
+    Fail {
+        /// The request.
+        request: RequestId,
+    },
+    /// Call off an attempt.
+    Cancel {
+        /// The request.
+        request: RequestId,
+        /// Attempt number.
+        attempt: u8,
+    },
+    /// Check a server.
+    Probe {
+        /// The server.
+        server: Endpoint,
+    },
+    /// Send bytes to another node, or to all when `to` is `None`.
+    Tell {
+        /// The peer's number.
+        to: Option<u32>,
+        /// At most 256 bytes.
+        bytes: Vec<u8>,
+    },
+    /// Open a standing subscription to list changes.
+    Subscribe,
+    /// Ask for the whole list once.
+    FetchList,
+    /// Wake the balancer with this token after this time.
+    StartTimer {
+        /// Time from now.
+        after: Nanos,
+        /// Comes back with the event.
+        token: u32,
+    },
+    /// A line for the operator's log.
+    Log {
+        /// The text.
+        text: String,
+    },
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,30 @@
+//! The decisions of a reverse proxy that spreads requests over HTTP servers.
+//!
+//! The crate does no input or output and reads no clock: the proxy hands each event with its time to a
+//! [`Balancer`] and carries out the actions that it writes into the sink.
+//!
+//! ```
+//! use yarrowfield::interface::{Action, Endpoint, Event, ListKind, Phase, Request, Settings, Server};
+//! use yarrowfield::Balancer;
+//!
+//! let mut balancer = Balancer::new(Settings::single_class(400_000_000, 800_000_000), 7).unwrap();
+//! let mut actions = Vec::new();
+//! let server = Server::warm(Endpoint { address: [10, 0, 0, 1], port: 8080 });
+//! balancer.handle(0, Event::List { kind: ListKind::Full, servers: vec![server] }, &mut actions);
+//! actions.clear();
+//! let request = Request::new(1, 1_000_000 + 800_000_000);
+//! balancer.handle(1_000_000, Event::Request(request), &mut actions);
+//! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: 1, .. })));
+//! assert_eq!(server.phase, Phase::Ready);
+//! ```
+
+/// The README's example, compiled and run with the tests.
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+pub struct Readme;
+
+mod balance;
+pub mod interface;
+pub mod settings;
+
+pub use balance::Balancer;
--- /dev/null
+++ b/src/net/budget.rs
@@ -0,0 +1,113 @@
+//! What the node may hold: file descriptors and bytes of bodies.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// Descriptors that are neither a client's nor a server's: standard streams, listener, poller, discovery.
+const OWN_SOCKETS: usize = 24;
+/// Part of the rest that clients may hold. A server connection carries a request, a client's may stand idle.
+const CLIENT_PART: f64 = 0.55;
+/// Part of the memory limit that bodies may fill; connection buffers and the heap's slack need the rest.
+const BODY_PART: f64 = 0.35;
+/// Bookkeeping for one piece of a body: without it a body of one-byte chunks would cost far more than counted.
+const PIECE: usize = 64;
+
+/// Counts what is held against the limits of the configuration.
+#[derive(Debug)]
+pub struct Budget {
+    /// Connections that clients may hold before new ones are refused.
+    pub most_clients: usize,
+    /// Connections that may be open to servers.
+    pub most_servers: usize,
+    most_bytes: usize,
+    clients: Cell<usize>,
+    servers: Cell<usize>,
+    bytes: Cell<usize>,
+}
+
+impl Budget {
+    pub fn new(sockets: usize, memory_mb: u64) -> Rc<Self> {
+        let rest = sockets.saturating_sub(OWN_SOCKETS).max(8);
+        // One in eight of the clients' is kept for those that are only told to come back.
+        let clients = (rest as f64 * CLIENT_PART) as usize;
+        Rc::new(Budget {
+            most_clients: (clients - clients / 8).max(1),
+            most_servers: rest - clients,
+            most_bytes: (memory_mb as f64 * BODY_PART) as usize * 1024 * 1024,
+            clients: Cell::new(0),
+            servers: Cell::new(0),
+            bytes: Cell::new(0),
+        })
+    }
+
+    pub fn clients(&self) -> usize {
+        self.clients.get()
+    }
+
+    /// No further client may even be turned away: the backlog has to hold it.
+    pub fn clients_exhausted(&self) -> bool {
+        self.clients.get() >= self.most_clients + self.most_clients / 8
+    }
+
+    pub fn client(self: &Rc<Self>) -> Slot {
+        Slot::take(self, |b| &b.clients)
+    }
+
+    /// A place for one more connection to a server, if there is any.
+    pub fn server(self: &Rc<Self>) -> Option<Slot> {
+        (self.servers.get() < self.most_servers).then(|| Slot::take(self, |b| &b.servers))
+    }
+
+    /// Nothing held yet; it grows with `Lease::grow`.
+    pub fn lease(self: &Rc<Self>) -> Lease {
+        Lease { budget: self.clone(), held: 0 }
+    }
+}
+
+/// One descriptor in use, given back when dropped.
+#[derive(Debug)]
+pub struct Slot {
+    budget: Rc<Budget>,
+    counter: fn(&Budget) -> &Cell<usize>,
+}
+
+impl Slot {
+    fn take(budget: &Rc<Budget>, counter: fn(&Budget) -> &Cell<usize>) -> Self {
+        counter(budget).set(counter(budget).get() + 1);
+        Slot { budget: budget.clone(), counter }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let counter = (self.counter)(&self.budget);
+        counter.set(counter.get() - 1);
+    }
+}
+
+/// Bytes of one body, given back when dropped.
+#[derive(Debug)]
+pub struct Lease {
+    budget: Rc<Budget>,
+    held: usize,
+}
+
+impl Lease {
+    /// Takes one more piece into account; false where the budget has no room for it.
+    pub fn grow(&mut self, bytes: usize) -> bool {
+        let cost = bytes + PIECE;
+        let sum = self.budget.bytes.get() + cost;
+        if sum > self.budget.most_bytes {
+            return false;
+        }
+        self.budget.bytes.set(sum);
+        self.held += cost;
+        true
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.budget.bytes.set(self.budget.bytes.get() - self.held);
+    }
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,152 @@
+//! The configuration file: read once, refused with one line when it cannot be acted on.
+
+use super::discovery::HostList;
+use serde::Deserialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::path::Path;
+use yarrowfield::interface::{Nanos, Settings};
+use yarrowfield::settings::{self, Pairs};
+
+/// Why the node cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    #[error("GW_CONFIG does not name a configuration file")]
+    Unset,
+    #[error("cannot read {path}: {error}")]
+    Unreadable { path: String, error: std::io::Error },
+    #[error("{path}: {error}")]
+    Malformed { path: String, error: serde_json::Error },
+    #[error("{path}: settings: {error}")]
+    Settings { path: String, error: String },
+    #[error("{path}: `limits.{name}` is too small to serve with")]
+    Limit { path: String, name: &'static str },
+}
+
+#[derive(Deserialize)]
+struct File {
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    known: Option<HostList>,
+    settings: Value,
+}
+
+/// What the machine gives the node.
+#[derive(Clone, Copy, Debug, Deserialize)]
+pub struct Limits {
+    pub memory_mb: u64,
+    pub sockets: usize,
+}
+
+/// All that the node is told at its start.
+#[derive(Debug)]
+pub struct Config {
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub limits: Limits,
+    /// The list of servers as an earlier life of this node had it.
+    pub known: Option<HostList>,
+    pub settings: Settings,
+    /// A server may close a connection that has stood idle for this long.
+    pub conn_idle: Nanos,
+    /// A connection that is not up after this has failed.
+    pub connect_timeout: Nanos,
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+impl Config {
+    pub fn load() -> Result<Self, ConfigError> {
+        let path = std::env::var("GW_CONFIG").map_err(|_| ConfigError::Unset)?;
+        let bytes = std::fs::read(Path::new(&path))
+            .map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
+        Self::parse(&path, &bytes)
+    }
+
+    fn parse(path: &str, bytes: &[u8]) -> Result<Self, ConfigError> {
+        let path = path.to_owned();
+        let file: File = serde_json::from_slice(bytes)
+            .map_err(|error| ConfigError::Malformed { path: path.clone(), error })?;
+        for (name, value, least) in
+            [("memory_mb", file.limits.memory_mb, 16), ("sockets", file.limits.sockets as u64, 48)]
+        {
+            if value < least {
+                return Err(ConfigError::Limit { path, name });
+            }
+        }
+        let mut pairs = Pairs::default();
+        flatten("", &file.settings, &mut pairs);
+        let fault = |error| ConfigError::Settings { path: path.clone(), error };
+        let (settings, _) = settings::parse(&pairs).map_err(fault)?;
+        let names = |list: &str| names(&file.settings[list]);
+        Ok(Config {
+            conn_idle: pairs.get("caps.connIdleNs").map_err(fault)?,
+            connect_timeout: pairs.get("caps.connectTimeoutNs").map_err(fault)?,
+            classes: names("classes"),
+            tenants: names("tenants"),
+            zones: names("zones"),
+            kinds: names("skus"),
+            listen: file.listen,
+            discovery: file.discovery,
+            // Any text is a seed: what counts is that it is new with each start.
+            seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| super::mix(file.seed.as_bytes())),
+            limits: file.limits,
+            known: file.known,
+            settings,
+        })
+    }
+}
+
+/// Names in a list of plain values or of objects with a name.
+fn names(list: &Value) -> Vec<String> {
+    let name = |item: &Value| item.as_str().or(item["name"].as_str()).unwrap_or_default().to_owned();
+    list.as_array().map(|items| items.iter().map(name).collect()).unwrap_or_default()
+}
+
+/// The paths of the simulator's `path=value` lines: plain lists joined by commas, objects numbered.
+fn flatten(path: &str, value: &Value, pairs: &mut Pairs) {
+    let under = |name: &str| if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+    match value {
+        Value::Object(fields) => fields.iter().for_each(|(name, v)| flatten(&under(name), v, pairs)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            pairs.set(&under("count"), &items.len().to_string());
+            items.iter().enumerate().for_each(|(k, v)| flatten(&under(&k.to_string()), v, pairs));
+        }
+        Value::Array(items) => pairs.set(path, &items.iter().map(plain).collect::<Vec<_>>().join(",")),
+        Value::Null => {}
+        _ => pairs.set(path, &plain(value)),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.replace([' ', ','], "_"),
+        other => other.to_string(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn json_flattens_to_the_wire_paths() {
+        let json = serde_json::json!({"zone": 1, "zones": ["a b", "c"], "caps": {"x": true, "none": null},
+            "classes": [{"name": "status", "aimNs": 5}], "tenants": []});
+        let mut pairs = Pairs::default();
+        flatten("", &json, &mut pairs);
+        let get = |key: &str| pairs.get::<String>(key).ok();
+        assert_eq!(get("zones").as_deref(), Some("a_b,c"));
+        assert_eq!(get("classes.count").as_deref(), Some("1"));
+        assert_eq!(get("classes.0.aimNs").as_deref(), Some("5"));
+        assert_eq!(get("caps.x").as_deref(), Some("true"));
+        assert_eq!(get("caps.none"), None);
+        assert_eq!(names(&json["classes"]), ["status"]);
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,263 @@
+//! The list of servers: read once, then watched. Nonsense leaves the old list in place and the watch is opened
+//! anew.
+
+use super::gateway::{Gateway, ListCall};
+use super::io::{Socket, SocketIo};
+use super::servers::Entry;
+use http_body_util::{BodyExt, Empty};
+use hyper::body::{Bytes, Incoming};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use yarrowfield::interface::{Endpoint, ListKind, Phase, Server};
+
+/// A watch says something at least every 2 s; one that is silent for longer hangs.
+const SILENCE: Duration = Duration::from_millis(2600);
+/// Discovery that is asked may let a call wait in turn.
+const CALL: Duration = Duration::from_secs(6);
+const CONNECT: Duration = Duration::from_millis(500);
+/// Waits before a watch is opened again: from the first, doubled up to the last, and spread.
+const PAUSE_FIRST: f64 = 0.05;
+const PAUSE_LAST: f64 = 1.0;
+/// The longest line; a list of 10,000 servers has a fifth of that.
+const LONGEST: usize = 8 << 20;
+/// An older whole list is taken only when discovery has stuck to it in this many watches: it may have lost its
+/// numbers, but more likely it was one stale copy, which would bring drained servers back.
+const STUBBORN: u32 = 4;
+
+/// One line of discovery.
+#[derive(Clone, Debug, Deserialize)]
+pub struct HostList {
+    pub seq: u64,
+    #[serde(default)]
+    pub whole: bool,
+    pub hosts: Vec<Host>,
+}
+
+/// One server, as discovery words it.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Host {
+    host: String,
+    dial: SocketAddr,
+    #[serde(default)]
+    site: Option<String>,
+    #[serde(default)]
+    class: Option<String>,
+    #[serde(default)]
+    block: Option<u16>,
+    health: Health,
+    #[serde(default)]
+    share: Option<f32>,
+    #[serde(default)]
+    born_ms: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Health {
+    Active,
+    Leaving,
+    Left,
+}
+
+/// Why a watch or a call has ended.
+#[derive(Debug, thiserror::Error)]
+enum WatchError {
+    #[error("cannot connect: {0}")]
+    Connect(std::io::Error),
+    #[error("no answer in time")]
+    Silent,
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("answered {0}")]
+    Status(StatusCode),
+    #[error("a line of over {LONGEST} bytes")]
+    TooLong,
+    #[error("a line that cannot be read: {0}")]
+    Nonsense(#[from] serde_json::Error),
+    #[error("version {0} after {1}")]
+    Backwards(u64, u64),
+    #[error("the watch ended")]
+    Ended,
+}
+
+/// Follows discovery.
+pub struct Watcher {
+    gateway: Rc<Gateway>,
+    seq: u64,
+    /// Nothing is held that changes could build on.
+    blank: bool,
+    older: u32,
+    lines: u64,
+    rng: Pcg64Mcg,
+}
+
+impl Watcher {
+    /// Starts with the list that the configuration holds.
+    pub fn new(gateway: Rc<Gateway>) -> Self {
+        let rng = Pcg64Mcg::seed_from_u64(gateway.config.seed ^ 0x6469_7363);
+        let mut watcher = Watcher { seq: 0, blank: true, older: 0, lines: 0, rng, gateway };
+        if let Some(known) = watcher.gateway.config.known.clone() {
+            watcher.seq = known.seq;
+            watcher.blank = false;
+            watcher.tell(ListKind::Cached, known);
+        } else {
+            watcher.gateway.list(ListKind::Cached, Vec::new());
+        }
+        watcher
+    }
+
+    /// Lists come unasked: the watch is the node's to keep alive.
+    pub async fn follow(mut self) {
+        let mut pause = PAUSE_FIRST;
+        loop {
+            let lines = self.lines;
+            let error = self.watch().await;
+            if self.lines > lines {
+                pause = PAUSE_FIRST;
+            }
+            super::log(format_args!("discovery: {error}"));
+            let spread = 0.5 + f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+            tokio::time::sleep(Duration::from_secs_f64(pause * spread)).await;
+            pause = (pause * 2.0).min(PAUSE_LAST);
+        }
+    }
+
+    /// Lists come to those who ask: the module says when.
+    pub async fn obey(mut self, mut calls: mpsc::UnboundedReceiver<ListCall>) {
+        let mut next = calls.recv().await;
+        while let Some(call) = next.take() {
+            let error = match call {
+                ListCall::Fetch => self.fetch().await.err(),
+                ListCall::Subscribe => tokio::select! {
+                    error = self.watch() => Some(error),
+                    call = calls.recv() => { next = call; continue }
+                },
+            };
+            if let Some(error) = error {
+                super::log(format_args!("discovery: {error}"));
+                self.gateway.list(ListKind::Failed, Vec::new());
+            }
+            next = calls.recv().await;
+        }
+    }
+
+    async fn fetch(&mut self) -> Result<(), WatchError> {
+        let body = self.get("/discovery/hosts".to_owned()).await?;
+        let limited = http_body_util::Limited::new(body, LONGEST);
+        let whole = timeout(CALL, limited.collect()).await.map_err(|_| WatchError::Silent)?;
+        let bytes = whole.map_err(|_| WatchError::Ended)?.to_bytes();
+        self.line(&bytes)
+    }
+
+    async fn watch(&mut self) -> WatchError {
+        match self.lines_of_watch().await {
+            Ok(()) => WatchError::Ended,
+            Err(error) => error,
+        }
+    }
+
+    async fn lines_of_watch(&mut self) -> Result<(), WatchError> {
+        let mut path = "/discovery/hosts?follow=1".to_owned();
+        if !self.blank && self.older == 0 {
+            path += &format!("&since={}", self.seq);
+        }
+        let mut body = self.get(path).await?;
+        let mut held: Vec<u8> = Vec::new();
+        let patience = if self.gateway.config.settings.must_subscribe { CALL } else { SILENCE };
+        let mut within = patience;
+        while let Some(frame) = timeout(within, body.frame()).await.map_err(|_| WatchError::Silent)? {
+            within = SILENCE;
+            let Ok(data) = frame?.into_data() else { continue };
+            let mut rest = &data[..];
+            while let Some(end) = rest.iter().position(|b| *b == b'\n') {
+                held.extend_from_slice(&rest[..end]);
+                rest = &rest[end + 1..];
+                // The empty line is the heartbeat.
+                if !held.trim_ascii().is_empty() {
+                    self.line(&held)?;
+                }
+                held.clear();
+            }
+            held.extend_from_slice(rest);
+            if held.len() > LONGEST {
+                return Err(WatchError::TooLong);
+            }
+        }
+        Ok(())
+    }
+
+    fn line(&mut self, bytes: &[u8]) -> Result<(), WatchError> {
+        let list: HostList = serde_json::from_slice(bytes)?;
+        if list.seq < self.seq && !self.blank {
+            self.older += 1;
+            if !list.whole || self.older < STUBBORN {
+                return Err(WatchError::Backwards(list.seq, self.seq));
+            }
+        }
+        self.older = 0;
+        self.lines += 1;
+        self.seq = list.seq;
+        self.blank = false;
+        self.tell(if list.whole { ListKind::Full } else { ListKind::Changes }, list);
+        self.gateway.ready.set(true);
+        Ok(())
+    }
+
+    fn tell(&self, kind: ListKind, list: HostList) {
+        let config = &self.gateway.config;
+        // A name that the settings do not hold stands for something of its own, after all that they hold.
+        let place = |names: &[String], name: &Option<String>| {
+            let name = name.as_deref().unwrap_or_default();
+            names.iter().position(|n| n == name).unwrap_or(names.len())
+        };
+        let entry = |h: Host| Entry {
+            host: h.host,
+            dial: h.dial,
+            server: Server {
+                endpoint: Endpoint { address: [0; 4], port: 0 },
+                zone: place(&config.zones, &h.site).min(255) as u8,
+                kind: place(&config.kinds, &h.class).min(usize::from(u16::MAX)) as u16,
+                cell: h.block.unwrap_or(0),
+                phase: match h.health {
+                    Health::Active => Phase::Ready,
+                    Health::Leaving => Phase::Draining,
+                    Health::Left => Phase::Gone,
+                },
+                size: h.share.filter(|s| s.is_finite()).unwrap_or(0.0),
+                started_at: h.born_ms.unwrap_or(0).saturating_mul(1_000_000),
+            },
+        };
+        self.gateway.list(kind, list.hosts.into_iter().map(entry).collect());
+    }
+
+    async fn get(&self, path: String) -> Result<Incoming, WatchError> {
+        let address = self.gateway.config.discovery;
+        let stream = match timeout(CONNECT, TcpStream::connect(address)).await {
+            Ok(stream) => stream.map_err(WatchError::Connect)?,
+            Err(_) => return Err(WatchError::Silent),
+        };
+        let io = TokioIo::new(SocketIo(Socket::new(stream)));
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await?;
+        // Ends with the answer's body: nothing else holds the connection.
+        tokio::task::spawn_local(connection);
+        let mut request = Request::new(Empty::<Bytes>::new());
+        *request.uri_mut() = path.parse().unwrap_or_default();
+        let host = hyper::header::HeaderValue::try_from(address.to_string());
+        request.headers_mut().extend(host.ok().map(|h| (hyper::header::HOST, h)));
+        let wait = if self.gateway.config.settings.must_subscribe { CALL } else { SILENCE };
+        let answer = timeout(wait, sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
+        match answer.status() {
+            StatusCode::OK => Ok(answer.into_body()),
+            status => Err(WatchError::Status(status)),
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,154 @@
+//! Reads an instance's settings from `path=value` pairs: the adapter gets them as lines, the node flattens its
+//! JSON to the same paths. Unknown keys are skipped, missing or broken ones named.
+
+use crate::interface::{Class, Effect, Group, Settings};
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+/// Settings by their path.
+#[derive(Clone, Debug, Default)]
+pub struct Pairs(BTreeMap<String, String>);
+
+impl Pairs {
+    /// Reads `path=value` lines.
+    pub fn from_lines(bytes: &[u8]) -> Result<Self, String> {
+        let text = std::str::from_utf8(bytes).map_err(|e| format!("not UTF-8: {e}"))?;
+        let mut pairs = Pairs::default();
+        for (n, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty()) {
+            let (key, value) =
+                line.split_once('=').ok_or_else(|| format!("line {}: no `=` in `{line}`", n + 1))?;
+            pairs.set(key.trim(), value.trim());
+        }
+        Ok(pairs)
+    }
+
+    /// Adds a value, in place of one that was there.
+    pub fn set(&mut self, key: &str, value: &str) {
+        self.0.insert(key.to_owned(), value.to_owned());
+    }
+
+    fn text(&self, key: &str) -> Result<&str, String> {
+        self.0.get(key).map(String::as_str).ok_or_else(|| format!("`{key}` is missing"))
+    }
+
+    /// The value at a path.
+    pub fn get<T: FromStr>(&self, key: &str) -> Result<T, String> {
+        let text = self.text(key)?;
+        text.parse().map_err(|_| format!("`{key}` has the unreadable value `{text}`"))
+    }
+
+    fn or<T: FromStr>(&self, key: &str, absent: T) -> Result<T, String> {
+        if self.0.contains_key(key) {
+            self.get(key)
+        } else {
+            Ok(absent)
+        }
+    }
+
+    fn count(&self, list: &str) -> Result<usize, String> {
+        let n: usize = self.or(&format!("{list}.count"), 0)?;
+        if n > self.0.len() {
+            return Err(format!("`{list}.count` is {n}, more than there are lines"));
+        }
+        Ok(n)
+    }
+
+    fn position(&self, key: &str, limit: usize) -> Result<usize, String> {
+        let n: usize = self.get(key)?;
+        if n < limit {
+            Ok(n)
+        } else {
+            Err(format!("`{key}` is {n}, beyond its list of {limit}"))
+        }
+    }
+}
+
+fn choice<T: Copy>(pairs: &Pairs, key: &str, choices: &[(&str, T)]) -> Result<T, String> {
+    let text = pairs.text(key)?;
+    let found = choices.iter().find(|(name, _)| *name == text);
+    found.map(|(_, value)| *value).ok_or_else(|| format!("`{key}` has the unknown value `{text}`"))
+}
+
+fn class(pairs: &Pairs, k: usize) -> Result<Class, String> {
+    let key = |name: &str| format!("classes.{k}.{name}");
+    let effects = [("pure", Effect::Safe), ("token", Effect::Keyed), ("side_effect", Effect::Unsafe)];
+    let groups = [("all", Group::All), ("zone", Group::Zone), ("cell", Group::Cell)];
+    let effect = choice(pairs, &key("effect"), &effects)?;
+    let keyed = effect == Effect::Keyed;
+    Ok(Class {
+        aim: pairs.get(&key("aimNs"))?,
+        give_up: pairs.get(&key("giveUpNs"))?,
+        worth: pairs.get(&key("worth"))?,
+        late_worth: pairs.or(&key("lateWorth"), 0.0)?,
+        effect,
+        group: if keyed { choice(pairs, &key("group"), &groups)? } else { Group::All },
+        window: if keyed { pairs.get(&key("windowNs"))? } else { 0 },
+        stream: pairs.or(&key("stream"), false)?,
+    })
+}
+
+/// A value that a load report can carry, by its name on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[allow(missing_docs)] // The names say it all.
+pub enum ReportField {
+    Concurrent,
+    Queued,
+    Utilisation,
+    ServiceMs,
+    Rate,
+    ErrorRate,
+    Unknown,
+}
+
+impl ReportField {
+    /// Names that are not known are skipped.
+    pub fn from_name(name: &str) -> Self {
+        match name {
+            "concurrent" => ReportField::Concurrent,
+            "depth" => ReportField::Queued,
+            "load_share" => ReportField::Utilisation,
+            "mean_ms" => ReportField::ServiceMs,
+            "tps" => ReportField::Rate,
+            "err_ps" => ReportField::ErrorRate,
+            _ => ReportField::Unknown,
+        }
+    }
+}
+
+/// Settings and the order of the load report's values.
+pub fn parse(pairs: &Pairs) -> Result<(Settings, Vec<ReportField>), String> {
+    let classes = (0..pairs.count("classes")?).map(|k| class(pairs, k)).collect::<Result<_, _>>()?;
+    let tenant_quota = (0..pairs.count("tenants")?)
+        .map(|k| pairs.get(&format!("tenants.{k}.quotaPerS")))
+        .collect::<Result<_, _>>()?;
+    let zones = pairs.text("zones")?.split(',').count();
+    let silent = pairs.or("report.via", String::new())? == "silent";
+    let names = if silent { String::new() } else { pairs.or("report.names", String::new())? };
+    let retry_after = pairs.or("caps.retryAfter", false)?;
+    let settings = Settings {
+        classes,
+        tenant_quota,
+        over_share_worth: pairs.or("overShareWorth", 1.0)?,
+        worth_by_work: pairs.or("countedBy", String::new())? == "work",
+        zone: pairs.position("zone", zones.min(256))? as u8,
+        ordinal: pairs.get("ordinal")?,
+        group_size: pairs.get("groupSize")?,
+        must_subscribe: choice(pairs, "registryMode", &[("automatic", false), ("subscribe", true)])?,
+        max_attempts: pairs.get("caps.maxAttempts")?,
+        second_copies: pairs.get("caps.secondCopies")?,
+        cancel: pairs.get("caps.cancelling")?,
+        probes: pairs.get("caps.mayProbe")?,
+        peers: pairs.get("caps.peers")?,
+        retry_after,
+        max_retry_after: if retry_after { pairs.get("caps.maxRetryAfterNs")? } else { 0 },
+        cold_from: pairs.get("guarantees.coldFrom")?,
+        ramp: pairs.get("guarantees.rampTimeNs")?,
+        tip_multiple: pairs.get("guarantees.tipMultiple")?,
+        fall: pairs.get("guarantees.fallNs")?,
+        sizes_known: pairs.or("weightSource", String::from("none"))? != "none",
+        warm_keys: pairs.or("familyInfo.warmKeys", false)?,
+        cross_price: pairs.or("prices.crossZone", 0.0)?,
+    };
+    settings.validate().map_err(|e| e.to_string())?;
+    Ok((settings, names.split(',').map(ReportField::from_name).collect()))
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,97 @@
+//! Helpers for driving a balancer by hand.
+#![allow(dead_code)]
+
+use yarrowfield::interface::*;
+use yarrowfield::Balancer;
+
+pub const MS: Nanos = 1_000_000;
+
+pub fn endpoint(k: u8) -> Endpoint {
+    Endpoint { address: [10, 0, 0, k], port: 80 }
+}
+
+pub fn servers(n: u8) -> Vec<Server> {
+    (0..n).map(|k| Server::warm(endpoint(k))).collect()
+}
+
+pub fn settings(effect: Effect) -> Settings {
+    let mut settings = Settings::single_class(400 * MS, 800 * MS);
+    settings.classes[0].effect = effect;
+    settings.classes[0].window = 600 * MS;
+    settings.max_attempts = 4;
+    settings
+}
+
+pub struct Bed {
+    pub balancer: Balancer,
+    pub now: Nanos,
+    next: RequestId,
+}
+
+impl Bed {
+    pub fn new(settings: Settings, list: Vec<Server>, seed: u64) -> Self {
+        let balancer = Balancer::new(settings, seed).expect("sound settings");
+        let mut bed = Bed { balancer, now: 1_000_000 * MS, next: 0 };
+        bed.list(ListKind::Full, list);
+        bed
+    }
+
+    pub fn feed(&mut self, event: Event) -> Vec<Action> {
+        let mut sink = Vec::new();
+        self.balancer.handle(self.now, event, &mut sink);
+        sink
+    }
+
+    pub fn list(&mut self, kind: ListKind, servers: Vec<Server>) -> Vec<Action> {
+        self.feed(Event::List { kind, servers })
+    }
+
+    /// A new request of class 0 with 800 ms to go.
+    pub fn request(&mut self) -> (RequestId, Vec<Action>) {
+        self.hinted(None)
+    }
+
+    /// The same with a hint of its work.
+    pub fn hinted(&mut self, work_hint: Option<Nanos>) -> (RequestId, Vec<Action>) {
+        self.next += 1;
+        let id = self.next;
+        let request = Request { work_hint, ..Request::new(id, self.now + 800 * MS) };
+        (id, self.feed(Event::Request(request)))
+    }
+
+    pub fn outcome(
+        &mut self,
+        request: RequestId,
+        server: Endpoint,
+        attempt: u8,
+        took: Nanos,
+        ending: Ending,
+    ) -> Vec<Action> {
+        let finished = ending == Ending::Ok;
+        self.feed(Event::Outcome { request, server, attempt, finished, took, ending, report: None })
+    }
+
+    /// Sends one request and answers it at once after `took`; tells where it went.
+    pub fn served(&mut self, took: Nanos) -> Option<Endpoint> {
+        let (id, actions) = self.request();
+        let server = sent(&actions, id)?;
+        self.outcome(id, server, 0, took, Ending::Ok);
+        Some(server)
+    }
+}
+
+/// Where the request went, if it was sent.
+pub fn sent(actions: &[Action], id: RequestId) -> Option<Endpoint> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { request, server, .. } if *request == id => Some(*server),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { request, .. } if *request == id))
+}
+
+pub fn failed(actions: &[Action], id: RequestId) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { request } if *request == id))
+}
--- /dev/null
+++ b/tests/incidents.rs
@@ -0,0 +1,231 @@
+//! What failed in an incident or a round must not fail again.
+
+mod common;
+use common::*;
+use std::collections::{BTreeMap, BTreeSet};
+use yarrowfield::interface::*;
+
+/// Lets all of a fleet answer just before the client's end for two seconds.
+fn jam(bed: &mut Bed) {
+    for _ in 0..200 {
+        bed.now += 10 * MS;
+        bed.served(780 * MS);
+    }
+}
+
+/// A node that refuses nearly all in a jam has to find out that the jam is over (incidents i2aee08, i42901a).
+#[test]
+fn a_jam_is_forgotten() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(10), 3);
+    for _ in 0..300 {
+        bed.now += 10 * MS;
+        bed.served(100 * MS);
+    }
+    jam(&mut bed);
+    let (id, actions) = bed.request();
+    assert!(refused(&actions, id), "in the jam an answer in time is unlikely: {actions:?}");
+    bed.now += 2_000 * MS;
+    let (id, actions) = bed.request();
+    assert!(sent(&actions, id).is_some(), "the jam is long over: {actions:?}");
+}
+
+/// Second copies help against a silent server on calm days and feed a jam (round 9).
+#[test]
+fn copies_stop_in_a_jam() {
+    let copies = |jammed: bool| {
+        let mut s = settings(Effect::Safe);
+        s.second_copies = true;
+        // Aims so long that nothing is refused: only the budget decides.
+        s.classes[0].aim = 799 * MS;
+        let mut bed = Bed::new(s, servers(10), 3);
+        for _ in 0..300 {
+            bed.now += 10 * MS;
+            bed.served(if jammed { 700 * MS } else { 100 * MS });
+        }
+        let mut copies = 0;
+        for _ in 0..20 {
+            let (id, _) = bed.request();
+            bed.now += 400 * MS;
+            let actions = bed.feed(Event::Timer { token: 0 });
+            copies += u32::from(sent(&actions, id).is_some());
+            bed.feed(Event::ClientGone { request: id });
+        }
+        copies
+    };
+    let (calm, jammed) = (copies(false), copies(true));
+    assert!(calm >= 2 && jammed * 2 < calm, "{calm} copies in calm, {jammed} in a jam");
+}
+
+/// A time-out alone ejects nobody: in an overload it would push the work onto ever fewer servers (round 1).
+#[test]
+fn a_time_out_does_not_eject() {
+    let mut bed = Bed::new(settings(Effect::Unsafe), servers(1), 3);
+    let (id, actions) = bed.request();
+    let server = sent(&actions, id).unwrap();
+    bed.now += 800 * MS;
+    assert!(failed(&bed.outcome(id, server, 0, 800 * MS, Ending::TimedOut), id));
+    bed.now += 10_000 * MS;
+    assert_eq!(bed.served(50 * MS), Some(server));
+    let (id, _) = bed.request();
+    bed.outcome(id, server, 0, MS, Ending::ConnectFailed);
+    assert_eq!(bed.served(50 * MS), None, "a dead one is ejected");
+}
+
+/// An old report fades to the usual queue, so a server unheard of does not look idle (round 7).
+#[test]
+fn an_old_report_does_not_look_idle() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(2), 3);
+    let report = |queued| Some(Report { queued: Some(queued), ..Report::default() });
+    let tell = |bed: &mut Bed, k, queued| {
+        let (server, report) = (endpoint(k), report(queued));
+        bed.feed(Event::Probed { server, ending: Ending::Ok, took: MS, report });
+    };
+    for _ in 0..300 {
+        tell(&mut bed, 0, 4.0);
+        tell(&mut bed, 1, 4.0);
+    }
+    // Server 0's report grows old while server 1 is known to be shorter than usual.
+    bed.now += 5_000 * MS;
+    tell(&mut bed, 1, 2.0);
+    let (id, actions) = bed.request();
+    assert_eq!(sent(&actions, id), Some(endpoint(1)));
+}
+
+/// Requests of one key keep to one server while all are quick, and leave it when it is slow.
+#[test]
+fn a_key_keeps_its_server() {
+    let mut s = settings(Effect::Safe);
+    s.warm_keys = true;
+    let mut bed = Bed::new(s, servers(20), 3);
+    let mut homes: BTreeMap<u64, BTreeSet<Endpoint>> = BTreeMap::new();
+    let mut id = 0;
+    let mut ask = |bed: &mut Bed, key, took: &dyn Fn(Endpoint) -> Nanos| {
+        id += 1;
+        bed.now += 20 * MS;
+        let request = Request { key, ..Request::new(id, bed.now + 800 * MS) };
+        let server = sent(&bed.feed(Event::Request(request)), id).expect("sent");
+        bed.outcome(id, server, 0, took(server), Ending::Ok);
+        server
+    };
+    for round in 0..200u64 {
+        let server = ask(&mut bed, 1 + round % 10, &|_| 100 * MS);
+        homes.entry(1 + round % 10).or_default().insert(server);
+    }
+    assert!(homes.values().all(|h| h.len() == 1), "{homes:?}");
+    let slow = *homes[&1].iter().next().unwrap();
+    let stays =
+        (0..60).filter(|_| ask(&mut bed, 1, &|s| if s == slow { 380 * MS } else { 100 * MS }) == slow);
+    assert!(stays.count() < 20);
+}
+
+/// Hints tell heavy requests from slow servers: one that cannot be answered in time is refused at once, and
+/// answers that take long because they were heavy do not make the fleet look jammed (incident i1d8653).
+#[test]
+fn a_heavy_answer_is_no_jam() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(6), 3);
+    let serve = |bed: &mut Bed, hint: Nanos| {
+        bed.now += 10 * MS;
+        let (id, actions) = bed.hinted(Some(hint));
+        if let Some(server) = sent(&actions, id) {
+            bed.outcome(id, server, 0, 40 * MS + hint, Ending::Ok);
+        }
+        sent(&actions, id).is_some()
+    };
+    for k in 0..600 {
+        assert!(serve(&mut bed, if k % 20 == 0 { 200 * MS } else { 20 * MS }), "request {k} fits its aim");
+    }
+    assert!(!serve(&mut bed, 2_000 * MS), "no server answers this in time");
+    for k in 0..30 {
+        assert!(serve(&mut bed, 200 * MS), "heavy request {k} in a row fits its aim");
+    }
+    assert!(serve(&mut bed, 20 * MS));
+}
+
+/// With many nodes each ranks its own part of a zone, the parts cover the zone about evenly, and a fleet that
+/// grows leaves no node with a few warm servers only (incidents i9aa72d, i1d8653; quotes rough-1).
+#[test]
+fn nodes_share_out_the_fleet() {
+    let mut met = BTreeMap::new();
+    for ordinal in 0..40 {
+        let mut s = settings(Effect::Safe);
+        (s.ordinal, s.group_size) = (ordinal, 40);
+        let mut bed = Bed::new(s, servers(60), 3);
+        let mut mine = BTreeSet::new();
+        for _ in 0..200 {
+            // Answers of uneven length keep the queues from tying, so that all in the part are met.
+            let took = (40 + 37 * (mine.len() as Nanos + bed.now / MS) % 200) * MS;
+            bed.now += 7 * MS;
+            mine.insert(bed.served(took).expect("an idle fleet takes all"));
+        }
+        assert!((8..=16).contains(&mine.len()), "node {ordinal} meets {} servers", mine.len());
+        mine.into_iter().for_each(|server| *met.entry(server).or_insert(0u32) += 1);
+    }
+    assert_eq!(met.len(), 60, "every server is met");
+    assert!(met.values().all(|n| (4..=14).contains(n)), "{met:?}");
+}
+
+/// A part is counted by what its servers can take now: half a fleet of cold ones makes it larger.
+#[test]
+fn cold_servers_enlarge_a_part() {
+    let warm = |cold: bool| {
+        let mut s = settings(Effect::Safe);
+        (s.group_size, s.ramp, s.cold_from) = (40, 10_000 * MS, 0.1);
+        let mut list = servers(60);
+        for server in list.iter_mut().step_by(2).filter(|_| cold) {
+            server.started_at = 1_000_000 * MS;
+        }
+        let even = |e: &Endpoint| e.address[3].is_multiple_of(2);
+        let mut bed = Bed::new(s, list, 3);
+        let mut met = BTreeSet::new();
+        for _ in 0..200 {
+            bed.now += 7 * MS;
+            let took = (40 + 37 * (bed.now / MS) % 200) * MS;
+            met.extend(bed.served(took).filter(|e| !even(e)));
+        }
+        met.len()
+    };
+    assert!(warm(true) > warm(false), "{} warm servers beside cold ones, {} else", warm(true), warm(false));
+}
+
+/// A tenant that asks for five times its share gets its share, not all and not less for asking again after
+/// refusals; another within its share gets all (incident i02148f).
+#[test]
+fn a_tenant_gets_its_share() {
+    let mut s = settings(Effect::Safe);
+    s.tenant_quota = vec![20.0, 20.0];
+    s.over_share_worth = 0.1;
+    let mut bed = Bed::new(s, servers(6), 3);
+    let mut let_in = [0u32; 2];
+    for step in 0..1_000 {
+        bed.now += 10 * MS;
+        for tenant in (0..2).filter(|&t| t == 0 || step % 10 == 0) {
+            let id = 10_000 + 2 * step + tenant;
+            let request = Request { tenant, ..Request::new(id, bed.now + 800 * MS) };
+            let actions = bed.feed(Event::Request(request));
+            if let Some(server) = sent(&actions, id) {
+                bed.outcome(id, server, 0, 130 * MS, Ending::Ok);
+                let_in[tenant as usize] += 1;
+            }
+        }
+    }
+    assert!((200..=400).contains(&let_in[0]), "{} let in of 200 in its share", let_in[0]);
+    assert_eq!(let_in[1], 100, "all is within the share");
+}
+
+/// An answer that still earns half its worth late is waited for longer (round 32).
+#[test]
+fn late_worth_is_waited_for() {
+    let let_in = |late_worth: f64| {
+        let mut s = settings(Effect::Safe);
+        s.classes[0].late_worth = late_worth;
+        let mut bed = Bed::new(s, servers(6), 3);
+        (0..100)
+            .filter(|_| {
+                bed.now += 10 * MS;
+                bed.served(380 * MS).is_some()
+            })
+            .count()
+    };
+    let (nothing, half) = (let_in(0.0), let_in(0.5));
+    assert!(half > nothing + 10, "{nothing} let in where late is lost, {half} where it earns half");
+}
--- /dev/null
+++ b/tests/mechanism.rs
@@ -0,0 +1,133 @@
+//! The ordinary path: who is drawn, who wins, ties, decay.
+
+mod common;
+use common::*;
+use std::collections::BTreeMap;
+use yarrowfield::interface::*;
+
+/// With all queues empty a tie goes to the more accomplished, so nobody outside the accomplished set can win.
+#[test]
+fn ties_go_to_the_accomplished() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(20), 3);
+    let mut counts = BTreeMap::new();
+    for k in 0..20 {
+        counts.insert(endpoint(k), 0u32);
+    }
+    for round in 0..400 {
+        // A third of the aim is what a new node expects: all queues stay equal.
+        let server = bed.served(400 * MS / 3).expect("an idle fleet takes all");
+        if round > 50 {
+            let better = counts.values().filter(|&&c| c > counts[&server]).count();
+            assert!(better < 10, "round {round}: {better} servers were more accomplished");
+        }
+        *counts.get_mut(&server).unwrap() += 1;
+    }
+    assert!(counts.values().filter(|&&c| c > 0).count() >= 5, "draws are random: {counts:?}");
+    assert!(counts.values().filter(|&&c| c == 0).count() >= 5, "the rest never won a tie: {counts:?}");
+}
+
+/// With four servers all are drawn, and work that stays out goes round in shortest-queue order.
+#[test]
+fn the_shortest_queue_wins() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 5);
+    let mut out = BTreeMap::new();
+    for _ in 0..8 {
+        let (id, actions) = bed.request();
+        let server = sent(&actions, id).expect("sent");
+        let mine = *out.entry(server).or_insert(0u32);
+        let least = (0..4).map(|k| out.get(&endpoint(k)).copied().unwrap_or(0)).min().unwrap();
+        assert_eq!(mine, least, "{out:?}");
+        *out.get_mut(&server).unwrap() += 1;
+    }
+}
+
+/// A server that answers slowly loses its place to quicker ones, and old merit fades.
+#[test]
+fn a_server_turned_slow_sinks() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 9);
+    let first = bed.served(50 * MS).unwrap();
+    let mut late = 0;
+    for round in 0..600 {
+        bed.now += 20 * MS;
+        let (id, actions) = bed.request();
+        let server = sent(&actions, id).expect("sent");
+        let took = if server == first { 300 * MS } else { 50 * MS };
+        bed.outcome(id, server, 0, took, Ending::Ok);
+        late += u32::from(round >= 300 && server == first);
+    }
+    assert!(late < 60, "the slow one still got {late} of the last 300");
+}
+
+/// Quick errors must not climb: a server that fails fast has the emptiest queue of all.
+#[test]
+fn fast_errors_do_not_attract() {
+    let mut bed = Bed::new(settings(Effect::Unsafe), servers(8), 11);
+    let bad = bed.served(50 * MS).unwrap();
+    let mut hits = 0;
+    for _ in 0..400 {
+        bed.now += 10 * MS;
+        let (id, actions) = bed.request();
+        let server = sent(&actions, id).expect("sent");
+        if server == bad {
+            hits += 1;
+            let actions = bed.outcome(id, server, 0, MS, Ending::Error);
+            assert!(failed(&actions, id));
+        } else {
+            bed.outcome(id, server, 0, 50 * MS, Ending::Ok);
+        }
+    }
+    assert!(hits <= 8, "{hits} of 400 went to the failing server");
+}
+
+/// A server that takes work and stays silent must not look idle.
+#[test]
+fn silence_is_a_long_queue() {
+    let mut bed = Bed::new(settings(Effect::Unsafe), servers(4), 13);
+    let (_, actions) = bed.request();
+    let mute = sent(&actions, 1).unwrap();
+    for _ in 0..20 {
+        bed.served(50 * MS);
+    }
+    bed.now += 500 * MS;
+    for _ in 0..50 {
+        assert_ne!(bed.served(50 * MS), Some(mute));
+    }
+}
+
+/// The home zone serves while it is quick; another is used when there is nobody at home.
+#[test]
+fn home_comes_first() {
+    let mut list = servers(12);
+    for s in &mut list[6..] {
+        s.zone = 1;
+    }
+    let mut bed = Bed::new(settings(Effect::Safe), list.clone(), 17);
+    for _ in 0..100 {
+        assert!(bed.served(50 * MS).unwrap() < endpoint(6));
+    }
+    let gone = list[..6].iter().map(|s| Server { phase: Phase::Gone, ..*s }).collect();
+    bed.list(ListKind::Changes, gone);
+    assert!(bed.served(50 * MS).unwrap() >= endpoint(6));
+}
+
+/// Equal settings, seed and events give equal actions.
+#[test]
+fn the_same_events_give_the_same_actions() {
+    let run = |seed| {
+        let mut bed = Bed::new(settings(Effect::Safe), servers(30), seed);
+        let mut all = Vec::new();
+        for k in 0..300u64 {
+            bed.now += 3 * MS;
+            let (id, actions) = bed.request();
+            let server = sent(&actions, id);
+            all.extend(actions);
+            if let Some(server) = server.filter(|_| k % 3 != 0) {
+                let ending = if k % 7 == 0 { Ending::Error } else { Ending::Ok };
+                all.extend(bed.outcome(id, server, 0, 40 * MS, ending));
+            }
+        }
+        all
+    };
+    assert_eq!(run(1), run(1));
+    assert_ne!(run(1), run(2));
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,262 @@
+//! The four rules: one answer, no effect twice, drains kept, no cold server pushed over.
+
+mod common;
+use common::*;
+use rand_core::{RngCore, SeedableRng};
+use std::collections::BTreeMap;
+use yarrowfield::interface::*;
+
+const ENDINGS: [Ending; 8] = [
+    Ending::Ok,
+    Ending::Error,
+    Ending::Full,
+    Ending::TimedOut,
+    Ending::ConnectFailed,
+    Ending::Reset,
+    Ending::Cancelled,
+    Ending::NotSent,
+];
+
+/// Each class of effect against each way an attempt can end without an answer.
+#[test]
+fn effects_against_endings() {
+    for ending in ENDINGS.into_iter().filter(|e| *e != Ending::Ok) {
+        let mut bed = Bed::new(settings(Effect::Unsafe), servers(6), 1);
+        let (id, actions) = bed.request();
+        let first = sent(&actions, id).unwrap();
+        bed.now += 10 * MS;
+        let actions = bed.outcome(id, first, 0, 10 * MS, ending);
+        if ending.never_ran() {
+            assert!(sent(&actions, id).is_some_and(|s| s != first), "{ending:?}: {actions:?}");
+        } else {
+            assert!(sent(&actions, id).is_none() && !refused(&actions, id), "{ending:?}: {actions:?}");
+            assert!(failed(&actions, id), "{ending:?}: {actions:?}");
+        }
+        let mut bed = Bed::new(settings(Effect::Safe), servers(6), 1);
+        let (id, actions) = bed.request();
+        let first = sent(&actions, id).unwrap();
+        let actions = bed.outcome(id, first, 0, 10 * MS, ending);
+        assert!(sent(&actions, id).is_some_and(|s| s != first), "safe, {ending:?}: {actions:?}");
+    }
+}
+
+/// A keyed request that may have run goes again only inside its group and window, else it fails.
+#[test]
+fn keyed_requests_stay_in_their_group_and_window() {
+    for (group, late) in
+        [(Group::Zone, false), (Group::Cell, false), (Group::All, false), (Group::Zone, true)]
+    {
+        let mut s = settings(Effect::Keyed);
+        s.classes[0].group = group;
+        let mut list = servers(8);
+        for (k, server) in list.iter_mut().enumerate() {
+            server.zone = (k / 4) as u8;
+            server.cell = (k / 2) as u16;
+        }
+        let mut bed = Bed::new(s, list.clone(), 2);
+        let (id, actions) = bed.request();
+        let first = sent(&actions, id).unwrap();
+        let took = if late { 650 * MS } else { 50 * MS };
+        bed.now += took;
+        let actions = bed.outcome(id, first, 0, took, Ending::Reset);
+        let of = |e: Endpoint| list.iter().find(|s| s.endpoint == e).unwrap();
+        match sent(&actions, id) {
+            Some(second) => {
+                assert!(!late && second != first);
+                assert!(group != Group::Zone || of(first).zone == of(second).zone);
+                assert!(group != Group::Cell || of(first).cell == of(second).cell);
+            }
+            None => assert!(late && failed(&actions, id), "{group:?}: {actions:?}"),
+        }
+    }
+}
+
+/// Random lives: every request gets one final answer, nothing follows it, and no unsafe effect can double.
+#[test]
+fn random_sequences_keep_the_rules() {
+    for seed in 0..60u64 {
+        let mut rng = rand_pcg::Pcg64Mcg::seed_from_u64(seed);
+        let effect = [Effect::Safe, Effect::Keyed, Effect::Unsafe][(seed % 3) as usize];
+        let mut s = settings(effect);
+        s.second_copies = seed % 2 == 0;
+        let mut bed = Bed::new(s, servers(8), seed);
+        let mut draining = [false; 8];
+        // For each request: when it ends, its open attempts, whether one may have run, whether it is answered.
+        struct Life {
+            until: Nanos,
+            open: Vec<(u8, Endpoint, Nanos)>,
+            attempts: u8,
+            may_have_run: bool,
+            answers: u32,
+        }
+        let mut lives: BTreeMap<RequestId, Life> = BTreeMap::new();
+        for _ in 0..1500 {
+            bed.now += u64::from(rng.next_u32() % 20) * MS;
+            let due = lives.iter().find(|(_, l)| l.answers == 0 && bed.now >= l.until).map(|(id, _)| *id);
+            let pick = lives.iter().filter(|(_, l)| !l.open.is_empty()).nth(rng.next_u32() as usize % 4);
+            let target = due.or(pick.map(|(id, _)| *id));
+            let actions = if let (Some(id), true) = (target, due.is_some() || rng.next_u32() % 2 == 0) {
+                let life = lives.get_mut(&id).unwrap();
+                assert!(!life.open.is_empty(), "seed {seed}: request {id} is held with nothing out");
+                let (attempt, server, at) = life.open.swap_remove(0);
+                let ending = match due {
+                    Some(_) => Ending::TimedOut,
+                    None => ENDINGS[rng.next_u32() as usize % 8],
+                };
+                life.may_have_run |= !ending.never_ran();
+                let finished = ending == Ending::Ok || life.answers > 0;
+                life.answers += u32::from(ending == Ending::Ok && life.answers == 0);
+                let (request, took) = (id, bed.now - at);
+                bed.feed(Event::Outcome { request, server, attempt, finished, took, ending, report: None })
+            } else if rng.next_u32() % 10 == 0 {
+                let k = rng.next_u32() as u8 % 8;
+                draining[usize::from(k)] ^= true;
+                let phase = if draining[usize::from(k)] { Phase::Draining } else { Phase::Ready };
+                bed.list(ListKind::Changes, vec![Server { phase, ..Server::warm(endpoint(k)) }])
+            } else if rng.next_u32() % 3 == 0 {
+                bed.feed(Event::Timer { token: rng.next_u32() })
+            } else {
+                let (id, actions) = bed.request();
+                let until = bed.now + 800 * MS;
+                let life = Life { until, open: vec![], attempts: 0, may_have_run: false, answers: 0 };
+                lives.insert(id, life);
+                actions
+            };
+            for action in actions {
+                match action {
+                    Action::Send { request, server, .. } => {
+                        let life = lives.get_mut(&request).unwrap();
+                        assert_eq!(life.answers, 0, "seed {seed}: sent after the answer");
+                        assert!(bed.now < life.until && life.attempts < 4);
+                        assert!(
+                            !draining[usize::from(server.address[3])],
+                            "seed {seed}: sent to a draining server"
+                        );
+                        assert!(effect != Effect::Unsafe || (!life.may_have_run && life.open.is_empty()));
+                        assert!(life.open.is_empty() || (seed % 2 == 0 && effect == Effect::Safe));
+                        life.open.push((life.attempts, server, bed.now));
+                        life.attempts += 1;
+                    }
+                    Action::Refuse { request, .. } => {
+                        let life = lives.get_mut(&request).unwrap();
+                        life.answers += 1;
+                        assert_eq!(life.answers, 1, "seed {seed}: answered twice");
+                        assert!(effect != Effect::Unsafe || (!life.may_have_run && life.open.is_empty()));
+                    }
+                    Action::Fail { request } => {
+                        let life = lives.get_mut(&request).unwrap();
+                        life.answers += 1;
+                        assert_eq!(life.answers, 1, "seed {seed}: answered twice");
+                    }
+                    _ => {}
+                }
+            }
+        }
+        assert!(lives.values().filter(|l| l.answers == 1).count() > 200);
+    }
+}
+
+/// Nothing new reaches a server once the list says that it drains, is gone, or no longer names it.
+#[test]
+fn drains_are_kept() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(4), 1);
+    bed.list(ListKind::Changes, vec![Server { phase: Phase::Draining, ..Server::warm(endpoint(0)) }]);
+    bed.list(ListKind::Changes, vec![Server { phase: Phase::Gone, ..Server::warm(endpoint(1)) }]);
+    for _ in 0..50 {
+        assert!(bed.served(20 * MS).unwrap() >= endpoint(2));
+    }
+    bed.list(ListKind::Full, vec![Server::warm(endpoint(3))]);
+    for _ in 0..50 {
+        assert_eq!(bed.served(20 * MS), Some(endpoint(3)));
+    }
+}
+
+/// A fleet that comes back cold all at once gets its ramp share of the remembered warm rate, and no burst.
+#[test]
+fn a_cold_fleet_is_not_pushed_over() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(5), 4);
+    let step = 10 * MS;
+    for _ in 0..3000 {
+        bed.now += step;
+        bed.served(20 * MS);
+    }
+    let start = bed.now;
+    let cold: Vec<_> = servers(5).into_iter().map(|s| Server { started_at: start, ..s }).collect();
+    bed.list(ListKind::Changes, cold);
+    // Warm, each of the five took 20 requests a second; the ramp lasts 8 s and starts at 0.3.
+    let mut sends: BTreeMap<Endpoint, Vec<Nanos>> = BTreeMap::new();
+    for _ in 0..800 {
+        bed.now += step;
+        if let Some(server) = bed.served(20 * MS) {
+            sends.entry(server).or_default().push(bed.now - start);
+        }
+    }
+    assert!(sends.len() == 5, "all take part: {:?}", sends.keys());
+    for (server, times) in sends {
+        for (k, &from) in times.iter().enumerate() {
+            let within = times[k..].iter().filter(|&&t| t < from + 800 * MS).count() as f64;
+            let share = 0.3 + 0.7 * (from + 800 * MS) as f64 / 8000e6;
+            let most = 20.0 * 0.8 * share.min(1.0) * 1.25 + 1.0;
+            assert!(within <= most, "{server:?} got {within} within 800 ms from {from}, at most {most}");
+        }
+    }
+}
+
+/// With nobody to send to, a request still gets its one answer.
+#[test]
+fn an_empty_list_refuses() {
+    let mut bed = Bed::new(settings(Effect::Unsafe), vec![], 1);
+    let (id, actions) = bed.request();
+    assert!(refused(&actions, id), "{actions:?}");
+}
+
+/// Odd but legal events change nothing.
+#[test]
+fn odd_events_are_harmless() {
+    let mut bed = Bed::new(settings(Effect::Safe), servers(3), 1);
+    assert!(bed.outcome(77, endpoint(0), 0, MS, Ending::Error).is_empty());
+    assert!(bed.feed(Event::ClientGone { request: 77 }).is_empty());
+    assert!(bed.feed(Event::Timer { token: 9 }).is_empty());
+    let gone = Server { phase: Phase::Gone, ..Server::warm(endpoint(99)) };
+    assert!(bed.list(ListKind::Changes, vec![gone]).is_empty());
+    let (id, actions) = bed.request();
+    let server = sent(&actions, id).unwrap();
+    bed.feed(Event::ClientGone { request: id });
+    let late = bed.outcome(id, server, 0, 90 * MS, Ending::Error);
+    assert!(sent(&late, id).is_none() && !failed(&late, id) && !refused(&late, id), "{late:?}");
+}
+
+/// A broken subscription is taken up again, later and not by all nodes at the same moment.
+#[test]
+fn a_lost_subscription_is_renewed() {
+    let mut s = settings(Effect::Safe);
+    s.must_subscribe = true;
+    let wait = |seed| {
+        let mut bed = Bed::new(s.clone(), vec![], seed);
+        assert!(bed.list(ListKind::Cached, servers(3)).contains(&Action::Subscribe));
+        let actions = bed.list(ListKind::Failed, vec![]);
+        let after = actions.iter().find_map(|a| match a {
+            Action::StartTimer { after, .. } => Some(*after),
+            _ => None,
+        });
+        bed.now += after.expect("a timer");
+        assert!(bed.feed(Event::Timer { token: 0 }).contains(&Action::Subscribe));
+        after
+    };
+    assert_ne!(wait(1), wait(2));
+}
+
+/// Settings that no node could act on are refused by name.
+#[test]
+fn unsound_settings_are_named() {
+    let refusal = |edit: fn(&mut Settings)| {
+        let mut s = settings(Effect::Safe);
+        edit(&mut s);
+        yarrowfield::Balancer::new(s, 1).err()
+    };
+    assert_eq!(refusal(|s| s.classes.clear()), Some(SettingsError::Empty("classes")));
+    assert_eq!(refusal(|s| s.classes[0].give_up = 0), Some(SettingsError::Zero("give_up")));
+    assert_eq!(refusal(|s| s.cold_from = 1.5), Some(SettingsError::NotAShare("cold_from")));
+    assert_eq!(refusal(|s| s.tip_multiple = f64::NAN), Some(SettingsError::OutOfRange("tip_multiple")));
+    assert_eq!(refusal(|_| {}), None);
+}
