Take over a new configuration on SIGHUP instead of ending

Signals are now taken before all else. The file is read again; a new address ends the watch at the old one at once, also while a call hangs there, and the new place is asked for the whole list. A file that cannot be read leaves all as it was.

The module is untouched.

--- a/src/main.rs
+++ b/src/main.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, Notify};
 use tokio::task::{spawn_local, LocalSet};
 
@@ -20,6 +20,9 @@
 const READY_KNOWN: Duration = Duration::from_millis(700);
 /// At a planned restart new connections go on coming for a while, and SIGKILL follows the longest deadline.
 const STILL_ACCEPT: Duration = Duration::from_millis(500);
+/// A new configuration that cannot be read may still be on its way to the disk.
+const RELOAD_TRIES: u32 = 5;
+const RELOAD_PAUSE: Duration = Duration::from_millis(100);
 const LEAVE_WITHIN: Duration = Duration::from_millis(3600);
 
 #[derive(Debug, thiserror::Error)]
@@ -45,9 +48,8 @@
 }
 
 fn start() -> Result<(), StartError> {
-    let config = Config::load()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(config))
+    LocalSet::new().block_on(&runtime, run())
 }
 
 fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
@@ -58,8 +60,11 @@
     socket.listen(BACKLOG)
 }
 
-async fn run(config: Config) -> Result<(), StartError> {
+async fn run() -> Result<(), StartError> {
+    // Before all else: either signal ends a program that does not listen for it.
     let mut terminate = signal(SignalKind::terminate())?;
+    let hangup = signal(SignalKind::hangup())?;
+    let config = Config::load()?;
     let address = config.listen;
     let (push, known) =
         (!config.settings.must_subscribe, config.known.as_ref().is_some_and(|k| !k.hosts.is_empty()));
@@ -82,6 +87,7 @@
         ready.ready.set(ready.ready.get() || known);
     });
     spawn_local(sweep(gateway.clone(), clients.clone()));
+    spawn_local(reload(gateway.clone(), hangup));
 
     terminate.recv().await;
     let told = Instant::now();
@@ -95,6 +101,23 @@
     Ok(())
 }
 
+/// SIGHUP: the configuration has been replaced. What can change under way is taken over; a file that cannot be
+/// read, or that is only half there yet, is tried again a few times and else leaves everything as it was.
+async fn reload(gateway: Rc<Gateway>, mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        for _ in 0..RELOAD_TRIES {
+            match Config::load() {
+                Ok(config) => {
+                    gateway.reconfigure(&config);
+                    break;
+                }
+                Err(error) => net::log(format_args!("reload: {error}")),
+            }
+            tokio::time::sleep(RELOAD_PAUSE).await;
+        }
+    }
+}
+
 /// Once a second: connections that have stood idle or still for too long are closed.
 async fn sweep(gateway: Rc<Gateway>, clients: Rc<Clients>) {
     loop {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,7 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 use yarrowfield::interface::{Endpoint, ListKind, Phase, Server};
 
@@ -87,6 +87,8 @@
     Backwards(u64, u64),
     #[error("the watch ended")]
     Ended,
+    #[error("a new configuration names another address")]
+    Moved,
 }
 
 /// Follows discovery.
@@ -97,6 +99,9 @@
     blank: bool,
     older: u32,
     lines: u64,
+    /// A list of this address is held: changes to it are of use only to a watch there.
+    heard_at: Option<SocketAddr>,
+    address: watch::Receiver<SocketAddr>,
     rng: Pcg64Mcg,
 }
 
@@ -104,7 +109,10 @@
     /// Starts with the list that the configuration holds.
     pub fn new(gateway: Rc<Gateway>) -> Self {
         let rng = Pcg64Mcg::seed_from_u64(gateway.config.seed ^ 0x6469_7363);
-        let mut watcher = Watcher { seq: 0, blank: true, older: 0, lines: 0, rng, gateway };
+        let address = gateway.discovery.subscribe();
+        let heard_at = Some(*address.borrow());
+        let mut watcher =
+            Watcher { seq: 0, blank: true, older: 0, lines: 0, heard_at, address, rng, gateway };
         if let Some(known) = watcher.gateway.config.known.clone() {
             watcher.seq = known.seq;
             watcher.blank = false;
@@ -125,8 +133,14 @@
                 pause = PAUSE_FIRST;
             }
             super::log(format_args!("discovery: {error}"));
+            if matches!(error, WatchError::Moved) {
+                // What the new place has to tell counts soon: no pause.
+                pause = PAUSE_FIRST;
+                continue;
+            }
             let spread = 0.5 + f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
-            tokio::time::sleep(Duration::from_secs_f64(pause * spread)).await;
+            // A move ends the pause as well.
+            let _ = timeout(Duration::from_secs_f64(pause * spread), self.address.clone().changed()).await;
             pause = (pause * 2.0).min(PAUSE_LAST);
         }
     }
@@ -144,6 +158,11 @@
             };
             if let Some(error) = error {
                 super::log(format_args!("discovery: {error}"));
+                if matches!(error, WatchError::Moved) {
+                    // Discovery has not failed: the subscription only moves with it.
+                    next = Some(ListCall::Subscribe);
+                    continue;
+                }
                 self.gateway.list(ListKind::Failed, Vec::new());
             }
             next = calls.recv().await;
@@ -158,16 +177,21 @@
         self.line(&bytes)
     }
 
+    /// Watches until the watch ends or discovery moves. A new configuration may come at any moment, also while
+    /// a call hangs at the old address, so that the move cuts off whatever goes on.
     async fn watch(&mut self) -> WatchError {
-        match self.lines_of_watch().await {
-            Ok(()) => WatchError::Ended,
-            Err(error) => error,
+        self.address.mark_unchanged();
+        let mut moves = self.address.clone();
+        tokio::select! {
+            ended = self.lines_of_watch() => ended.err().unwrap_or(WatchError::Ended),
+            _ = moves.changed() => WatchError::Moved,
         }
     }
 
     async fn lines_of_watch(&mut self) -> Result<(), WatchError> {
         let mut path = "/discovery/hosts?follow=1".to_owned();
-        if !self.blank && self.older == 0 {
+        let address = *self.address.borrow();
+        if !self.blank && self.older == 0 && self.heard_at == Some(address) {
             path += &format!("&since={}", self.seq);
         }
         let mut body = self.get(path).await?;
@@ -184,6 +208,7 @@
                 // The empty line is the heartbeat.
                 if !held.trim_ascii().is_empty() {
                     self.line(&held)?;
+                    self.heard_at = Some(address);
                 }
                 held.clear();
             }
@@ -240,7 +265,7 @@
     }
 
     async fn get(&self, path: String) -> Result<Incoming, WatchError> {
-        let address = self.gateway.config.discovery;
+        let address = *self.address.borrow();
         let stream = match timeout(CONNECT, TcpStream::connect(address)).await {
             Ok(stream) => stream.map_err(WatchError::Connect)?,
             Err(_) => return Err(WatchError::Silent),
--- a/src/net/gateway.rs
+++ b/src/net/gateway.rs
@@ -15,8 +15,9 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 use tokio::task::AbortHandle;
 use yarrowfield::interface::{
     Action, Ending, Endpoint, Event, ListKind, Nanos, Request, RequestId, SettingsError,
@@ -110,6 +111,8 @@
     pub ready: Cell<bool>,
     /// Bounded by the module, which asks again only after an answer.
     pub list_calls: mpsc::UnboundedSender<ListCall>,
+    /// Where discovery is now; a new configuration may move it.
+    pub discovery: watch::Sender<SocketAddr>,
     state: RefCell<State>,
     timer: Notify,
 }
@@ -134,12 +137,21 @@
             leaving: Cell::new(false),
             ready: Cell::new(false),
             list_calls,
+            discovery: watch::Sender::new(config.discovery),
             state: RefCell::new(state),
             timer: Notify::new(),
             config,
         }))
     }
 
+    /// Takes over what a new configuration may change without a restart: where discovery is.
+    pub fn reconfigure(&self, new: &Config) {
+        self.discovery.send_if_modified(|address| std::mem::replace(address, new.discovery) != new.discovery);
+        if new.settings != self.config.settings || new.listen != self.config.listen {
+            super::log(format_args!("reload: new settings count from the next start on"));
+        }
+    }
+
     /// Runs `f` on the fleet's connections.
     pub fn fleet<T>(&self, f: impl FnOnce(&mut Fleet) -> T) -> T {
         f(&mut self.state.borrow_mut().fleet)
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Helpers for driving a balancer by hand.
 #![allow(dead_code)]
 
+pub mod process;
+
 use yarrowfield::interface::*;
 use yarrowfield::Balancer;
 
