Send away sooner those that ask once and stay, where places are short

A capture shows exactly 128 usual connections open at each node, a third of its 384 descriptors, which is all that clients open; some 1,400 of them had asked once and stayed until the node closed them after 2 s, and further tries found no connection. Ruled out: the servers (p50 20 ms, no resets), the module's refusals, the node's own places (154 of clients, never short enough to make room among those that had asked).

Where more than half of the places are taken, a connection that is between requests is closed after 0.15 s, and connections are looked at every 0.1 s.

Concluded: what counts for clients is their third, not the node's limit.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -36,12 +36,16 @@
 /// The longest id of a request.
 const MOST_ID: usize = 128;
 /// How often connections are looked at.
-pub const SWEEP: Duration = Duration::from_millis(250);
+pub const SWEEP: Duration = Duration::from_millis(100);
 /// No client may hold a descriptor for good, be it silent, slow or out to do harm. A connection without a
 /// request is closed after `IDLE`, one with a part of a head after `HEAD` more, however it trickles in; a body
 /// has to be there `BODY` after its head, and an answer may stand still for `STUCK`. Clients that talk at all
 /// are behind a front in the next rack; over a slow line these times would do harm to honest ones.
 const IDLE: Nanos = 2_000_000_000;
+/// ... and after this where more than half of the places are taken: clients that ask once and stay would leave no
+/// connections to those that come next, who do not open more than their part. It costs clients that pause some
+/// new connections.
+const IDLE_CROWDED: Nanos = 150_000_000;
 const HEAD: Nanos = 1_000_000_000;
 const BODY: Duration = Duration::from_millis(1_000);
 const STUCK: Nanos = 3_000_000_000;
@@ -89,7 +93,7 @@
     }
 
     /// Closes it if it has stood still for too long.
-    fn sweep(&self, now: Nanos) {
+    fn sweep(&self, now: Nanos, idle: Nanos) {
         let age = now.saturating_sub(self.since.get());
         match self.stage.get() {
             Stage::Idle if self.socket.heard.get() => {
@@ -100,8 +104,8 @@
                 }
             }
             // One that was told so and is still here sits on a part of a head that came with the request before.
-            Stage::Idle if age >= IDLE + HEAD => self.stop(true),
-            Stage::Idle if age >= IDLE && self.socket.quiet() => self.stop(false),
+            Stage::Idle if age >= idle + HEAD => self.stop(true),
+            Stage::Idle if age >= idle && self.socket.quiet() => self.stop(false),
             Stage::Writing if self.socket.moved.replace(false) => self.since.set(now),
             Stage::Writing if age >= STUCK => self.stop(true),
             // What is read has its own limit, and what waits has the gateway's.
@@ -210,7 +214,10 @@
     /// Every `SWEEP`: closes what stands still.
     pub fn sweep(&self) {
         let now = self.gateway.clock.now();
-        self.open.borrow().values().for_each(|client| client.sweep(now));
+        let open = self.open.borrow();
+        let crowded = open.len() > self.gateway.budget.most_clients / 2;
+        let idle = if crowded { IDLE_CROWDED } else { IDLE };
+        open.values().for_each(|client| client.sweep(now, idle));
     }
 
     /// Closes all connections that are between requests; the number of those that are left.
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::Mutex;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A new configuration under load: the program goes on and follows the discovery that the file now names.
 #[test]
@@ -244,3 +244,33 @@
     }
     assert!(server.seen.lock().unwrap()[before..].iter().all(|s| s.connection >= open));
 }
+
+/// Where many clients have asked once and stay, their connections are closed sooner than one that stands alone.
+#[test]
+fn a_crowd_that_stays_is_sent_away_sooner() {
+    let server = FakeServer::start(serve);
+    let discovery = FakeDiscovery::start(&[host("s1", server.address, "active")]);
+    let program = || {
+        let program = Program::with_sockets(discovery.address, 64);
+        until("the list has come", || program.ask().ends_with("fine"));
+        program
+    };
+    let (calm, crowded) = (program(), program());
+    let asked = |program: &Program| {
+        let mut stream = program.connect();
+        stream.write_all(safe_request(&fresh_id()).as_bytes()).unwrap();
+        read_message(&mut stream).expect("an answer");
+        stream
+    };
+    let mut alone = asked(&calm);
+    let crowd: Vec<_> = (0..14).map(|_| asked(&crowded)).collect();
+    let closing = thread::spawn(move || {
+        alone.read_to_end(&mut Vec::new()).unwrap();
+        Instant::now()
+    });
+    for mut stream in crowd.into_iter().take(3) {
+        stream.read_to_end(&mut Vec::new()).unwrap();
+    }
+    let crowd_gone = Instant::now();
+    assert!(crowd_gone < closing.join().unwrap());
+}
