--- a/src/bin/yarrowfield-benchlink/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -3,13 +3,13 @@
 
 mod wire;
 
+use laurelroute_policy::interface::{Action, Event};
+use laurelroute_policy::settings::{self, Pairs, ReportField};
+use laurelroute_policy::Balancer;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
 use wire::{Frame, Record, Reply, WireError};
-use yarrowfield::interface::{Action, Event};
-use yarrowfield::settings::{self, Pairs, ReportField};
-use yarrowfield::Balancer;
 
 struct Instance {
     balancer: Balancer,
@@ -114,7 +114,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("yarrowfield-benchlink: {error}");
+            eprintln!("laurelroute-benchlink: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/bin/yarrowfield-benchlink/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -1,8 +1,8 @@
 //! Frames of the simulator's wire: batches of event records in, batches of action records out.
 
+use laurelroute_policy::interface::{Action, Ending, Endpoint, ListKind, Phase, Report, Request, Server};
+use laurelroute_policy::settings::ReportField;
 use std::fmt;
-use yarrowfield::interface::{Action, Ending, Endpoint, ListKind, Phase, Report, Request, Server};
-use yarrowfield::settings::ReportField;
 
 /// Bytes of a batch header, an event record, an action record and a list entry.
 pub const HEADER: usize = 16;
--- a/src/net/budget.rs
+++ b/crates/core/src/budget.rs
@@ -27,6 +27,7 @@
 }
 
 impl Budget {
+    /// Splits `sockets` descriptors and `memory_mb` MiB among clients, servers and messages.
     pub fn new(sockets: usize, memory_mb: u64) -> Rc<Self> {
         let rest = sockets.saturating_sub(OWN_SOCKETS).max(8);
         // One in eight of the clients' is kept for those that are only told to come back.
@@ -41,6 +42,7 @@
         })
     }
 
+    /// Connections that clients hold.
     pub fn clients(&self) -> usize {
         self.clients.get()
     }
@@ -50,6 +52,7 @@
         self.clients.get() >= self.most_clients + self.most_clients / 8
     }
 
+    /// A place for one more client.
     pub fn client(self: &Rc<Self>) -> Slot {
         Slot::take(self, |b| &b.clients)
     }
--- /dev/null
+++ b/crates/core/src/call.rs
@@ -0,0 +1,87 @@
+//! The seam between the wires and the gateway.
+
+use crate::gateway::Attempt;
+use laurelroute_policy::interface::{Nanos, Request};
+use std::cell::Cell;
+use std::rc::Rc;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+
+/// Which wire a connection to a server speaks: an index into the server's addresses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Wire(pub u8);
+
+/// What a front has read of a client's request, in the decision module's words. The module's own number for it,
+/// `request.id`, is filled in by the gateway.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Call {
+    /// Class, tenant, route key, hints and when the client gives up.
+    pub request: Request,
+    /// When no answer is of use any more; attempts are called off then.
+    pub give_up_at: Nanos,
+}
+
+/// One request in the form of its wire, and the place of its answer. Both methods are called while the gateway is
+/// at work: they may start tasks and put answers, and must not call the gateway back.
+pub trait Exchange: 'static {
+    /// Starts carrying one attempt over one connection. The task tells the attempt how it ended, exactly once;
+    /// the handle ends it early, which tells nothing.
+    fn start(self: Rc<Self>, attempt: Attempt) -> AbortHandle;
+
+    /// The final answer is none of a server's.
+    fn give_up(&self, end: GivenUp);
+}
+
+/// A final answer that the node itself makes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GivenUp {
+    /// Turned away: known never to have run, or harmless to repeat.
+    Refused {
+        /// Advice when to come back, in nanoseconds; 0 for none.
+        retry_after: Nanos,
+    },
+    /// Failed, with no word on its effect.
+    Failed {
+        /// Its time is up.
+        late: bool,
+    },
+}
+
+/// How a request ended, for its front.
+#[derive(Debug)]
+pub enum Verdict<A> {
+    /// A server's answer.
+    Served(A),
+    /// An answer of the node's own.
+    GivenUp(GivenUp),
+}
+
+/// Where the one final answer is put; what is put after it is dropped.
+pub struct Reply<A>(Cell<Option<oneshot::Sender<Verdict<A>>>>);
+
+impl<A> Reply<A> {
+    /// A place and the end at which its front waits.
+    pub fn new() -> (Self, oneshot::Receiver<Verdict<A>>) {
+        let (sender, receiver) = oneshot::channel();
+        (Reply(Cell::new(Some(sender))), receiver)
+    }
+
+    /// Puts the answer, if none is there. Whether anybody waits for it is the receiver's matter.
+    pub fn put(&self, verdict: Verdict<A>) {
+        if let Some(sender) = self.0.take() {
+            let _ = sender.send(verdict);
+        }
+    }
+}
+
+impl<A> std::fmt::Debug for Reply<A> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Reply")
+    }
+}
+
+/// What an upstream knows of the request that it writes.
+pub trait HandOver {
+    /// The kernel has the last byte of the request: from here on it may have run.
+    fn handed_over(&self) -> bool;
+}
--- a/src/net/clock.rs
+++ b/crates/core/src/clock.rs
@@ -1,7 +1,7 @@
 //! The node's one clock: nanoseconds since the Unix epoch, so that a server's start time compares with it.
 
+use laurelroute_policy::interface::Nanos;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use yarrowfield::interface::Nanos;
 
 /// The system's clock is read once; from then on time only goes forward.
 #[derive(Clone, Copy, Debug)]
@@ -11,11 +11,13 @@
 }
 
 impl Clock {
+    /// Reads the system's clock.
     pub fn start() -> Self {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Clock { epoch: since.as_nanos() as Nanos, start: Instant::now() }
     }
 
+    /// Nanoseconds since the Unix epoch.
     pub fn now(&self) -> Nanos {
         self.epoch + self.start.elapsed().as_nanos() as Nanos
     }
--- /dev/null
+++ b/crates/core/src/connect.rs
@@ -0,0 +1,66 @@
+//! New connections to servers, within the node's descriptors and the server's own cap.
+
+use crate::budget::Slot;
+use crate::call::Wire;
+use crate::fleet::{Fleet, Place};
+use crate::gateway::Gateway;
+use laurelroute_policy::interface::Endpoint;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+
+/// Descriptors used up: for the process and for the system.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+
+/// Whether an error says that no descriptor is left.
+pub fn exhausted(error: &io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(EMFILE | ENFILE))
+}
+
+/// Why no connection was to be had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NoLink {
+    /// The server's side: it counts against the server.
+    Failed,
+    /// The node itself has no descriptor left, or the server holds as many connections of ours as it may.
+    Exhausted,
+}
+
+/// What a connection holds for as long as it is open.
+#[derive(Debug)]
+pub struct Held {
+    _slot: Slot,
+    _place: Place,
+}
+
+/// Connects to a server, making room where the node's descriptors or the server's connections are used up.
+pub async fn connect(
+    gateway: &Rc<Gateway>,
+    server: Endpoint,
+    wire: Wire,
+    dial: SocketAddr,
+) -> Result<(TcpStream, Held), NoLink> {
+    let place = gateway.fleet(|f| f.place(server, wire)).ok_or(NoLink::Exhausted)?;
+    let slot = loop {
+        if let Some(slot) = gateway.budget.server() {
+            break slot;
+        }
+        if gateway.fleet(Fleet::evict) {
+            continue;
+        }
+        if !gateway.stop_lingering() {
+            return Err(NoLink::Exhausted);
+        }
+        // What was told to stop gives its descriptor back when the runtime gets to it.
+        tokio::task::yield_now().await;
+    };
+    let limit = Duration::from_nanos(gateway.site.connect_timeout);
+    match tokio::time::timeout(limit, TcpStream::connect(dial)).await {
+        Ok(Ok(stream)) => Ok((stream, Held { _slot: slot, _place: place })),
+        Ok(Err(e)) if exhausted(&e) => Err(NoLink::Exhausted),
+        Ok(Err(_)) | Err(_) => Err(NoLink::Failed),
+    }
+}
--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,239 @@
+//! The fleet: which servers the list has named, where each listens on each wire, and the connections kept to them.
+
+use crate::call::Wire;
+use laurelroute_policy::interface::{Endpoint, ListKind, Nanos, Phase, Server};
+use std::any::Any;
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Servers that left are remembered for this long, for what is still under way to them.
+const MEMORY: Nanos = 60_000_000_000;
+
+/// One entry of the list of servers.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The server's name, the same at every node.
+    pub host: String,
+    /// Where it listens, by [`Wire`].
+    pub dials: Dials,
+    /// All that the module is told; the endpoint is filled in by the fleet.
+    pub server: Server,
+}
+
+/// A server's addresses, by [`Wire`]; `None` where it does not speak that one.
+pub type Dials = Vec<Option<SocketAddr>>;
+
+/// A connection that can carry another request.
+pub trait Kept: Any {
+    /// Nothing has come on it and the peer has not closed.
+    fn quiet(&self) -> bool;
+}
+
+/// A kept connection.
+pub struct Idle {
+    wire: Wire,
+    connection: Box<dyn Kept>,
+    opened: Nanos,
+    since: Nanos,
+}
+
+/// One connection to a server, counted over all wires; given back when dropped.
+#[derive(Debug)]
+pub struct Place(Rc<Cell<u32>>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+struct Upstream {
+    host: String,
+    dials: Dials,
+    server: Server,
+    /// Connections open to it.
+    open: Rc<Cell<u32>>,
+    /// Since when it takes nothing new.
+    closed_at: Option<Nanos>,
+    /// Oldest first: the newest is used first, so that the others can age and close.
+    idle: Vec<Idle>,
+}
+
+/// The servers that the list has named, by the identity under which the module knows them.
+#[derive(Default)]
+pub struct Fleet {
+    upstreams: BTreeMap<Endpoint, Upstream>,
+    /// Connections that one server may hold of this node's, over all wires.
+    most_connections: Option<u32>,
+}
+
+/// The module sorts by identity, and all nodes must agree on the order: it comes from the name, which is the
+/// same everywhere, and not from the address, which is not.
+fn identity(host: &str, round: u8) -> Endpoint {
+    let mut name = host.as_bytes().to_vec();
+    name.extend((round > 0).then_some(round));
+    let h = crate::mix(&name).to_be_bytes();
+    Endpoint { address: [h[0], h[1], h[2], h[3]], port: u16::from_be_bytes([h[4], h[5]]) }
+}
+
+impl Fleet {
+    /// An empty fleet whose servers each hold at most so many connections of this node's, over all wires.
+    pub fn with_cap(most_connections: Option<u32>) -> Self {
+        Fleet { upstreams: BTreeMap::new(), most_connections }
+    }
+
+    fn endpoint(&self, host: &str) -> Endpoint {
+        let free = |e: &Endpoint| self.upstreams.get(e).is_none_or(|u| u.host == host);
+        (0..=u8::MAX).map(|round| identity(host, round)).find(free).unwrap_or(identity(host, 0))
+    }
+
+    /// Takes over a list or changes to it, and puts it into the module's words.
+    pub fn follow(&mut self, now: Nanos, kind: ListKind, entries: Vec<Entry>) -> Vec<Server> {
+        let mut servers = Vec::with_capacity(entries.len());
+        for entry in entries {
+            let endpoint = self.endpoint(&entry.host);
+            let server = Server { endpoint, ..entry.server };
+            let dials = entry.dials;
+            let upstream = self.upstreams.entry(endpoint).or_insert_with(|| Upstream {
+                host: entry.host,
+                dials: dials.clone(),
+                server,
+                open: Rc::default(),
+                closed_at: None,
+                idle: Vec::new(),
+            });
+            if upstream.dials != dials || upstream.server.started_at != server.started_at {
+                // Another process: what was connected to the old one leads nowhere.
+                upstream.dials = dials;
+                upstream.idle.clear();
+            }
+            upstream.server = server;
+            if server.phase == Phase::Ready {
+                upstream.closed_at = None;
+            } else {
+                upstream.close(now);
+            }
+            servers.push(server);
+        }
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            let listed: BTreeSet<_> = servers.iter().map(|s| s.endpoint).collect();
+            self.upstreams.iter_mut().filter(|(e, _)| !listed.contains(e)).for_each(|(_, u)| u.close(now));
+        }
+        self.displace(now, &mut servers);
+        self.upstreams.retain(|_, u| u.closed_at.is_none_or(|at| now.saturating_sub(at) < MEMORY));
+        servers
+    }
+
+    /// One process listens at an address. Where a newer server has it, the older one is gone, also while the
+    /// list still names it: what is sent there reaches the newer one, past all that is counted for it.
+    fn displace(&mut self, now: Nanos, servers: &mut Vec<Server>) {
+        let mut holders: BTreeMap<SocketAddr, Server> = BTreeMap::new();
+        let mut gone = Vec::new();
+        for u in self.upstreams.values().filter(|u| u.closed_at.is_none()) {
+            for dial in u.dials.iter().flatten() {
+                let Some(other) = holders.insert(*dial, u.server).filter(|o| o.endpoint != u.server.endpoint)
+                else {
+                    continue;
+                };
+                let (older, newer) = if other.started_at > u.server.started_at {
+                    (u.server, other)
+                } else {
+                    (other, u.server)
+                };
+                holders.insert(*dial, newer);
+                gone.push(older.endpoint);
+            }
+        }
+        for endpoint in gone {
+            let Some(upstream) = self.upstreams.get_mut(&endpoint) else { continue };
+            upstream.close(now);
+            let server = Server { phase: Phase::Gone, ..upstream.server };
+            match servers.iter_mut().find(|s| s.endpoint == endpoint) {
+                Some(listed) => *listed = server,
+                None => servers.push(server),
+            }
+        }
+    }
+
+    /// Where a server listens, as long as it may be sent anything new.
+    pub fn dial(&self, server: Endpoint, wire: Wire) -> Option<SocketAddr> {
+        let upstream = self.upstreams.get(&server).filter(|u| u.closed_at.is_none())?;
+        upstream.dials.get(usize::from(wire.0)).copied().flatten()
+    }
+
+    /// A place for one more connection to a server; where it holds all that it may, one that is kept on another
+    /// wire makes room, and `None` says that there is none.
+    pub(crate) fn place(&mut self, server: Endpoint, wire: Wire) -> Option<Place> {
+        let most = self.most_connections.unwrap_or(u32::MAX);
+        let upstream = self.upstreams.get_mut(&server)?;
+        while upstream.open.get() >= most {
+            let other = upstream.idle.iter().position(|i| i.wire != wire)?;
+            upstream.idle.remove(other);
+        }
+        upstream.open.set(upstream.open.get() + 1);
+        Some(Place(upstream.open.clone()))
+    }
+
+    /// Connections open to a server, over all wires.
+    pub fn connections(&self, server: Endpoint) -> u32 {
+        self.upstreams.get(&server).map_or(0, |u| u.open.get())
+    }
+
+    /// The newest kept connection of the wire that is still good, and when it was opened.
+    pub fn checkout<C: Kept>(
+        &mut self,
+        server: Endpoint,
+        wire: Wire,
+        oldest: Nanos,
+    ) -> Option<(Box<C>, Nanos)> {
+        let upstream = self.upstreams.get_mut(&server)?;
+        while let Some(newest) = upstream.idle.iter().rposition(|i| i.wire == wire) {
+            let idle = upstream.idle.remove(newest);
+            // One that the server has closed, or on which it said something unasked, would lose a request.
+            if idle.since >= oldest && idle.connection.quiet() {
+                let connection: Box<dyn Any> = idle.connection;
+                return connection.downcast().ok().map(|c| (c, idle.opened));
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection that was opened then to that address, unless the server has left or moved since.
+    pub fn checkin(
+        &mut self,
+        server: Endpoint,
+        (wire, dial): (Wire, SocketAddr),
+        connection: Box<dyn Kept>,
+        (opened, since): (Nanos, Nanos),
+    ) {
+        let current = self.dial(server, wire) == Some(dial);
+        if let Some(u) = self.upstreams.get_mut(&server).filter(|_| current) {
+            if u.server.started_at <= opened {
+                u.idle.push(Idle { wire, connection, opened, since });
+            }
+        }
+    }
+
+    /// Closes what has stood idle since before `oldest` or was closed by its server.
+    pub fn sweep(&mut self, oldest: Nanos) {
+        for upstream in self.upstreams.values_mut() {
+            upstream.idle.retain(|i| i.since >= oldest && i.connection.quiet());
+        }
+    }
+
+    /// Closes the connection that has stood idle longest; false where none is idle.
+    pub fn evict(&mut self) -> bool {
+        let since = |u: &Upstream| u.idle.first().map(|i| i.since);
+        let upstreams = self.upstreams.values_mut().filter(|u| !u.idle.is_empty());
+        upstreams.min_by_key(|u| since(u)).map(|u| u.idle.remove(0)).is_some()
+    }
+}
+
+impl Upstream {
+    fn close(&mut self, now: Nanos) {
+        self.closed_at.get_or_insert(now);
+        self.idle.clear();
+    }
+}
--- a/src/net/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -3,25 +3,23 @@
 //!
 //! Everything runs on one thread. The state is borrowed only inside the methods here, never across an await.
 
-use super::body::Pieces;
-use super::budget::Budget;
-use super::clock::Clock;
-use super::config::Config;
-use super::io::Socket;
-use super::servers::{self, Fleet};
-use hyper::header::HeaderMap;
-use hyper::{Method, Uri};
+use crate::budget::Budget;
+use crate::call::{Call, Exchange, GivenUp, HandOver, Verdict, Wire};
+use crate::clock::Clock;
+use crate::fleet::{Entry, Fleet};
+use crate::ids::Ids;
+use crate::log::log;
+use laurelroute_policy::interface::{
+    Action, Ending, Endpoint, Event, ListKind, Nanos, Request, RequestId, Settings, SettingsError,
+};
+use laurelroute_policy::Balancer;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::{mpsc, oneshot, watch, Notify};
+use tokio::sync::{mpsc, oneshot, Notify};
 use tokio::task::AbortHandle;
-use yarrowfield::interface::{
-    Action, Ending, Endpoint, Event, ListKind, Nanos, Request, RequestId, SettingsError,
-};
-use yarrowfield::Balancer;
 
 /// How long an attempt that was given up may go on, so that its connection can be used again. Giving it up by
 /// closing costs the server a new handshake, and the work goes on there all the same.
@@ -30,44 +28,119 @@
 /// Part of the idle time after which a server may close that a kept connection is used.
 const IDLE_PART: f64 = 0.6;
 
-/// A client's request as every attempt sends it.
-#[derive(Debug)]
-pub struct Message {
-    pub method: Method,
-    pub uri: Uri,
-    pub headers: HeaderMap,
-    pub body: Rc<Pieces>,
-    pub give_up_at: Nanos,
+/// What the node is told of its site, apart from who its servers are.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// What the decision module is told.
+    pub settings: Settings,
+    /// Settles all random draws.
+    pub seed: u64,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// Memory that the process may hold, in MiB.
+    pub memory_mb: u64,
+    /// A server may close a connection that has stood idle for this long.
+    pub conn_idle: Nanos,
+    /// A connection that is not up after this has failed.
+    pub connect_timeout: Nanos,
+    /// Connections that one server may hold of this node's, over all wires; `None` where nobody says.
+    pub most_connections: Option<u32>,
+    /// Names of the classes, in the order of the settings.
+    pub classes: Vec<String>,
+    /// Names of the tenants, in the order of the settings.
+    pub tenants: Vec<String>,
 }
 
-/// The one final answer to a request.
-#[derive(Debug)]
-pub enum Answer {
-    Whole { headers: HeaderMap, body: Pieces },
-    Refused { retry_after: Nanos },
-    Failed { late: bool },
+impl Site {
+    /// A tenant's place in the settings. One that they do not name has no share to be over.
+    pub fn tenant(&self, name: Option<&[u8]>) -> u32 {
+        self.tenants.iter().position(|t| Some(t.as_bytes()) == name).map_or(u32::MAX, |t| t as u32)
+    }
+}
+
+/// A route key in the module's form: a number where it is one in hexadecimal, else a hash.
+pub fn route_key(text: &[u8]) -> u64 {
+    let hex = std::str::from_utf8(text).ok().and_then(|t| u64::from_str_radix(t, 16).ok());
+    hex.unwrap_or_else(|| crate::mix(text))
 }
 
-/// What an attempt is known by.
 #[derive(Clone, Copy, Debug)]
-pub struct AttemptId {
-    pub request: RequestId,
-    pub number: u8,
+struct AttemptId {
+    request: RequestId,
+    number: u8,
+}
+
+type Handed = Rc<RefCell<Option<Rc<dyn HandOver>>>>;
+
+/// One attempt of a request, as an upstream carries it.
+pub struct Attempt {
+    gateway: Rc<Gateway>,
+    id: AttemptId,
+    server: Endpoint,
+    give_up_at: Nanos,
+    handed: Handed,
+}
+
+impl Attempt {
+    /// The gateway that it belongs to.
+    pub fn gateway(&self) -> &Rc<Gateway> {
+        &self.gateway
+    }
+
+    /// The server that the module has chosen.
+    pub fn server(&self) -> Endpoint {
+        self.server
+    }
+
+    /// Time left to the client, in whole milliseconds, at least one.
+    pub fn millis_left(&self) -> u64 {
+        self.give_up_at.saturating_sub(self.gateway.clock.now()).div_ceil(1_000_000).max(1)
+    }
+
+    /// Where the server listens on this wire, as long as it may be sent anything new.
+    pub fn dial(&self, wire: Wire) -> Option<SocketAddr> {
+        self.gateway.fleet(|f| f.dial(self.server, wire))
+    }
+
+    /// Who knows whether the last byte is handed over; told before the first byte goes out.
+    pub fn writes_through(&self, connection: Rc<dyn HandOver>) {
+        *self.handed.borrow_mut() = Some(connection);
+    }
+
+    /// It has come to an end without an answer for the client.
+    pub fn ended(&self, ending: Ending) {
+        let mut state = self.gateway.state.borrow_mut();
+        self.gateway.conclude(&mut state, self.id, ending);
+    }
+
+    /// It has brought a whole answer; true where that is the client's, as the first one is.
+    pub fn served(&self) -> bool {
+        let mut state = self.gateway.state.borrow_mut();
+        let Some(live) = state.live.get_mut(&self.id.request) else { return false };
+        if !live.attempts.get(usize::from(self.id.number)).is_some_and(|a| a.open) {
+            return false;
+        }
+        let first = std::mem::replace(&mut live.owed, false);
+        self.gateway.conclude(&mut state, self.id, Ending::Ok);
+        first
+    }
 }
 
-struct Attempt {
+struct Sent {
     server: Endpoint,
     sent_at: Nanos,
     open: bool,
     /// The connection that it has, once it has one.
-    socket: Rc<RefCell<Option<Rc<Socket>>>>,
+    handed: Handed,
     task: Option<AbortHandle>,
 }
 
 struct Live {
-    message: Rc<Message>,
-    reply: Option<oneshot::Sender<Answer>>,
-    attempts: Vec<Attempt>,
+    exchange: Rc<dyn Exchange>,
+    give_up_at: Nanos,
+    /// The client has had no final answer yet.
+    owed: bool,
+    attempts: Vec<Sent>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -91,46 +164,22 @@
     ids: Ids,
 }
 
-/// Ids of clients' requests for as long as an attempt of theirs may be out. An id is new with each request: a
-/// second one under it is somebody else's, or a copy, and servers would take it for a repeat.
-#[derive(Default)]
-struct Ids {
-    open: HashSet<u64>,
-    /// In the order in which they came; bounded by `MOST_IDS`.
-    queue: VecDeque<(Nanos, u64)>,
-}
-
-/// Ids that are remembered at most; past that the oldest are forgotten.
-const MOST_IDS: usize = 16 * 1024;
-
-impl Ids {
-    fn claim(&mut self, now: Nanos, id: u64, until: Nanos) -> bool {
-        let due =
-            |q: &VecDeque<(Nanos, u64)>| q.len() >= MOST_IDS || q.front().is_some_and(|(at, _)| *at <= now);
-        while due(&self.queue) {
-            if let Some((_, id)) = self.queue.pop_front() {
-                self.open.remove(&id);
-            }
-        }
-        let new = self.open.insert(id);
-        if new {
-            self.queue.push_back((until, id));
-        }
-        new
-    }
-}
-
 /// What the discovery task is asked to do, where the list has to be asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListCall {
+    /// Open a standing subscription.
     Subscribe,
+    /// Ask for the whole list once.
     Fetch,
 }
 
 /// See the module's documentation.
 pub struct Gateway {
-    pub config: Config,
+    /// What the node was told.
+    pub site: Site,
+    /// The node's one clock.
     pub clock: Clock,
+    /// What may be held.
     pub budget: Rc<Budget>,
     /// SIGTERM has come: no more requests on kept connections.
     pub leaving: Cell<bool>,
@@ -138,20 +187,16 @@
     pub ready: Cell<bool>,
     /// Bounded by the module, which asks again only after an answer.
     pub list_calls: mpsc::UnboundedSender<ListCall>,
-    /// Where discovery is now; a new configuration may move it.
-    pub discovery: watch::Sender<SocketAddr>,
     state: RefCell<State>,
     timer: Notify,
 }
 
 impl Gateway {
-    pub fn new(
-        config: Config,
-        list_calls: mpsc::UnboundedSender<ListCall>,
-    ) -> Result<Rc<Self>, SettingsError> {
+    /// A gateway with nobody listed and nothing under way.
+    pub fn new(site: Site, list_calls: mpsc::UnboundedSender<ListCall>) -> Result<Rc<Self>, SettingsError> {
         let state = State {
-            balancer: Balancer::new(config.settings.clone(), config.seed)?,
-            fleet: Fleet::default(),
+            balancer: Balancer::new(site.settings.clone(), site.seed)?,
+            fleet: Fleet::with_cap(site.most_connections),
             live: HashMap::new(),
             timers: BinaryHeap::new(),
             armed: Nanos::MAX,
@@ -160,26 +205,17 @@
             ids: Ids::default(),
         };
         Ok(Rc::new(Gateway {
-            budget: Budget::new(config.limits.sockets, config.limits.memory_mb),
+            budget: Budget::new(site.sockets, site.memory_mb),
             clock: Clock::start(),
             leaving: Cell::new(false),
             ready: Cell::new(false),
             list_calls,
-            discovery: watch::Sender::new(config.discovery),
             state: RefCell::new(state),
             timer: Notify::new(),
-            config,
+            site,
         }))
     }
 
-    /// Takes over what a new configuration may change without a restart: where discovery is.
-    pub fn reconfigure(&self, new: &Config) {
-        self.discovery.send_if_modified(|address| std::mem::replace(address, new.discovery) != new.discovery);
-        if new.settings != self.config.settings || new.listen != self.config.listen {
-            super::log(format_args!("reload: new settings count from the next start on"));
-        }
-    }
-
     /// Runs `f` on the fleet's connections.
     pub fn fleet<T>(&self, f: impl FnOnce(&mut Fleet) -> T) -> T {
         f(&mut self.state.borrow_mut().fleet)
@@ -187,10 +223,11 @@
 
     /// A kept connection to a server that stands idle since before this is not used again.
     pub fn oldest_idle(&self) -> Nanos {
-        let limit = (self.config.conn_idle as f64 * IDLE_PART) as Nanos;
+        let limit = (self.site.conn_idle as f64 * IDLE_PART) as Nanos;
         self.clock.now().saturating_sub(limit)
     }
 
+    /// Closes kept connections that are too old or were closed by their servers.
     pub fn sweep_servers(&self) {
         let oldest = self.oldest_idle();
         self.fleet(|f| f.sweep(oldest));
@@ -202,49 +239,29 @@
         self.state.borrow_mut().ids.claim(self.clock.now(), id, until)
     }
 
-    /// Takes a request; the ticket brings its answer. Dropped without one, the client has left.
-    pub fn submit(self: &Rc<Self>, request: Request, message: Message) -> Ticket {
-        let (reply, answer) = oneshot::channel();
+    /// Takes a request; its exchange hears the end. Where the claim is dropped first, the client has left.
+    pub fn submit(self: &Rc<Self>, call: Call, exchange: Rc<dyn Exchange>) -> Claim {
         let mut state = self.state.borrow_mut();
         let id = state.next_id;
         state.next_id = id.wrapping_add(1);
-        let give_up_at = message.give_up_at;
-        let live = Live { message: Rc::new(message), reply: Some(reply), attempts: Vec::new() };
-        state.live.insert(id, live);
+        let give_up_at = call.give_up_at;
+        state.live.insert(id, Live { exchange, give_up_at, owed: true, attempts: Vec::new() });
         self.start_timer(&mut state, give_up_at, Wake::Deadline(id));
-        self.handle(&mut state, Event::Request(Request { id, ..request }));
-        Ticket { gateway: self.clone(), id, answer, owed: true }
-    }
-
-    /// An attempt has come to an end without an answer for the client.
-    pub fn ended(self: &Rc<Self>, id: AttemptId, ending: Ending) {
-        let mut state = self.state.borrow_mut();
-        self.conclude(&mut state, id, ending);
-    }
-
-    /// An attempt has brought a whole answer: the first one is the client's.
-    pub fn served(self: &Rc<Self>, id: AttemptId, headers: HeaderMap, body: Pieces) {
-        let mut state = self.state.borrow_mut();
-        let Some(live) = state.live.get_mut(&id.request) else { return };
-        if live.attempts[usize::from(id.number)].open {
-            if let Some(reply) = live.reply.take() {
-                let _ = reply.send(Answer::Whole { headers, body });
-            }
-            self.conclude(&mut state, id, Ending::Ok);
-        }
+        self.handle(&mut state, Event::Request(Request { id, ..call.request }));
+        Claim { gateway: self.clone(), id }
     }
 
     fn client_gone(self: &Rc<Self>, request: RequestId) {
         let mut state = self.state.borrow_mut();
         let Some(live) = state.live.get_mut(&request) else { return };
-        if live.reply.take().is_some() {
+        if std::mem::replace(&mut live.owed, false) {
             self.handle(&mut state, Event::ClientGone { request });
             self.forget(&mut state, request);
         }
     }
 
     /// Discovery has spoken. The node's own table is told first: what the module then sends must find it.
-    pub fn list(self: &Rc<Self>, kind: ListKind, entries: Vec<servers::Entry>) {
+    pub fn list(self: &Rc<Self>, kind: ListKind, entries: Vec<Entry>) {
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
         let servers = state.fleet.follow(now, kind, entries);
@@ -303,8 +320,7 @@
             self.conclude(state, AttemptId { request, number }, Ending::TimedOut);
         }
         // The module answers the last time-out. Should it not, the client still must hear something.
-        if let Some(reply) = state.live.get_mut(&request).and_then(|l| l.reply.take()) {
-            let _ = reply.send(Answer::Failed { late: true });
+        if self.answer(state, request, GivenUp::Failed { late: true }) {
             self.handle(state, Event::ClientGone { request });
         }
         self.forget(state, request);
@@ -319,14 +335,14 @@
             request: id.request,
             server: attempt.server,
             attempt: id.number,
-            finished: live.reply.is_none(),
+            finished: !live.owed,
             took: self.clock.now().saturating_sub(attempt.sent_at),
             ending,
             report: None,
         };
         if matches!(ending, Ending::TimedOut | Ending::Cancelled) {
             if let Some(task) = attempt.task.take() {
-                let written = attempt.socket.borrow().as_ref().is_some_and(|s| s.written());
+                let written = attempt.handed.borrow().as_ref().is_some_and(|h| h.handed_over());
                 // Cut off before its last byte it never begins; after that the server does the work anyway.
                 if written {
                     state.lingering.push_back((self.clock.now() + LINGER, task));
@@ -341,7 +357,7 @@
 
     /// Drops a request that is answered and has no attempt out.
     fn forget(&self, state: &mut State, request: RequestId) {
-        let over = |l: &Live| l.reply.is_none() && l.attempts.iter().all(|a| !a.open);
+        let over = |l: &Live| !l.owed && l.attempts.iter().all(|a| !a.open);
         if state.live.get(&request).is_some_and(over) {
             state.live.remove(&request);
         }
@@ -359,12 +375,14 @@
         match action {
             Action::Send { request, server, timeout } => self.send(state, request, server, timeout),
             Action::Refuse { request, retry_after } => {
-                self.answer(state, request, Answer::Refused { retry_after });
+                self.answer(state, request, GivenUp::Refused { retry_after });
+                self.forget(state, request);
             }
             Action::Fail { request } => {
-                let late = |l: &Live| l.message.give_up_at <= self.clock.now();
+                let late = |l: &Live| l.give_up_at <= self.clock.now();
                 let late = state.live.get(&request).is_some_and(late);
-                self.answer(state, request, Answer::Failed { late });
+                self.answer(state, request, GivenUp::Failed { late });
+                self.forget(state, request);
             }
             Action::Cancel { request, attempt } => {
                 self.conclude(state, AttemptId { request, number: attempt }, Ending::Cancelled);
@@ -376,7 +394,7 @@
             // A closed channel means that the node is on its way out.
             Action::Subscribe => drop(self.list_calls.send(ListCall::Subscribe)),
             Action::FetchList => drop(self.list_calls.send(ListCall::Fetch)),
-            Action::Log { text } => super::log(format_args!("{text}")),
+            Action::Log { text } => log(format_args!("{text}")),
             // The site allows neither, and the module asks for neither.
             Action::Probe { .. } | Action::Tell { .. } => {}
         }
@@ -385,16 +403,15 @@
     fn send(self: &Rc<Self>, state: &mut State, request: RequestId, server: Endpoint, timeout: Nanos) {
         let Some(live) = state.live.get_mut(&request) else { return };
         let id = AttemptId { request, number: live.attempts.len() as u8 };
-        let mut attempt =
-            Attempt { server, sent_at: self.clock.now(), open: true, socket: Rc::default(), task: None };
-        let most = self.config.settings.max_attempts as usize;
-        let wanted = live.reply.is_some() && live.attempts.len() < most;
+        let (sent_at, handed) = (self.clock.now(), Handed::default());
+        let mut sent = Sent { server, sent_at, open: true, handed: handed.clone(), task: None };
+        let most = self.site.settings.max_attempts as usize;
+        let wanted = live.owed && live.attempts.len() < most;
         if wanted {
-            let task =
-                servers::attempt(self.clone(), id, server, live.message.clone(), attempt.socket.clone());
-            attempt.task = Some(tokio::task::spawn_local(task).abort_handle());
+            let attempt = Attempt { gateway: self.clone(), id, server, give_up_at: live.give_up_at, handed };
+            sent.task = Some(live.exchange.clone().start(attempt));
         }
-        live.attempts.push(attempt);
+        live.attempts.push(sent);
         if !wanted {
             self.conclude(state, id, Ending::NotSent);
         } else if timeout > 0 {
@@ -403,11 +420,14 @@
         }
     }
 
-    fn answer(&self, state: &mut State, request: RequestId, answer: Answer) {
-        if let Some(reply) = state.live.get_mut(&request).and_then(|l| l.reply.take()) {
-            let _ = reply.send(answer);
+    /// Gives the final answer, unless one was given.
+    fn answer(&self, state: &mut State, request: RequestId, end: GivenUp) -> bool {
+        let Some(live) = state.live.get_mut(&request) else { return false };
+        let owed = std::mem::replace(&mut live.owed, false);
+        if owed {
+            live.exchange.give_up(end);
         }
-        self.forget(state, request);
+        owed
     }
 
     fn start_timer(&self, state: &mut State, at: Nanos, wake: Wake) {
@@ -425,33 +445,28 @@
     }
 }
 
-/// A client's claim to one answer.
-pub struct Ticket {
+/// A client's claim to one answer. Dropped before the answer, it says that the client has left.
+pub struct Claim {
     gateway: Rc<Gateway>,
     id: RequestId,
-    answer: oneshot::Receiver<Answer>,
-    owed: bool,
 }
 
-impl std::fmt::Debug for Ticket {
+impl std::fmt::Debug for Claim {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Ticket({})", self.id)
+        write!(f, "Claim({})", self.id)
     }
 }
 
-impl Ticket {
+impl Claim {
     /// Waits for the answer.
-    pub async fn answer(&mut self) -> Answer {
-        let answer = (&mut self.answer).await;
-        self.owed = false;
-        answer.unwrap_or(Answer::Failed { late: true })
+    pub async fn answer<A>(self, answer: oneshot::Receiver<Verdict<A>>) -> Verdict<A> {
+        answer.await.unwrap_or(Verdict::GivenUp(GivenUp::Failed { late: true }))
     }
 }
 
-impl Drop for Ticket {
+impl Drop for Claim {
     fn drop(&mut self) {
-        if self.owed {
-            self.gateway.client_gone(self.id);
-        }
+        // Where the answer has been given, the gateway knows and does nothing.
+        self.gateway.client_gone(self.id);
     }
 }
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,25 @@
+//! Requests in flight, timers, the fleet and its kept connections: what every wire needs and no wire is named in.
+//!
+//! A *front* reads a client's bytes, makes a [`call::Call`] of them and hands it to the [`gateway::Gateway`]
+//! together with a [`call::Exchange`], which holds the request in its wire's own form. The gateway asks the
+//! decision module, has the exchange carry each attempt, and tells it when the module gives the request up.
+
+pub mod budget;
+pub mod call;
+pub mod clock;
+pub mod connect;
+pub mod fleet;
+pub mod gateway;
+mod ids;
+pub mod log;
+pub mod payload;
+pub mod tally;
+
+/// A stable hash: FNV-1a with its bits mixed, so that its low ones are as good as its high ones.
+pub fn mix(bytes: &[u8]) -> u64 {
+    let hash = bytes
+        .iter()
+        .fold(0xcbf2_9ce4_8422_2325, |h: u64, b| (h ^ u64::from(*b)).wrapping_mul(0x0100_0000_01b3));
+    let mixed = (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    mixed ^ (mixed >> 29)
+}
--- /dev/null
+++ b/crates/core/src/tally.rs
@@ -0,0 +1,56 @@
+//! What the node asks of the kernel, counted where its sockets are used, so that a measurement needs no tracer.
+
+use std::cell::Cell;
+
+thread_local! {
+    static TALLY: Cell<Tally> = const { Cell::new(Tally { reads: 0, empty_reads: 0, writes: 0, peeks: 0 }) };
+}
+
+/// System calls on this thread's connections since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Reads, those that found nothing among them.
+    pub reads: u64,
+    /// Reads that found nothing (EAGAIN).
+    pub empty_reads: u64,
+    /// Writes, vectored or not.
+    pub writes: u64,
+    /// Looks at whether a kept connection is still quiet.
+    pub peeks: u64,
+}
+
+impl Tally {
+    /// This thread's counts.
+    pub fn now() -> Tally {
+        TALLY.get()
+    }
+
+    /// All calls together.
+    pub fn all(&self) -> u64 {
+        self.reads + self.writes + self.peeks
+    }
+}
+
+fn add(f: impl FnOnce(&mut Tally)) {
+    let mut tally = TALLY.get();
+    f(&mut tally);
+    TALLY.set(tally);
+}
+
+/// Counts a read.
+pub fn read(empty: bool) {
+    add(|t| {
+        t.reads += 1;
+        t.empty_reads += u64::from(empty);
+    });
+}
+
+/// Counts a write.
+pub fn write() {
+    add(|t| t.writes += 1);
+}
+
+/// Counts a peek.
+pub fn peek() {
+    add(|t| t.peeks += 1);
+}
--- a/src/net/body.rs
+++ b/crates/http/src/body.rs
@@ -1,46 +1,13 @@
-//! Bodies as they are held and passed on.
+//! Bodies on their way out.
 
-use super::budget::Lease;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use laurelroute_core::payload::Pieces;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
-/// Pieces up to this are copied out of the buffer in which they came.
-const SMALL: usize = 4096;
-
-/// A whole body, in the pieces in which it came: it can be sent again without a copy.
-#[derive(Debug)]
-pub struct Pieces {
-    pieces: Vec<Bytes>,
-    len: u64,
-    lease: Lease,
-}
-
-impl Pieces {
-    pub fn new(lease: Lease) -> Self {
-        Pieces { pieces: Vec::new(), len: 0, lease }
-    }
-
-    /// Adds a piece; false, with nothing added, where the budget has no room for it.
-    pub fn push(&mut self, piece: Bytes) -> bool {
-        let fits = piece.is_empty() || self.lease.grow(piece.len());
-        if fits && !piece.is_empty() {
-            self.len += piece.len() as u64;
-            // A small piece of a read buffer would hold the whole buffer for as long as the body lives.
-            let small = piece.len() < SMALL;
-            self.pieces.push(if small { Bytes::copy_from_slice(&piece) } else { piece });
-        }
-        fits
-    }
-
-    pub fn len(&self) -> u64 {
-        self.len
-    }
-}
-
 /// Pieces on their way out.
 pub struct PieceBody {
     pieces: Rc<Pieces>,
@@ -49,8 +16,9 @@
 }
 
 impl PieceBody {
+    /// From the first piece on.
     pub fn new(pieces: Rc<Pieces>) -> Self {
-        PieceBody { left: pieces.len, pieces, at: 0 }
+        PieceBody { left: pieces.len(), pieces, at: 0 }
     }
 }
 
@@ -62,7 +30,7 @@
         mut self: Pin<&mut Self>,
         _: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
-        let piece = self.pieces.pieces.get(self.at).cloned();
+        let piece = self.pieces.pieces().get(self.at).cloned();
         if let Some(piece) = &piece {
             self.at += 1;
             self.left -= piece.len() as u64;
@@ -81,7 +49,9 @@
 
 /// What goes back to a client.
 pub enum AnswerBody {
+    /// A line of the node's own.
     Text(Option<Bytes>),
+    /// A server's.
     Whole(PieceBody),
 }
 
--- a/src/net/clients.rs
+++ b/crates/http/src/front.rs
@@ -1,10 +1,8 @@
 //! Towards the clients: the listener, requests coming in, final answers going out.
 
-use super::body::{AnswerBody, PieceBody, Pieces};
-use super::budget::Slot;
-use super::gateway::{Answer, Gateway, Message};
-use super::io::{Socket, SocketIo};
-use super::servers::{self, EMFILE, ENFILE, TIMEOUT};
+use crate::body::{AnswerBody, PieceBody};
+use crate::socket::{Socket, SocketIo};
+use crate::upstream::{self, HttpExchange, Served, TIMEOUT};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -14,6 +12,12 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use laurelroute_core::budget::Slot;
+use laurelroute_core::call::{Call, GivenUp, Reply, Verdict};
+use laurelroute_core::connect::exhausted;
+use laurelroute_core::gateway::{route_key, Gateway};
+use laurelroute_core::payload::Pieces;
+use laurelroute_policy::interface::{self, Effect, Nanos};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -23,8 +27,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
-use yarrowfield::interface::{self, Effect, Nanos};
+use tokio::sync::{oneshot, Notify};
 
 const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
@@ -125,6 +128,7 @@
 }
 
 impl Clients {
+    /// The front of a gateway, without connections yet.
     pub fn new(gateway: Rc<Gateway>) -> Rc<Self> {
         Rc::new(Clients {
             gateway,
@@ -157,7 +161,7 @@
     async fn accepted(self: &Rc<Self>, accepted: io::Result<TcpStream>) {
         match accepted {
             Ok(stream) => self.open(stream),
-            Err(e) if matches!(e.raw_os_error(), Some(EMFILE | ENFILE)) => {
+            Err(e) if exhausted(&e) => {
                 // Accepting again at once would only spin: something has to close first.
                 self.make_room();
                 tokio::time::sleep(Duration::from_millis(10)).await;
@@ -390,8 +394,8 @@
         return Err(Fault::Framing);
     }
     let name = head.uri.path().split('/').nth(1).unwrap_or_default();
-    let class = gateway.config.classes.iter().position(|c| c == name).ok_or(Fault::Class)?;
-    let settings = &gateway.config.settings.classes[class];
+    let class = gateway.site.classes.iter().position(|c| c == name).ok_or(Fault::Class)?;
+    let settings = &gateway.site.settings.classes[class];
     let method = if settings.effect == Effect::Safe { Method::GET } else { Method::POST };
     if head.method != method {
         return Err(Fault::Method);
@@ -404,7 +408,7 @@
     let wait = only(&head.headers, TIMEOUT).and_then(number).filter(|ms| *ms > 0).ok_or(Fault::Timeout)?;
     // No client waits longer than its class: a longer figure would only hold memory.
     let wait = wait.saturating_mul(1_000_000).min(settings.give_up);
-    Ok(Head { class, id: super::mix(id), wait })
+    Ok(Head { class, id: laurelroute_core::mix(id), wait })
 }
 
 async fn answer(
@@ -421,7 +425,7 @@
     }
     let head = check(gateway, client, &parts)?;
     let body = tokio::time::timeout(BODY, take(gateway, body)).await.unwrap_or(Err(Fault::SlowBody))?;
-    if gateway.config.settings.classes[head.class].effect == Effect::Safe && body.len() > 0 {
+    if gateway.site.settings.classes[head.class].effect == Effect::Safe && !body.is_empty() {
         return Err(Fault::Method);
     }
     if clients.busy.get() > gateway.budget.most_clients {
@@ -435,18 +439,21 @@
         return Err(Fault::IdTaken);
     }
     let request = interface_request(gateway, &head, &parts.headers, give_up_at);
-    let mut ticket = gateway.submit(request, message(parts, body, give_up_at));
-    Ok(match ticket.answer().await {
-        Answer::Whole { headers, body } => {
+    let (exchange, answer) = exchange(parts, body);
+    let claim = gateway.submit(Call { request, give_up_at }, Rc::new(exchange));
+    Ok(match claim.answer(answer).await {
+        Verdict::Served(Served { headers, body }) => {
             let mut response = Response::new(AnswerBody::Whole(PieceBody::new(Rc::new(body))));
             *response.headers_mut() = headers;
             response
         }
-        Answer::Refused { retry_after } => refused(retry_after, gateway),
-        Answer::Failed { late: true } => {
+        Verdict::GivenUp(GivenUp::Refused { retry_after }) => refused(retry_after, gateway),
+        Verdict::GivenUp(GivenUp::Failed { late: true }) => {
             text(StatusCode::GATEWAY_TIMEOUT, Bytes::from_static(b"no answer in time\n"))
         }
-        Answer::Failed { late: false } => text(StatusCode::BAD_GATEWAY, Bytes::from_static(b"failed\n")),
+        Verdict::GivenUp(GivenUp::Failed { late: false }) => {
+            text(StatusCode::BAD_GATEWAY, Bytes::from_static(b"failed\n"))
+        }
     })
 }
 
@@ -458,12 +465,10 @@
     give_up_at: Nanos,
 ) -> interface::Request {
     let tenant = headers.get("x-tenant-id").map(HeaderValue::as_bytes);
-    let tenant = gateway.config.tenants.iter().position(|t| Some(t.as_bytes()) == tenant);
     let cost = headers.get("x-cost").and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
     interface::Request {
         class: head.class as u8,
-        // One that the settings do not name has no share to be over.
-        tenant: tenant.map_or(u32::MAX, |t| t as u32),
+        tenant: gateway.site.tenant(tenant),
         key: headers.get("x-route-key").map_or(0, |k| route_key(k.as_bytes())),
         work_hint: cost.filter(|us| us.is_finite() && *us > 0.0).map(|us| (us * 1000.0) as Nanos),
         is_retry: headers.get("x-retried").is_some_and(|v| v == "1"),
@@ -475,30 +480,26 @@
 }
 
 /// The request as it goes to servers.
-fn message(parts: Parts, body: Pieces, give_up_at: Nanos) -> Message {
+fn exchange(parts: Parts, body: Pieces) -> (HttpExchange, oneshot::Receiver<Verdict<Served>>) {
     let mut headers = parts.headers;
-    servers::strip(&mut headers);
+    upstream::strip(&mut headers);
     headers.remove(header::EXPECT);
-    if !headers.contains_key(header::CONTENT_LENGTH) && body.len() > 0 {
+    if !headers.contains_key(header::CONTENT_LENGTH) && !body.is_empty() {
         headers.insert(header::CONTENT_LENGTH, HeaderValue::from(body.len()));
     }
     let uri = match parts.uri.path_and_query() {
         Some(path) if parts.uri.scheme().is_some() => Uri::from(path.clone()),
         _ => parts.uri,
     };
-    Message { method: parts.method, uri, headers, body: Rc::new(body), give_up_at }
-}
-
-fn route_key(text: &[u8]) -> u64 {
-    let hex = std::str::from_utf8(text).ok().and_then(|t| u64::from_str_radix(t, 16).ok());
-    hex.unwrap_or_else(|| super::mix(text))
+    let (reply, answer) = Reply::new();
+    (HttpExchange { method: parts.method, uri, headers, body: Rc::new(body), reply }, answer)
 }
 
 fn refused(retry_after: Nanos, gateway: &Gateway) -> Response<AnswerBody> {
     let mut response = text(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"busy\n"));
-    let seconds = retry_after.min(gateway.config.settings.max_retry_after) as f64 / 1e9;
+    let seconds = retry_after.min(gateway.site.settings.max_retry_after) as f64 / 1e9;
     if let Ok(value) = HeaderValue::try_from(format!("{seconds:.3}")) {
-        if retry_after > 0 && gateway.config.settings.retry_after {
+        if retry_after > 0 && gateway.site.settings.retry_after {
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
     }
--- /dev/null
+++ b/crates/http/src/lib.rs
@@ -0,0 +1,6 @@
+//! HTTP/1.1 on both sides of the core: [`front`] takes clients' requests, [`upstream`] carries attempts to servers.
+
+pub mod body;
+pub mod front;
+pub mod socket;
+pub mod upstream;
--- a/src/net/io.rs
+++ b/crates/http/src/socket.rs
@@ -1,6 +1,8 @@
 //! One TCP connection, shared between hyper and the node: hyper reads and writes it, the node asks what has
 //! gone over it.
 
+use laurelroute_core::call::HandOver;
+use laurelroute_core::tally;
 use std::cell::Cell;
 use std::io;
 use std::mem::MaybeUninit;
@@ -154,7 +156,14 @@
     }
 }
 
+impl HandOver for Socket {
+    fn handed_over(&self) -> bool {
+        self.written()
+    }
+}
+
 impl Socket {
+    /// A connection to a server.
     pub fn new(stream: TcpStream) -> Rc<Self> {
         Self::with(stream, None)
     }
@@ -196,6 +205,7 @@
     /// be older than a close that would lose the next request.
     pub fn quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
+        tally::peek();
         let seen = socket2::SockRef::from(&self.stream).peek(&mut byte);
         matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
     }
@@ -209,7 +219,9 @@
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
             let before = buf.filled().len();
-            match self.0.stream.try_read_buf(buf) {
+            let read = self.0.stream.try_read_buf(buf);
+            tally::read(read.is_err());
+            match read {
                 Ok(n) => {
                     if let Some(incoming) = &self.0.incoming {
                         let mut state = incoming.get();
@@ -239,6 +251,7 @@
     ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.stream.poll_write_ready(cx))?;
+            tally::write();
             match self.0.stream.try_write_vectored(slices) {
                 Ok(n) => {
                     self.0.moved.set(true);
--- /dev/null
+++ b/crates/http/src/upstream.rs
@@ -0,0 +1,307 @@
+//! Towards the servers: one attempt over one connection, and how it ended.
+
+use crate::body::PieceBody;
+use crate::socket::{Socket, SocketIo};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper_util::rt::TokioIo;
+use laurelroute_core::call::{Exchange, GivenUp, Reply, Verdict, Wire};
+use laurelroute_core::connect::{connect, Held, NoLink};
+use laurelroute_core::fleet::Kept;
+use laurelroute_core::gateway::Attempt;
+use laurelroute_core::payload::Pieces;
+use laurelroute_policy::interface::{Ending, Nanos};
+use std::future::{poll_fn, Future};
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::task::AbortHandle;
+
+/// HTTP's place among a server's addresses.
+pub const HTTP: Wire = Wire(0);
+
+/// The most that an answer's body may hold.
+const MOST_ANSWER: u64 = 64 * 1024;
+/// Read buffer of a connection to a server: it bounds what 1,000 of them hold.
+const BUFFER: usize = 16 * 1024;
+/// Servers write an answer when it is ready. One that has begun and stands still for this long is no answer: its
+/// length is wrong, its head has no end, or the machine is gone, and nobody will say so. 1xx answers may come
+/// well ahead of the rest, so that a head is given more time than a body. It would do harm to servers that write
+/// bodies bit by bit with pauses, which PROTOCOL does not have.
+const HEAD_STALL: Duration = Duration::from_millis(1000);
+const BODY_STALL: Duration = Duration::from_millis(250);
+/// A server's whole answer, ready to be passed on.
+#[derive(Debug)]
+pub struct Served {
+    /// The message's own headers, without length and framing.
+    pub headers: HeaderMap,
+    /// The body.
+    pub body: Pieces,
+}
+
+/// A client's request as every attempt sends it, and the place of its answer.
+#[derive(Debug)]
+pub struct HttpExchange {
+    /// Method, unchanged.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub uri: Uri,
+    /// The message's own headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Rc<Pieces>,
+    /// Where the front waits.
+    pub reply: Reply<Served>,
+}
+
+impl Exchange for HttpExchange {
+    fn start(self: Rc<Self>, attempt: Attempt) -> AbortHandle {
+        tokio::task::spawn_local(async move {
+            if let Err(ending) = exchange(&self, &attempt).await {
+                attempt.ended(ending);
+            }
+        })
+        .abort_handle()
+    }
+
+    fn give_up(&self, end: GivenUp) {
+        self.reply.put(Verdict::GivenUp(end));
+    }
+}
+
+/// A connection with hyper's two halves. There is no task behind it: whoever uses it drives it.
+struct Link {
+    socket: Rc<Socket>,
+    sender: SendRequest<PieceBody>,
+    connection: Option<Connection<TokioIo<SocketIo>, PieceBody>>,
+    _held: Held,
+}
+
+impl Kept for Link {
+    fn quiet(&self) -> bool {
+        self.socket.quiet()
+    }
+}
+
+impl Link {
+    fn turn(&mut self, cx: &mut Context<'_>) {
+        if let Some(connection) = &mut self.connection {
+            if Pin::new(connection).poll(cx).is_ready() {
+                self.connection = None;
+            }
+        }
+    }
+
+    /// Waits for something on the connection while that goes on.
+    async fn drive<F: Future>(&mut self, future: F) -> F::Output {
+        let mut future = pin!(future);
+        poll_fn(|cx| {
+            self.turn(cx);
+            future.as_mut().poll(cx)
+        })
+        .await
+    }
+
+    /// Whether the connection can carry another request, now that an answer is read to its end.
+    async fn reusable(&mut self) -> bool {
+        poll_fn(|cx| {
+            self.turn(cx);
+            Poll::Ready(())
+        })
+        .await;
+        self.connection.is_some() && self.sender.is_ready()
+    }
+}
+
+async fn open(attempt: &Attempt, dial: SocketAddr) -> Result<Link, NoLink> {
+    let (stream, held) = connect(attempt.gateway(), attempt.server(), HTTP, dial).await?;
+    let socket = Socket::new(stream);
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(BUFFER);
+    let handshake = builder.handshake(TokioIo::new(SocketIo(socket.clone()))).await;
+    let (sender, connection) = handshake.map_err(|_| NoLink::Failed)?;
+    Ok(Link { socket, sender, connection: Some(connection), _held: held })
+}
+
+/// Plays one attempt to its end; an error is how it ended where it was not told of yet. Where the gateway has
+/// stopped waiting, the attempt may go on for a while, so that its connection can be kept.
+async fn exchange(message: &HttpExchange, attempt: &Attempt) -> Result<(), Ending> {
+    let (gateway, server) = (attempt.gateway(), attempt.server());
+    let Some(dial) = attempt.dial(HTTP) else { return Err(Ending::NotSent) };
+    let mut kept: Option<(Box<Link>, Nanos)> =
+        gateway.fleet(|f| f.checkout(server, HTTP, gateway.oldest_idle()));
+    loop {
+        let reused = kept.is_some();
+        let (mut link, opened) = match kept.take() {
+            Some(kept) => kept,
+            None => match open(attempt, dial).await {
+                Ok(link) => (Box::new(link), gateway.clock.now()),
+                Err(NoLink::Failed) => return Err(Ending::ConnectFailed),
+                Err(NoLink::Exhausted) => return Err(Ending::NotSent),
+            },
+        };
+        // Connecting takes time, and discovery may have spoken: nothing new to a server that drains.
+        if attempt.dial(HTTP) != Some(dial) {
+            return Err(Ending::NotSent);
+        }
+        link.socket.expect_request(message.body.len());
+        attempt.writes_through(link.socket.clone());
+        let response = link.sender.send_request(request(message, attempt.millis_left()));
+        let socket = link.socket.clone();
+        return match head(&mut link, response).await {
+            Ok(response) => {
+                let keep = answer(message, attempt, &mut link, response).await;
+                if keep && link.reusable().await {
+                    let times = (opened, gateway.clock.now());
+                    gateway.fleet(|f| f.checkin(server, (HTTP, dial), link, times));
+                }
+                Ok(())
+            }
+            Err(_) if socket.written() => Err(Ending::Reset),
+            // A kept connection that the server was just closing: it does not have the request, whose
+            // attempt has not begun. A new connection tells whether the server is there.
+            Err(_) if reused => continue,
+            Err(_) => Err(Ending::ConnectFailed),
+        };
+    }
+}
+
+/// The head of the answer: waited for as long as it may take, but once it has begun it has to come to its end.
+async fn head<F, T>(link: &mut Link, response: F) -> Result<T, Broken>
+where
+    F: Future<Output = hyper::Result<T>>,
+{
+    link.socket.heard.set(false);
+    let socket = link.socket.clone();
+    let mut response = pin!(link.drive(response));
+    let begun = poll_fn(|cx| match response.as_mut().poll(cx) {
+        Poll::Ready(answer) => Poll::Ready(Some(answer)),
+        Poll::Pending if socket.heard.get() => Poll::Ready(None),
+        Poll::Pending => Poll::Pending,
+    })
+    .await;
+    match begun {
+        Some(answer) => answer.map_err(Broken::from),
+        None => tokio::time::timeout(HEAD_STALL, response).await?.map_err(Broken::from),
+    }
+}
+
+/// The client's request as it goes to a server, with the time that is left.
+fn request(message: &HttpExchange, millis_left: u64) -> Request<PieceBody> {
+    let mut request = Request::new(PieceBody::new(message.body.clone()));
+    *request.method_mut() = message.method.clone();
+    *request.uri_mut() = message.uri.clone();
+    let mut headers = message.headers.clone();
+    headers.insert(TIMEOUT, HeaderValue::from(millis_left));
+    *request.headers_mut() = headers;
+    request
+}
+
+/// How long the sender waits, in milliseconds.
+pub const TIMEOUT: HeaderName = HeaderName::from_static("x-timeout-ms");
+/// A server's word that the request never ran.
+const NOT_PROCESSED: HeaderName = HeaderName::from_static("x-not-processed");
+
+/// Why an answer is none. The request has run, or may have.
+#[derive(Debug, thiserror::Error)]
+enum Broken {
+    #[error("{0}")]
+    Http(#[from] hyper::Error),
+    #[error("it stands still")]
+    Still(#[from] tokio::time::error::Elapsed),
+    #[error("over 64 KiB")]
+    TooLong,
+    #[error("where it ends is not clear")]
+    Unclear,
+    #[error("the node has no room for it")]
+    NoRoom,
+}
+
+/// Takes an answer and tells of it; true where the connection came to the answer's end.
+async fn answer(
+    message: &HttpExchange,
+    attempt: &Attempt,
+    link: &mut Link,
+    response: Response<Incoming>,
+) -> bool {
+    let budget = &attempt.gateway().budget;
+    let (head, body) = response.into_parts();
+    let not_processed = head.headers.get(NOT_PROCESSED).is_some_and(|v| v == "1");
+    let turned_away = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
+    if head.status != StatusCode::OK {
+        let ending = if turned_away && not_processed { Ending::Full } else { Ending::Error };
+        attempt.ended(ending);
+        let unwanted = take(link, body, &head.headers, Pieces::new(budget.lease()));
+        return tokio::time::timeout(BODY_STALL, unwanted).await.is_ok_and(|read| read.is_ok());
+    }
+    match take(link, body, &head.headers, Pieces::new(budget.lease())).await {
+        Ok(pieces) => {
+            let mut headers = head.headers;
+            strip(&mut headers);
+            headers.remove(header::CONTENT_LENGTH);
+            if attempt.served() {
+                message.reply.put(Verdict::Served(Served { headers, body: pieces }));
+            }
+            true
+        }
+        Err(_) => {
+            attempt.ended(Ending::Reset);
+            false
+        }
+    }
+}
+
+/// Reads an answer's body whole. Held back until its end has come, an answer that turns out to be spoilt is
+/// never begun to a client and can still be replaced by another server's. This guards against all that can be
+/// wrong with an answer's length: none, two, one that is larger than what comes or than any answer may be.
+async fn take(
+    link: &mut Link,
+    mut body: Incoming,
+    headers: &HeaderMap,
+    mut pieces: Pieces,
+) -> Result<Pieces, Broken> {
+    let length = headers.contains_key(header::CONTENT_LENGTH);
+    if length == headers.contains_key(header::TRANSFER_ENCODING) {
+        // With neither it would end with its connection, and so does an answer that is cut.
+        return Err(Broken::Unclear);
+    }
+    if body.size_hint().lower() > MOST_ANSWER {
+        return Err(Broken::TooLong);
+    }
+    while let Some(frame) = tokio::time::timeout(BODY_STALL, link.drive(body.frame())).await? {
+        let Ok(data) = frame?.into_data() else { continue };
+        if pieces.len() + data.len() as u64 > MOST_ANSWER {
+            return Err(Broken::TooLong);
+        }
+        if !pieces.push(data) {
+            return Err(Broken::NoRoom);
+        }
+    }
+    Ok(pieces)
+}
+
+/// Headers that belong to one connection and not to the message.
+pub fn strip(headers: &mut HeaderMap) {
+    if let Some(named) = headers.remove(header::CONNECTION) {
+        for name in named.to_str().unwrap_or_default().split(',') {
+            headers.remove(name.trim());
+        }
+    }
+    const HOP: [HeaderName; 6] = [
+        header::PROXY_AUTHENTICATE,
+        header::PROXY_AUTHORIZATION,
+        header::TE,
+        header::TRAILER,
+        header::TRANSFER_ENCODING,
+        header::UPGRADE,
+    ];
+    for name in HOP {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+}
--- a/src/net/config.rs
+++ b/crates/node/src/config.rs
@@ -1,25 +1,34 @@
 //! The configuration file: read once, refused with one line when it cannot be acted on.
 
-use super::discovery::HostList;
+use crate::discovery::HostList;
+use laurelroute_core::gateway::Site;
+use laurelroute_policy::settings::{self, Pairs};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
-use yarrowfield::interface::{Nanos, Settings};
-use yarrowfield::settings::{self, Pairs};
 
 /// Why the node cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
+    /// No file is named.
     #[error("GW_CONFIG does not name a configuration file")]
     Unset,
+    /// The file cannot be read.
     #[error("cannot read {path}: {error}")]
+    #[allow(missing_docs)]
     Unreadable { path: String, error: std::io::Error },
+    /// It is not JSON, or not of this shape.
     #[error("{path}: {error}")]
+    #[allow(missing_docs)]
     Malformed { path: String, error: serde_json::Error },
+    /// Its settings cannot be acted on.
     #[error("{path}: settings: {error}")]
+    #[allow(missing_docs)]
     Settings { path: String, error: String },
+    /// A limit leaves no room to serve.
     #[error("{path}: `limits.{name}` is too small to serve with")]
+    #[allow(missing_docs)]
     Limit { path: String, name: &'static str },
 }
 
@@ -34,34 +43,31 @@
     settings: Value,
 }
 
-/// What the machine gives the node.
 #[derive(Clone, Copy, Debug, Deserialize)]
-pub struct Limits {
-    pub memory_mb: u64,
-    pub sockets: usize,
+struct Limits {
+    memory_mb: u64,
+    sockets: usize,
 }
 
 /// All that the node is told at its start.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Config {
+    /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where the list of servers comes from.
     pub discovery: SocketAddr,
-    pub seed: u64,
-    pub limits: Limits,
     /// The list of servers as an earlier life of this node had it.
     pub known: Option<HostList>,
-    pub settings: Settings,
-    /// A server may close a connection that has stood idle for this long.
-    pub conn_idle: Nanos,
-    /// A connection that is not up after this has failed.
-    pub connect_timeout: Nanos,
-    pub classes: Vec<String>,
-    pub tenants: Vec<String>,
+    /// What the core is told.
+    pub site: Site,
+    /// Names of zones, in the order of the settings.
     pub zones: Vec<String>,
+    /// Names of machine kinds, in the order of the settings.
     pub kinds: Vec<String>,
 }
 
 impl Config {
+    /// Reads the file that `GW_CONFIG` names.
     pub fn load() -> Result<Self, ConfigError> {
         let path = std::env::var("GW_CONFIG").map_err(|_| ConfigError::Unset)?;
         let bytes = std::fs::read(Path::new(&path))
@@ -85,20 +91,26 @@
         let fault = |error| ConfigError::Settings { path: path.clone(), error };
         let (settings, _) = settings::parse(&pairs).map_err(fault)?;
         let names = |list: &str| names(&file.settings[list]);
-        Ok(Config {
+        let site = Site {
             conn_idle: pairs.get("caps.connIdleNs").map_err(fault)?,
             connect_timeout: pairs.get("caps.connectTimeoutNs").map_err(fault)?,
+            most_connections: None,
             classes: names("classes"),
             tenants: names("tenants"),
+            // Any text is a seed: what counts is that it is new with each start.
+            seed: u64::from_str_radix(&file.seed, 16)
+                .unwrap_or_else(|_| laurelroute_core::mix(file.seed.as_bytes())),
+            sockets: file.limits.sockets,
+            memory_mb: file.limits.memory_mb,
+            settings,
+        };
+        Ok(Config {
             zones: names("zones"),
             kinds: names("skus"),
             listen: file.listen,
             discovery: file.discovery,
-            // Any text is a seed: what counts is that it is new with each start.
-            seed: u64::from_str_radix(&file.seed, 16).unwrap_or_else(|_| super::mix(file.seed.as_bytes())),
-            limits: file.limits,
             known: file.known,
-            settings,
+            site,
         })
     }
 }
--- a/src/net/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -1,13 +1,15 @@
 //! The list of servers: read once, then watched. Nonsense leaves the old list in place and the watch is opened
 //! anew.
 
-use super::gateway::{Gateway, ListCall};
-use super::io::{Socket, SocketIo};
-use super::servers::Entry;
+use crate::config::Config;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use laurelroute_core::fleet::Entry;
+use laurelroute_core::gateway::{Gateway, ListCall};
+use laurelroute_core::log::log;
+use laurelroute_policy::interface::{Endpoint, ListKind, Phase, Server};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
@@ -17,7 +19,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
-use yarrowfield::interface::{Endpoint, ListKind, Phase, Server};
 
 /// A watch says something at least every 2 s; one that is silent for longer hangs.
 const SILENCE: Duration = Duration::from_millis(2600);
@@ -36,9 +37,12 @@
 /// One line of discovery.
 #[derive(Clone, Debug, Deserialize)]
 pub struct HostList {
+    /// Version of the list.
     pub seq: u64,
+    /// Whether it names all servers, or only those that changed.
     #[serde(default)]
     pub whole: bool,
+    /// The servers.
     pub hosts: Vec<Host>,
 }
 
@@ -102,18 +106,29 @@
     /// A list of this address is held: changes to it are of use only to a watch there.
     heard_at: Option<SocketAddr>,
     address: watch::Receiver<SocketAddr>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
     rng: Pcg64Mcg,
 }
 
 impl Watcher {
     /// Starts with the list that the configuration holds.
-    pub fn new(gateway: Rc<Gateway>) -> Self {
-        let rng = Pcg64Mcg::seed_from_u64(gateway.config.seed ^ 0x6469_7363);
-        let address = gateway.discovery.subscribe();
+    pub fn new(gateway: Rc<Gateway>, config: &Config, address: watch::Receiver<SocketAddr>) -> Self {
+        let rng = Pcg64Mcg::seed_from_u64(gateway.site.seed ^ 0x6469_7363);
         let heard_at = Some(*address.borrow());
-        let mut watcher =
-            Watcher { seq: 0, blank: true, older: 0, lines: 0, heard_at, address, rng, gateway };
-        if let Some(known) = watcher.gateway.config.known.clone() {
+        let mut watcher = Watcher {
+            seq: 0,
+            blank: true,
+            older: 0,
+            lines: 0,
+            heard_at,
+            address,
+            zones: config.zones.clone(),
+            kinds: config.kinds.clone(),
+            rng,
+            gateway,
+        };
+        if let Some(known) = config.known.clone() {
             watcher.seq = known.seq;
             watcher.blank = false;
             watcher.tell(ListKind::Cached, known);
@@ -132,7 +147,7 @@
             if self.lines > lines {
                 pause = PAUSE_FIRST;
             }
-            super::log(format_args!("discovery: {error}"));
+            log(format_args!("discovery: {error}"));
             if matches!(error, WatchError::Moved) {
                 // What the new place has to tell counts soon: no pause.
                 pause = PAUSE_FIRST;
@@ -157,7 +172,7 @@
                 },
             };
             if let Some(error) = error {
-                super::log(format_args!("discovery: {error}"));
+                log(format_args!("discovery: {error}"));
                 if matches!(error, WatchError::Moved) {
                     // Discovery has not failed: the subscription only moves with it.
                     next = Some(ListCall::Subscribe);
@@ -196,7 +211,7 @@
         }
         let mut body = self.get(path).await?;
         let mut held: Vec<u8> = Vec::new();
-        let patience = if self.gateway.config.settings.must_subscribe { CALL } else { SILENCE };
+        let patience = if self.gateway.site.settings.must_subscribe { CALL } else { SILENCE };
         let mut within = patience;
         while let Some(frame) = timeout(within, body.frame()).await.map_err(|_| WatchError::Silent)? {
             within = SILENCE;
@@ -238,7 +253,6 @@
     }
 
     fn tell(&self, kind: ListKind, list: HostList) {
-        let config = &self.gateway.config;
         // A name that the settings do not hold stands for something of its own, after all that they hold.
         let place = |names: &[String], name: &Option<String>| {
             let name = name.as_deref().unwrap_or_default();
@@ -246,11 +260,11 @@
         };
         let entry = |h: Host| Entry {
             host: h.host,
-            dial: h.dial,
+            dials: vec![Some(h.dial)],
             server: Server {
                 endpoint: Endpoint { address: [0; 4], port: 0 },
-                zone: place(&config.zones, &h.site).min(255) as u8,
-                kind: place(&config.kinds, &h.class).min(usize::from(u16::MAX)) as u16,
+                zone: place(&self.zones, &h.site).min(255) as u8,
+                kind: place(&self.kinds, &h.class).min(usize::from(u16::MAX)) as u16,
                 cell: h.block.unwrap_or(0),
                 phase: match h.health {
                     Health::Active => Phase::Ready,
@@ -270,7 +284,7 @@
             Ok(stream) => stream.map_err(WatchError::Connect)?,
             Err(_) => return Err(WatchError::Silent),
         };
-        let io = TokioIo::new(SocketIo(Socket::new(stream)));
+        let io = TokioIo::new(stream);
         let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await?;
         // Ends with the answer's body: nothing else holds the connection.
         tokio::task::spawn_local(connection);
@@ -278,7 +292,7 @@
         *request.uri_mut() = path.parse().unwrap_or_default();
         let host = hyper::header::HeaderValue::try_from(address.to_string());
         request.headers_mut().extend(host.ok().map(|h| (hyper::header::HOST, h)));
-        let wait = if self.gateway.config.settings.must_subscribe { CALL } else { SILENCE };
+        let wait = if self.gateway.site.settings.must_subscribe { CALL } else { SILENCE };
         let answer = timeout(wait, sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
         match answer.status() {
             StatusCode::OK => Ok(answer.into_body()),
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,5 @@
+//! The node: configuration, discovery and the wiring of fronts, core and decision module.
+
+pub mod config;
+pub mod discovery;
+pub mod run;
--- a/src/main.rs
+++ b/crates/node/src/run.rs
@@ -1,17 +1,16 @@
-//! One load-balancing node: configuration, runtime, signals.
+//! One node from its start to its end: runtime, listeners, signals.
 
-mod net;
-
-use net::clients::Clients;
-use net::config::{Config, ConfigError};
-use net::discovery::Watcher;
-use net::gateway::Gateway;
-use std::process::ExitCode;
+use crate::config::{Config, ConfigError};
+use crate::discovery::Watcher;
+use laurelroute_core::gateway::Gateway;
+use laurelroute_core::log::log;
+use laurelroute_http::front::{Clients, SWEEP};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, watch, Notify};
 use tokio::task::{spawn_local, LocalSet};
 
 /// Connections that the kernel may hold for us while we are busy; it cuts this down to what it allows.
@@ -25,34 +24,35 @@
 const RELOAD_PAUSE: Duration = Duration::from_millis(100);
 const LEAVE_WITHIN: Duration = Duration::from_millis(3600);
 
+/// Why a node does not start.
 #[derive(Debug, thiserror::Error)]
-enum StartError {
+pub enum StartError {
+    /// Its configuration is at fault.
     #[error("{0}")]
     Config(#[from] ConfigError),
+    /// The settings in it are.
     #[error("settings: {0}")]
-    Settings(#[from] yarrowfield::interface::SettingsError),
+    Settings(#[from] laurelroute_policy::interface::SettingsError),
+    /// The address is taken, or none of this machine's.
     #[error("cannot listen on {address}: {error}")]
-    Listen { address: std::net::SocketAddr, error: std::io::Error },
+    Listen {
+        /// Where.
+        address: SocketAddr,
+        /// Why not.
+        error: std::io::Error,
+    },
+    /// The system gives no runtime or signals.
     #[error("{0}")]
     System(#[from] std::io::Error),
 }
 
-fn main() -> ExitCode {
-    match start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("yarrowfield: {error}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-fn start() -> Result<(), StartError> {
+/// Runs a node on this thread until SIGTERM.
+pub fn start() -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     LocalSet::new().block_on(&runtime, run())
 }
 
-fn listen(address: std::net::SocketAddr) -> std::io::Result<TcpListener> {
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     // A restarted node must not wait for its former connections to age.
     socket.set_reuseaddr(true)?;
@@ -67,11 +67,12 @@
     let config = Config::load()?;
     let address = config.listen;
     let (push, known) =
-        (!config.settings.must_subscribe, config.known.as_ref().is_some_and(|k| !k.hosts.is_empty()));
+        (!config.site.settings.must_subscribe, config.known.as_ref().is_some_and(|k| !k.hosts.is_empty()));
     let (list_calls, calls) = mpsc::unbounded_channel();
-    let gateway = Gateway::new(config, list_calls)?;
+    let gateway = Gateway::new(config.site.clone(), list_calls)?;
+    let discovery = watch::Sender::new(config.discovery);
     let listener = listen(address).map_err(|error| StartError::Listen { address, error })?;
-    let watcher = Watcher::new(gateway.clone());
+    let watcher = Watcher::new(gateway.clone(), &config, discovery.subscribe());
     if push {
         spawn_local(watcher.follow());
     } else {
@@ -87,7 +88,7 @@
         ready.ready.set(ready.ready.get() || known);
     });
     spawn_local(sweep(gateway.clone(), clients.clone()));
-    spawn_local(reload(gateway.clone(), hangup));
+    spawn_local(reload(config, discovery, hangup));
 
     terminate.recv().await;
     let told = Instant::now();
@@ -103,25 +104,33 @@
 
 /// SIGHUP: the configuration has been replaced. What can change under way is taken over; a file that cannot be
 /// read, or that is only half there yet, is tried again a few times and else leaves everything as it was.
-async fn reload(gateway: Rc<Gateway>, mut hangup: Signal) {
+async fn reload(old: Config, discovery: watch::Sender<SocketAddr>, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
         for _ in 0..RELOAD_TRIES {
             match Config::load() {
                 Ok(config) => {
-                    gateway.reconfigure(&config);
+                    reconfigure(&old, &config, &discovery);
                     break;
                 }
-                Err(error) => net::log(format_args!("reload: {error}")),
+                Err(error) => log(format_args!("reload: {error}")),
             }
             tokio::time::sleep(RELOAD_PAUSE).await;
         }
     }
 }
 
+/// Takes over what a new configuration may change without a restart: where discovery is.
+fn reconfigure(old: &Config, new: &Config, discovery: &watch::Sender<SocketAddr>) {
+    discovery.send_if_modified(|address| std::mem::replace(address, new.discovery) != new.discovery);
+    if new.site.settings != old.site.settings || new.listen != old.listen {
+        log(format_args!("reload: new settings count from the next start on"));
+    }
+}
+
 /// Now and then: connections that have stood idle or still for too long are closed.
 async fn sweep(gateway: Rc<Gateway>, clients: Rc<Clients>) {
     loop {
-        tokio::time::sleep(net::clients::SWEEP).await;
+        tokio::time::sleep(SWEEP).await;
         clients.sweep();
         gateway.sweep_servers();
     }
--- a/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -1,7 +1,7 @@
 //! The real program over loopback sockets: what failed there must not fail again.
 
 mod common;
-use common::process::*;
+use common::*;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::Ordering;
--- a/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -1,4 +1,4 @@
-//! All decisions. Types, events and actions: `src/interface.rs`.
+//! All decisions. Types, events and actions: `interface.rs`.
 //!
 //! Sections: constants, state, list, ranking, queue estimate, choice (JSQ-DAS), cold servers, health,
 //! requests, admission, attempts, timers.
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -4,8 +4,8 @@
 //! [`Balancer`] and carries out the actions that it writes into the sink.
 //!
 //! ```
-//! use yarrowfield::interface::{Action, Endpoint, Event, ListKind, Phase, Request, Settings, Server};
-//! use yarrowfield::Balancer;
+//! use laurelroute_policy::interface::{Action, Endpoint, Event, ListKind, Phase, Request, Settings, Server};
+//! use laurelroute_policy::Balancer;
 //!
 //! let mut balancer = Balancer::new(Settings::single_class(400_000_000, 800_000_000), 7).unwrap();
 //! let mut actions = Vec::new();
@@ -18,11 +18,6 @@
 //! assert_eq!(server.phase, Phase::Ready);
 //! ```
 
-/// The README's example, compiled and run with the tests.
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-pub struct Readme;
-
 mod balance;
 pub mod interface;
 mod rate;
--- a/tests/incidents.rs
+++ b/crates/policy/tests/incidents.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use laurelroute_policy::interface::*;
 use std::collections::{BTreeMap, BTreeSet};
-use yarrowfield::interface::*;
 
 /// Lets all of a fleet answer just before the client's end for two seconds.
 fn jam(bed: &mut Bed) {
--- a/tests/mechanism.rs
+++ b/crates/policy/tests/mechanism.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
+use laurelroute_policy::interface::*;
 use std::collections::BTreeMap;
-use yarrowfield::interface::*;
 
 /// With all queues empty a tie goes to the more accomplished, so nobody outside the accomplished set can win.
 #[test]
