--- a/crates/core/src/payload.rs
+++ b/crates/core/src/payload.rs
@@ -27,6 +27,9 @@
             self.len += piece.len() as u64;
             // A small piece of a read buffer would hold the whole buffer for as long as the body lives.
             let small = piece.len() < SMALL;
+            if small {
+                crate::tally::copied(piece.len());
+            }
             self.pieces.push(if small { Bytes::copy_from_slice(&piece) } else { piece });
         }
         fits
--- a/crates/core/src/tally.rs
+++ b/crates/core/src/tally.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 
 thread_local! {
-    static TALLY: Cell<Tally> = const { Cell::new(Tally { reads: 0, empty_reads: 0, writes: 0, peeks: 0 }) };
+    static TALLY: Cell<Tally> = const { Cell::new(Tally::ZERO) };
 }
 
 /// System calls on this thread's connections since its start.
@@ -17,9 +17,13 @@
     pub writes: u64,
     /// Looks at whether a kept connection is still quiet.
     pub peeks: u64,
+    /// Bytes of messages that were copied from one buffer of the node's to another.
+    pub copied: u64,
 }
 
 impl Tally {
+    const ZERO: Tally = Tally { reads: 0, empty_reads: 0, writes: 0, peeks: 0, copied: 0 };
+
     /// This thread's counts.
     pub fn now() -> Tally {
         TALLY.get()
@@ -54,3 +58,8 @@
 pub fn peek() {
     add(|t| t.peeks += 1);
 }
+
+/// Counts a copy.
+pub fn copied(bytes: usize) {
+    add(|t| t.copied += bytes as u64);
+}
