Serve Thrift through the same gateway, by an operator's file that is off in run

Dashboards and tablets speak Thrift, and their calls had none of the deadlines, drains and no-double-run protection.

crates/thrift gains the operator's table (method to class, and where deadline, id, tenant and route key stand), a front with pipelined calls answered in order, and an upstream that tells the gateway how each attempt ended on the same terms as HTTP's: nothing handed over never ran, all handed over may have. A box has one address per wire, and one cap on its connections.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -56,6 +56,12 @@
     pub fn tenant(&self, name: Option<&[u8]>) -> u32 {
         self.tenants.iter().position(|t| Some(t.as_bytes()) == name).map_or(u32::MAX, |t| t as u32)
     }
+
+    /// Advice when to come back, in seconds, where the settings allow it and there is any.
+    pub fn advice(&self, retry_after: Nanos) -> Option<f64> {
+        let allowed = self.settings.retry_after && retry_after > 0;
+        allowed.then(|| retry_after.min(self.settings.max_retry_after) as f64 / 1e9)
+    }
 }
 
 /// A route key in the module's form: a number where it is one in hexadecimal, else a hash.
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -497,11 +497,9 @@
 
 fn refused(retry_after: Nanos, gateway: &Gateway) -> Response<AnswerBody> {
     let mut response = text(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"busy\n"));
-    let seconds = retry_after.min(gateway.site.settings.max_retry_after) as f64 / 1e9;
-    if let Ok(value) = HeaderValue::try_from(format!("{seconds:.3}")) {
-        if retry_after > 0 && gateway.site.settings.retry_after {
-            response.headers_mut().insert(header::RETRY_AFTER, value);
-        }
+    let advice = gateway.site.advice(retry_after).and_then(|s| HeaderValue::try_from(format!("{s:.3}")).ok());
+    if let Some(value) = advice {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
     }
     response
 }
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -70,8 +70,14 @@
     /// Reads the file that `GW_CONFIG` names.
     pub fn load() -> Result<Self, ConfigError> {
         let path = std::env::var("GW_CONFIG").map_err(|_| ConfigError::Unset)?;
-        let bytes = std::fs::read(Path::new(&path))
-            .map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
+        Self::read(Path::new(&path))
+    }
+
+    /// Reads a file.
+    pub fn read(file: &Path) -> Result<Self, ConfigError> {
+        let path = file.display().to_string();
+        let bytes =
+            std::fs::read(file).map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
         Self::parse(&path, &bytes)
     }
 
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -2,11 +2,12 @@
 //! anew.
 
 use crate::config::Config;
+use crate::site::Site;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use laurelroute_core::fleet::Entry;
+use laurelroute_core::fleet::{Dials, Entry};
 use laurelroute_core::gateway::{Gateway, ListCall};
 use laurelroute_core::log::log;
 use laurelroute_policy::interface::{Endpoint, ListKind, Phase, Server};
@@ -51,6 +52,9 @@
 pub struct Host {
     host: String,
     dial: SocketAddr,
+    /// Where it speaks Thrift, if it says so.
+    #[serde(default)]
+    thrift: Option<SocketAddr>,
     #[serde(default)]
     site: Option<String>,
     #[serde(default)]
@@ -108,12 +112,19 @@
     address: watch::Receiver<SocketAddr>,
     zones: Vec<String>,
     kinds: Vec<String>,
+    /// Thrift is on, with this port where an entry has no address for it.
+    thrift: Option<Option<u16>>,
     rng: Pcg64Mcg,
 }
 
 impl Watcher {
     /// Starts with the list that the configuration holds.
-    pub fn new(gateway: Rc<Gateway>, config: &Config, address: watch::Receiver<SocketAddr>) -> Self {
+    pub fn new(
+        gateway: Rc<Gateway>,
+        config: &Config,
+        site: &Site,
+        address: watch::Receiver<SocketAddr>,
+    ) -> Self {
         let rng = Pcg64Mcg::seed_from_u64(gateway.site.seed ^ 0x6469_7363);
         let heard_at = Some(*address.borrow());
         let mut watcher = Watcher {
@@ -125,6 +136,7 @@
             address,
             zones: config.zones.clone(),
             kinds: config.kinds.clone(),
+            thrift: site.thrift.as_ref().map(|t| t.port),
             rng,
             gateway,
         };
@@ -259,8 +271,8 @@
             names.iter().position(|n| n == name).unwrap_or(names.len())
         };
         let entry = |h: Host| Entry {
+            dials: self.dials(&h),
             host: h.host,
-            dials: vec![Some(h.dial)],
             server: Server {
                 endpoint: Endpoint { address: [0; 4], port: 0 },
                 zone: place(&self.zones, &h.site).min(255) as u8,
@@ -278,6 +290,17 @@
         self.gateway.list(kind, list.hosts.into_iter().map(entry).collect());
     }
 
+    /// Its addresses by wire: HTTP, and Thrift where this node speaks it.
+    fn dials(&self, host: &Host) -> Dials {
+        match self.thrift {
+            None => vec![Some(host.dial)],
+            Some(port) => {
+                let same = port.map(|port| SocketAddr::new(host.dial.ip(), port));
+                vec![Some(host.dial), host.thrift.or(same)]
+            }
+        }
+    }
+
     async fn get(&self, path: String) -> Result<Incoming, WatchError> {
         let address = *self.address.borrow();
         let stream = match timeout(CONNECT, TcpStream::connect(address)).await {
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -3,11 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    match laurelroute_node::run::start() {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("laurelroute: {error}");
-            ExitCode::FAILURE
-        }
-    }
+    laurelroute_node::cli::main()
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -2,10 +2,13 @@
 
 use crate::config::{Config, ConfigError};
 use crate::discovery::Watcher;
+use crate::site::{Site, SiteError};
 use laurelroute_core::gateway::Gateway;
 use laurelroute_core::log::log;
 use laurelroute_http::front::{Clients, SWEEP};
+use laurelroute_thrift::front::Front;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpSocket};
@@ -33,6 +36,9 @@
     /// The settings in it are.
     #[error("settings: {0}")]
     Settings(#[from] laurelroute_policy::interface::SettingsError),
+    /// The operator's file is at fault.
+    #[error("{0}")]
+    Site(#[from] SiteError),
     /// The address is taken, or none of this machine's.
     #[error("cannot listen on {address}: {error}")]
     Listen {
@@ -46,33 +52,44 @@
     System(#[from] std::io::Error),
 }
 
-/// Runs a node on this thread until SIGTERM.
-pub fn start() -> Result<(), StartError> {
+/// Runs a node on this thread until SIGTERM: by `GW_CONFIG`, and by the operator's file where there is one.
+pub fn start(site: Option<&Path>) -> Result<(), StartError> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run())
+    LocalSet::new().block_on(&runtime, run(site))
 }
 
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    // A restarted node must not wait for its former connections to age.
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let open = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        // A restarted node must not wait for its former connections to age.
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|error| StartError::Listen { address, error })
 }
 
-async fn run() -> Result<(), StartError> {
+async fn run(site: Option<&Path>) -> Result<(), StartError> {
     // Before all else: either signal ends a program that does not listen for it.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
-    let config = Config::load()?;
-    let address = config.listen;
+    let mut config = Config::load()?;
+    let site = match site {
+        Some(path) => Site::load(path, Some((&config.site.classes, &config.site.settings)))?,
+        None => Site::default(),
+    };
+    config.site.most_connections = site.max_connections;
     let (push, known) =
         (!config.site.settings.must_subscribe, config.known.as_ref().is_some_and(|k| !k.hosts.is_empty()));
     let (list_calls, calls) = mpsc::unbounded_channel();
     let gateway = Gateway::new(config.site.clone(), list_calls)?;
     let discovery = watch::Sender::new(config.discovery);
-    let listener = listen(address).map_err(|error| StartError::Listen { address, error })?;
-    let watcher = Watcher::new(gateway.clone(), &config, discovery.subscribe());
+    let listener = listen(config.listen)?;
+    let thrift = match &site.thrift {
+        Some(thrift) => Some((listen(thrift.listen)?, Front::new(gateway.clone(), thrift.front.clone()))),
+        None => None,
+    };
+    let watcher = Watcher::new(gateway.clone(), &config, &site, discovery.subscribe());
     if push {
         spawn_local(watcher.follow());
     } else {
@@ -80,8 +97,12 @@
     }
     spawn_local(gateway.clone().run_timers());
     let clients = Clients::new(gateway.clone());
-    let stop = Rc::new(Notify::new());
-    let accepting = spawn_local(clients.clone().accept(listener, stop.clone()));
+    let (stop, stop_thrift) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
+    let mut accepting = vec![spawn_local(clients.clone().accept(listener, stop.clone()))];
+    let front = thrift.map(|(listener, front)| {
+        accepting.push(spawn_local(front.clone().accept(listener, stop_thrift.clone())));
+        front
+    });
     let ready = gateway.clone();
     spawn_local(async move {
         tokio::time::sleep(READY_KNOWN).await;
@@ -95,8 +116,12 @@
     gateway.leaving.set(true);
     tokio::time::sleep(STILL_ACCEPT).await;
     stop.notify_one();
-    let _ = accepting.await;
-    while clients.close_idle() > 0 && told.elapsed() < LEAVE_WITHIN {
+    stop_thrift.notify_one();
+    for task in accepting {
+        let _ = task.await;
+    }
+    let open = || clients.close_idle() + front.as_ref().map_or(0, |f| f.close_idle());
+    while open() > 0 && told.elapsed() < LEAVE_WITHIN {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     Ok(())
--- /dev/null
+++ b/crates/node/src/site.rs
@@ -0,0 +1,376 @@
+//! The operator's own file (TOML): what this installation has beyond the platform's configuration.
+//!
+//! Every error names the file, the line and the key. Nothing in it is on unless it is named there.
+
+use laurelroute_policy::interface::{Effect, Settings};
+use laurelroute_thrift::codec::decoder::Accept;
+use laurelroute_thrift::codec::{application, Form, Limits, FORMS};
+use laurelroute_thrift::front::FrontSettings;
+use laurelroute_thrift::table::{Method, Source, Sources, Table};
+use laurelroute_thrift::upstream::Boxes;
+use serde::Deserialize;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use toml::Spanned;
+
+/// A message may be allowed this many bytes at most: THeader tells sizes in 30 bits, and memory is bounded anyway.
+const MOST_MESSAGE: usize = 16 * 1024 * 1024;
+/// No service nests deeper; each level costs 16 bytes for every message under way.
+const MOST_DEPTH: usize = 1024;
+const MOST_PIPELINE: usize = 1024;
+const MOST_IDLE_MS: u64 = 86_400_000;
+
+/// What is wrong with the file, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SiteError {
+    /// The file.
+    pub file: String,
+    /// The line, from 1; `None` where the file as a whole is at fault.
+    pub line: Option<usize>,
+    /// What is wrong, with the key.
+    pub message: String,
+}
+
+impl fmt::Display for SiteError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.line {
+            Some(line) => write!(f, "{}, line {line}: {}", self.file, self.message),
+            None => write!(f, "{}: {}", self.file, self.message),
+        }
+    }
+}
+
+impl std::error::Error for SiteError {}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct File {
+    #[serde(default)]
+    servers: ServersTable,
+    thrift: Option<ThriftTable>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ServersTable {
+    max_connections: Option<Spanned<u32>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ThriftTable {
+    listen: SocketAddr,
+    form: Option<Spanned<String>>,
+    max_message: Option<Spanned<usize>>,
+    max_depth: Option<Spanned<usize>>,
+    pipeline: Option<Spanned<usize>>,
+    idle_ms: Option<Spanned<u64>>,
+    boxes: BoxesTable,
+    #[serde(default)]
+    facts: FactsTable,
+    #[serde(default, rename = "method")]
+    methods: Vec<MethodTable>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct BoxesTable {
+    form: Spanned<String>,
+    port: Option<Spanned<u16>>,
+    turned_away: Option<i32>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FactsTable {
+    #[serde(default)]
+    deadline: Vec<Spanned<String>>,
+    #[serde(default)]
+    request_id: Vec<Spanned<String>>,
+    #[serde(default)]
+    tenant: Vec<Spanned<String>>,
+    #[serde(default)]
+    route_key: Vec<Spanned<String>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct MethodTable {
+    name: Spanned<String>,
+    class: Spanned<String>,
+    effect: Option<Spanned<String>>,
+    #[serde(default)]
+    deadline: Vec<Spanned<String>>,
+    #[serde(default)]
+    request_id: Vec<Spanned<String>>,
+    #[serde(default)]
+    tenant: Vec<Spanned<String>>,
+    #[serde(default)]
+    route_key: Vec<Spanned<String>>,
+}
+
+/// The Thrift side, ready to run.
+#[derive(Clone, Debug)]
+pub struct Thrift {
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The port on which boxes speak Thrift whose list entry has no address for it.
+    pub port: Option<u16>,
+    /// All that the front is told.
+    pub front: FrontSettings,
+}
+
+/// The operator's file, checked.
+#[derive(Clone, Debug, Default)]
+pub struct Site {
+    /// Connections that one server may hold of this node's, over all wires.
+    pub max_connections: Option<u32>,
+    /// The Thrift side.
+    pub thrift: Option<Thrift>,
+}
+
+/// The classes that methods can name, with their effects; `None` where only the file itself is checked.
+pub type Classes<'a> = Option<(&'a [String], &'a Settings)>;
+
+impl Site {
+    /// Reads and checks a file.
+    pub fn load(path: &Path, classes: Classes<'_>) -> Result<Site, SiteError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|error| SiteError {
+            file: file.clone(),
+            line: None,
+            message: error.to_string(),
+        })?;
+        Self::parse(&file, &text, classes)
+    }
+
+    /// Checks the text of a file.
+    pub fn parse(file: &str, text: &str, classes: Classes<'_>) -> Result<Site, SiteError> {
+        let check = Check { file, text };
+        let table: File =
+            toml::from_str(text).map_err(|e| check.error(e.span().map(|s| s.start), e.message()))?;
+        let max_connections = match &table.servers.max_connections {
+            Some(n) if *n.get_ref() == 0 => {
+                return Err(check.at(n, "`servers.max_connections` must be above 0"))
+            }
+            n => n.as_ref().map(|n| *n.get_ref()),
+        };
+        let thrift = table.thrift.map(|t| check.thrift(t, classes)).transpose()?;
+        Ok(Site { max_connections, thrift })
+    }
+}
+
+struct Check<'a> {
+    file: &'a str,
+    text: &'a str,
+}
+
+impl Check<'_> {
+    fn error(&self, offset: Option<usize>, message: impl Into<String>) -> SiteError {
+        let line = offset.map(|at| 1 + self.text[..at.min(self.text.len())].matches('\n').count());
+        SiteError { file: self.file.to_owned(), line, message: message.into() }
+    }
+
+    fn at<T>(&self, value: &Spanned<T>, message: impl Into<String>) -> SiteError {
+        self.error(Some(value.span().start), message)
+    }
+
+    /// A number between 1 and a limit, or the default where there is none.
+    fn number<T>(&self, key: &str, value: Option<Spanned<T>>, most: T, or: T) -> Result<T, SiteError>
+    where
+        T: Copy + PartialOrd + Default + fmt::Display,
+    {
+        let Some(value) = value else { return Ok(or) };
+        let number = *value.get_ref();
+        if number <= T::default() || number > most {
+            return Err(self.at(&value, format!("`{key}` is {number}; it has to be from 1 to {most}")));
+        }
+        Ok(number)
+    }
+
+    fn form(&self, key: &str, name: &Spanned<String>) -> Result<Form, SiteError> {
+        Form::named(name.get_ref()).ok_or_else(|| {
+            let names: Vec<_> = FORMS.iter().map(|(name, _)| *name).collect();
+            self.at(name, format!("`{key}` is `{}`; known are {}", name.get_ref(), names.join(", ")))
+        })
+    }
+
+    fn sources(&self, key: &str, list: &[Spanned<String>]) -> Result<Vec<Source>, SiteError> {
+        let source = |text: &Spanned<String>| {
+            text.get_ref().parse().map_err(|e| self.at(text, format!("`{key}`: {e}")))
+        };
+        list.iter().map(source).collect()
+    }
+
+    fn thrift(&self, table: ThriftTable, classes: Classes<'_>) -> Result<Thrift, SiteError> {
+        let standard = Limits::default();
+        let message = self.number("thrift.max_message", table.max_message, MOST_MESSAGE, standard.message)?;
+        let depth = self.number("thrift.max_depth", table.max_depth, MOST_DEPTH, standard.depth)?;
+        let limits = Limits { message, depth, ..standard };
+        let accept = match &table.form {
+            Some(name) if name.get_ref() != "detect" => Accept::Only(self.form("thrift.form", name)?),
+            _ => Accept::Detect,
+        };
+        let boxes = Boxes {
+            form: self.form("thrift.boxes.form", &table.boxes.form)?,
+            turned_away: table.boxes.turned_away.unwrap_or(application::LOAD_SHEDDING),
+            limits,
+        };
+        let port = match table.boxes.port {
+            Some(port) if *port.get_ref() == 0 => {
+                return Err(self.at(&port, "`thrift.boxes.port` must be above 0"));
+            }
+            port => port.map(Spanned::into_inner),
+        };
+        let common = Sources {
+            deadline: self.sources("thrift.facts.deadline", &table.facts.deadline)?,
+            request_id: self.sources("thrift.facts.request_id", &table.facts.request_id)?,
+            tenant: self.sources("thrift.facts.tenant", &table.facts.tenant)?,
+            route_key: self.sources("thrift.facts.route_key", &table.facts.route_key)?,
+        };
+        let mut methods = Table::default();
+        for method in &table.methods {
+            self.method(&mut methods, method, &common, classes)?;
+        }
+        if methods.is_empty() {
+            return Err(self.error(None, "`thrift` has no `[[thrift.method]]`: every call would be refused"));
+        }
+        let idle = self.number("thrift.idle_ms", table.idle_ms, MOST_IDLE_MS, 60_000)?;
+        let front = FrontSettings {
+            accept,
+            limits,
+            pipeline: self.number("thrift.pipeline", table.pipeline, MOST_PIPELINE, 16)?,
+            idle: Duration::from_millis(idle),
+            table: methods,
+            boxes,
+        };
+        Ok(Thrift { listen: table.listen, port, front })
+    }
+
+    fn method(
+        &self,
+        methods: &mut Table,
+        method: &MethodTable,
+        common: &Sources,
+        classes: Classes<'_>,
+    ) -> Result<(), SiteError> {
+        let (name, class_name) = (method.name.get_ref(), method.class.get_ref());
+        if name.is_empty() || name.len() > Limits::default().name {
+            return Err(self.at(&method.name, "`name` has to have 1 to 256 bytes"));
+        }
+        let effect = method.effect.as_ref().map(|e| self.effect(e)).transpose()?;
+        let class = match classes {
+            None => 0,
+            Some((names, settings)) => {
+                let class = names.iter().position(|c| c == class_name).ok_or_else(|| {
+                    let known = names.join(", ");
+                    self.at(&method.class, format!("`class` is `{class_name}`; the settings have {known}"))
+                })?;
+                let settled = settings.classes[class].effect;
+                if let Some((written, effect)) = effect.filter(|(_, effect)| *effect != settled) {
+                    let message = format!(
+                        "`effect` of `{name}` is {effect:?}, but its class `{class_name}` is {settled:?}"
+                    );
+                    return Err(self.at(written, message));
+                }
+                class
+            }
+        };
+        let sources = Sources {
+            deadline: self.sources("deadline", &method.deadline)?,
+            request_id: self.sources("request_id", &method.request_id)?,
+            tenant: self.sources("tenant", &method.tenant)?,
+            route_key: self.sources("route_key", &method.route_key)?,
+        };
+        if !methods.add(name, Method { class: class as u8, sources: sources.or(common) }) {
+            return Err(self.at(&method.name, format!("`{name}` stands twice")));
+        }
+        Ok(())
+    }
+
+    fn effect<'a>(&self, text: &'a Spanned<String>) -> Result<(&'a Spanned<String>, Effect), SiteError> {
+        match text.get_ref().as_str() {
+            "safe" => Ok((text, Effect::Safe)),
+            "keyed" => Ok((text, Effect::Keyed)),
+            "unsafe" => Ok((text, Effect::Unsafe)),
+            other => Err(self.at(text, format!("`effect` is `{other}`; known are safe, keyed, unsafe"))),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const EXAMPLE: &str = include_str!("../../../deploy/site.example.toml");
+
+    fn settings() -> (Vec<String>, Settings) {
+        let mut settings = Settings::single_class(1, 2);
+        let class = settings.classes[0].clone();
+        settings.classes.push(class.clone());
+        settings.classes.push(class);
+        settings.classes[2].effect = Effect::Unsafe;
+        (["status", "gauges", "acknowledge"].map(str::to_owned).to_vec(), settings)
+    }
+
+    #[test]
+    fn the_example_is_sound() {
+        let (names, settings) = settings();
+        let site = Site::parse("example", EXAMPLE, Some((&names, &settings))).unwrap();
+        let thrift = site.thrift.expect("the example has Thrift on");
+        assert_eq!(thrift.front.table.method("Warnings:acknowledge").map(|m| m.class), Some(2));
+        assert!(Site::parse("empty", "", None).unwrap().thrift.is_none());
+    }
+
+    #[test]
+    fn errors_name_key_and_line() {
+        let (names, settings) = settings();
+        for (from, to, line_of, message) in [
+            (
+                "pipeline = 16",
+                "pipeline = 0",
+                "pipeline",
+                "`thrift.pipeline` is 0; it has to be from 1 to 1024",
+            ),
+            ("pipeline = 16", "pipline = 16", "pipline", "unknown field `pipline`"),
+            (
+                "form = \"detect\"",
+                "form = \"framed\"",
+                "form = \"framed\"",
+                "`thrift.form` is `framed`; known are",
+            ),
+            ("max_message = 65536", "max_message = \"x\"", "max_message", "expected usize"),
+            ("port = 9090", "port = 0", "port = 0", "`thrift.boxes.port` must be above 0"),
+            (
+                "effect = \"unsafe\"",
+                "effect = \"safe\"",
+                "effect = \"safe\"",
+                "but its class `acknowledge` is Unsafe",
+            ),
+            ("effect = \"unsafe\"", "effect = \"odd\"", "effect = \"odd\"", "`effect` is `odd`"),
+            (
+                "class = \"gauges\"",
+                "class = \"gouges\"",
+                "class = \"gouges\"",
+                "`class` is `gouges`; the settings have",
+            ),
+            (
+                "header:x-tenant-id",
+                "x-tenant-id",
+                "[\"x-tenant-id",
+                "`thrift.facts.tenant`: `x-tenant-id` is neither",
+            ),
+            ("name = \"gauges\"", "name = \"status\"", "", "`status` stands twice"),
+            ("max_connections = 48", "max_connections = 0", "max_connections", "must be above 0"),
+        ] {
+            let text = EXAMPLE.replacen(from, to, 1);
+            assert_ne!(text, EXAMPLE, "{from} is not in the example");
+            let error = Site::parse("f.toml", &text, Some((&names, &settings))).unwrap_err();
+            assert!(error.to_string().contains(message), "{to}: {error}");
+            let line = error.line.expect("a line");
+            assert!(text.lines().nth(line - 1).unwrap().contains(line_of), "{to}: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/thrift/src/front.rs
@@ -0,0 +1,405 @@
+//! Towards the clients: connections, calls coming in, final answers going out in the order of the calls.
+
+use crate::codec::application as app;
+use crate::codec::decoder::{Accept, Decoder, Item, Malformed};
+use crate::codec::head::Head;
+use crate::codec::header::Header;
+use crate::codec::message::{Encoded, Message};
+use crate::codec::{Form, Kind, Limits, Protocol, Transport};
+use crate::table::{BadFact, Table};
+use crate::upstream::{read, silent, write, Boxes, Served, ThriftExchange, READ};
+use laurelroute_core::budget::Slot;
+use laurelroute_core::call::{Call, GivenUp, Reply, Verdict};
+use laurelroute_core::connect::exhausted;
+use laurelroute_core::gateway::{route_key, Claim, Gateway};
+use laurelroute_core::log::log;
+use laurelroute_policy::interface::{Nanos, Request};
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{oneshot, Notify};
+use tokio::time::timeout;
+
+/// A message has to be there whole this long after its first byte, however it trickles in.
+const MESSAGE: Duration = Duration::from_secs(2);
+/// An answer may stand still for this long before its client counts as gone.
+const STUCK: Duration = Duration::from_secs(3);
+/// Oneway calls of all clients under way at once that hold up nobody; further ones hold up their own connection.
+const MOST_ONEWAY: usize = 1024;
+
+/// What the operator says of the Thrift side.
+#[derive(Clone, Debug)]
+pub struct FrontSettings {
+    /// Which forms clients may speak.
+    pub accept: Accept,
+    /// What a call may cost.
+    pub limits: Limits,
+    /// Calls of one connection under way at once; further ones are read when there is room.
+    pub pipeline: usize,
+    /// A connection without calls is closed after this.
+    pub idle: Duration,
+    /// What calls mean.
+    pub table: Table,
+    /// How the boxes speak.
+    pub boxes: Boxes,
+}
+
+/// All clients' connections; bounded by the budget, which all fronts share.
+pub struct Front {
+    gateway: Rc<Gateway>,
+    settings: FrontSettings,
+    open: RefCell<HashMap<u64, Rc<Client>>>,
+    next: Cell<u64>,
+    left: Notify,
+    oneway: Cell<usize>,
+}
+
+struct Client {
+    /// No call is under way, and no part of one has come.
+    idle: Cell<bool>,
+    since: Cell<Nanos>,
+    closing: Cell<bool>,
+    close: Notify,
+    _slot: Slot,
+}
+
+/// An answer that is owed, in the order of the calls.
+enum Owed {
+    Ready(Encoded),
+    Waiting(Waiting),
+}
+
+/// A call that is with the gateway.
+struct Waiting {
+    form: Form,
+    header: Option<Header>,
+    head: Head,
+    claim: Option<Claim>,
+    answer: oneshot::Receiver<Verdict<Served>>,
+}
+
+impl Waiting {
+    async fn verdict(&mut self) -> Verdict<Served> {
+        let verdict = (&mut self.answer).await;
+        self.claim = None;
+        verdict.unwrap_or(Verdict::GivenUp(GivenUp::Failed { late: true }))
+    }
+}
+
+impl Front {
+    /// The front of a gateway, without connections yet.
+    pub fn new(gateway: Rc<Gateway>, settings: FrontSettings) -> Rc<Self> {
+        Rc::new(Front {
+            gateway,
+            settings,
+            open: RefCell::default(),
+            next: Cell::new(0),
+            left: Notify::new(),
+            oneway: Cell::new(0),
+        })
+    }
+
+    /// Accepts until told to stop, and then what the kernel has accepted by then.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, stop: Rc<Notify>) {
+        let mut stop = pin!(stop.notified());
+        loop {
+            let full = self.gateway.budget.clients_exhausted();
+            if full {
+                self.make_room();
+            }
+            tokio::select! {
+                biased;
+                _ = self.left.notified(), if full => {}
+                _ = tokio::time::sleep(Duration::from_millis(20)), if full => {}
+                accepted = listener.accept(), if !full => match accepted {
+                    Ok((stream, _)) => self.connected(stream),
+                    Err(e) if exhausted(&e) => {
+                        self.make_room();
+                        tokio::time::sleep(Duration::from_millis(10)).await;
+                    }
+                    // A client that left while it waited.
+                    Err(_) => tokio::task::yield_now().await,
+                },
+                _ = &mut stop => return,
+            }
+        }
+    }
+
+    fn connected(self: &Rc<Self>, stream: TcpStream) {
+        let budget = &self.gateway.budget;
+        if budget.clients() >= budget.most_clients {
+            self.make_room();
+        }
+        let client = Rc::new(Client {
+            idle: Cell::new(true),
+            since: Cell::new(self.gateway.clock.now()),
+            closing: Cell::new(false),
+            close: Notify::new(),
+            _slot: budget.client(),
+        });
+        let id = self.next.get();
+        self.next.set(id + 1);
+        self.open.borrow_mut().insert(id, client.clone());
+        let front = self.clone();
+        tokio::task::spawn_local(async move {
+            serve(&front, &client, stream).await;
+            front.open.borrow_mut().remove(&id);
+            front.left.notify_one();
+        });
+    }
+
+    /// Tells the connection that has stood idle longest to close.
+    fn make_room(&self) {
+        let open = self.open.borrow();
+        let idle = open.values().filter(|c| c.idle.get() && !c.closing.get());
+        if let Some(client) = idle.min_by_key(|c| c.since.get()) {
+            client.closing.set(true);
+            client.close.notify_one();
+        }
+    }
+
+    /// Closes all connections that are between calls; the number of those that are left.
+    pub fn close_idle(&self) -> usize {
+        let open = self.open.borrow();
+        open.values().filter(|c| c.idle.get()).for_each(|c| c.close.notify_one());
+        open.len()
+    }
+
+    /// Takes what was read. `None` where no answer is owed.
+    fn take(self: &Rc<Self>, item: Item) -> Option<Owed> {
+        match item {
+            Item::Message(message) => self.call(message),
+            Item::Malformed(malformed) => Some(Owed::Ready(unsound(malformed))),
+        }
+    }
+
+    fn call(self: &Rc<Self>, message: Message) -> Option<Owed> {
+        let (form, header, head) = (message.form, message.header.clone(), message.head.clone());
+        match self.submit(message) {
+            Ok((claim, answer)) => {
+                let waiting = Waiting { form, header, head, claim: Some(claim), answer };
+                if waiting.head.kind == Kind::Oneway && self.oneway.get() < MOST_ONEWAY {
+                    self.detach(waiting);
+                    return None;
+                }
+                Some(Owed::Waiting(waiting))
+            }
+            Err(fault) if head.kind == Kind::Oneway => {
+                log(format_args!("thrift: oneway call of {} dropped: {fault}", head.name));
+                None
+            }
+            Err(fault) => {
+                let text = fault.text(&self.gateway);
+                Some(Owed::Ready(app::encode(form, &head, header.as_ref(), fault.code(), &text)))
+            }
+        }
+    }
+
+    /// A oneway call goes on whatever becomes of its connection.
+    fn detach(self: &Rc<Self>, mut waiting: Waiting) {
+        self.oneway.set(self.oneway.get() + 1);
+        let front = self.clone();
+        tokio::task::spawn_local(async move {
+            let verdict = waiting.verdict().await;
+            front.oneway.set(front.oneway.get() - 1);
+            front.lost(&waiting.head, &verdict);
+        });
+    }
+
+    fn lost(&self, head: &Head, verdict: &Verdict<Served>) {
+        if let Verdict::GivenUp(end) = verdict {
+            log(format_args!("thrift: oneway call of {} was not sent: {end:?}", head.name));
+        }
+    }
+
+    /// Checks a call, before anything is held for it, and hands it to the gateway.
+    fn submit(
+        self: &Rc<Self>,
+        message: Message,
+    ) -> Result<(Claim, oneshot::Receiver<Verdict<Served>>), Fault> {
+        let gateway = &self.gateway;
+        if !matches!(message.head.kind, Kind::Call | Kind::Oneway) {
+            return Err(Fault::NoCall);
+        }
+        let method = self.settings.table.method(&message.head.name).ok_or(Fault::Method)?;
+        let facts = method.facts(&message)?;
+        let class = &gateway.site.settings.classes[usize::from(method.class)];
+        let wait = facts.deadline_ms.map_or(class.give_up, |ms| ms.saturating_mul(1_000_000));
+        let give_up_at = gateway.clock.now() + wait.min(class.give_up);
+        let mut lease = gateway.budget.lease();
+        if !lease.grow(message.bytes().len().max(READ)) {
+            return Err(Fault::NoRoom);
+        }
+        let id = facts.request_id.as_deref().map(laurelroute_core::mix);
+        if id.is_some_and(|id| !gateway.claim(id, give_up_at)) {
+            return Err(Fault::IdTaken);
+        }
+        let request = Request {
+            class: method.class,
+            tenant: gateway.site.tenant(facts.tenant.as_deref()),
+            key: facts.route_key.as_deref().map_or(0, route_key),
+            ..Request::new(0, give_up_at)
+        };
+        let (reply, answer) = Reply::new();
+        let exchange = ThriftExchange::new(message, method.clone(), self.settings.boxes, reply, lease);
+        Ok((gateway.submit(Call { request, give_up_at }, Rc::new(exchange)), answer))
+    }
+
+    /// The final answer in the form of its call; `None` where none is owed.
+    fn encode(&self, call: &Waiting, verdict: Verdict<Served>) -> Option<Encoded> {
+        if call.head.kind == Kind::Oneway {
+            self.lost(&call.head, &verdict);
+            return None;
+        }
+        let exception =
+            |code, text: &str| app::encode(call.form, &call.head, call.header.as_ref(), code, text);
+        Some(match verdict {
+            Verdict::Served(Served { message: Some(message), .. }) => {
+                let header = call.header.as_ref().map(|h| Header { pairs: pairs(&message), ..h.clone() });
+                match message.encode(call.form, header.as_ref()) {
+                    Ok(out) => out,
+                    Err(fault) => exception(app::INTERNAL_ERROR, &fault.to_string()),
+                }
+            }
+            Verdict::Served(_) => exception(app::INTERNAL_ERROR, "no answer"),
+            Verdict::GivenUp(GivenUp::Refused { retry_after }) => {
+                exception(app::LOAD_SHEDDING, &advice(&self.gateway, retry_after))
+            }
+            Verdict::GivenUp(GivenUp::Failed { late: true }) => exception(app::TIMEOUT, "no answer in time"),
+            Verdict::GivenUp(GivenUp::Failed { late: false }) => exception(app::INTERNAL_ERROR, "failed"),
+        })
+    }
+}
+
+fn pairs(message: &Message) -> Vec<(String, String)> {
+    message.header.as_ref().map(|h| h.pairs.clone()).unwrap_or_default()
+}
+
+fn advice(gateway: &Gateway, retry_after: Nanos) -> String {
+    match gateway.site.advice(retry_after) {
+        Some(seconds) => format!("refused, never ran; retry after {seconds:.3} s"),
+        None => "refused, never ran".to_owned(),
+    }
+}
+
+/// Why a call is not taken. None of them has gone to a box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum Fault {
+    #[error("neither a call nor oneway")]
+    NoCall,
+    #[error("no such method")]
+    Method,
+    #[error("{0}")]
+    Fact(#[from] BadFact),
+    #[error("a request with this id has been taken already")]
+    IdTaken,
+    #[error("no room")]
+    NoRoom,
+}
+
+impl Fault {
+    fn code(self) -> i32 {
+        match self {
+            Fault::NoCall => app::INVALID_MESSAGE_TYPE,
+            Fault::Method => app::UNKNOWN_METHOD,
+            Fault::Fact(_) | Fault::IdTaken => app::PROTOCOL_ERROR,
+            // The only one that is a refusal: the call is sound, and it has not gone anywhere.
+            Fault::NoRoom => app::LOAD_SHEDDING,
+        }
+    }
+
+    fn text(self, gateway: &Gateway) -> String {
+        match self {
+            Fault::NoRoom => advice(gateway, Nanos::MAX),
+            other => other.to_string(),
+        }
+    }
+}
+
+/// The answer to what can't be read.
+fn unsound(malformed: Malformed) -> Encoded {
+    let unknown = || {
+        let form = Form { transport: Transport::Framed, protocol: Protocol::BinaryStrict };
+        (form, Head { name: "malformed".to_owned(), kind: Kind::Call, seqid: 0 }, None)
+    };
+    let (form, head, header) = malformed.call.unwrap_or_else(unknown);
+    app::encode(form, &head, header.as_ref(), app::PROTOCOL_ERROR, &malformed.fault.to_string())
+}
+
+/// Serves one connection to its end.
+async fn serve(front: &Rc<Front>, client: &Client, mut stream: TcpStream) {
+    let _ = stream.set_nodelay(true);
+    let (settings, gateway) = (&front.settings, &front.gateway);
+    let mut decoder = Decoder::new(settings.accept, settings.limits);
+    let mut owed: VecDeque<Owed> = VecDeque::new();
+    let mut reading = true;
+    // Since when the message that is under way is awaited.
+    let mut begun = None;
+    loop {
+        while reading && owed.len() < settings.pipeline {
+            let Some(item) = decoder.take_item() else { break };
+            reading = !matches!(&item, Item::Malformed(m) if !m.in_step);
+            owed.extend(front.take(item));
+            begun = None;
+        }
+        let room = reading && owed.len() < settings.pipeline;
+        let partial = decoder.partial();
+        client.idle.set(owed.is_empty() && !partial);
+        if !reading && owed.is_empty() {
+            return;
+        }
+        begun = if room && partial { begun.or(Some(tokio::time::Instant::now())) } else { None };
+        let patience = match (begun, owed.is_empty()) {
+            (Some(begun), _) => begun + MESSAGE,
+            (None, true) => tokio::time::Instant::now() + settings.idle,
+            // The gateway's deadline bounds it.
+            (None, false) => tokio::time::Instant::now() + Duration::from_secs(3600),
+        };
+        tokio::select! {
+            biased;
+            out = next_answer(front, &mut owed), if !owed.is_empty() => {
+                if let Some(out) = out {
+                    if !matches!(timeout(STUCK, write(&mut stream, &out)).await, Ok(Ok(()))) {
+                        return;
+                    }
+                }
+                client.since.set(gateway.clock.now());
+                if gateway.leaving.get() && owed.is_empty() && !decoder.partial() && silent(&stream) {
+                    return;
+                }
+            }
+            n = read(&mut stream, &mut decoder), if room => {
+                // With its claims dropped, what is under way is called off.
+                if !matches!(n, Ok(n) if n > 0) {
+                    return;
+                }
+            }
+            _ = client.close.notified(), if owed.is_empty() && !partial => {
+                // What has come in the meantime is still read, and answered.
+                if silent(&stream) {
+                    return;
+                }
+                client.closing.set(false);
+            }
+            _ = tokio::time::sleep_until(patience) => return,
+        }
+    }
+}
+
+/// Waits for the answer that is owed first, and takes it off the queue.
+async fn next_answer(front: &Front, owed: &mut VecDeque<Owed>) -> Option<Encoded> {
+    let out = match owed.front_mut()? {
+        Owed::Ready(_) => None,
+        Owed::Waiting(call) => {
+            let verdict = call.verdict().await;
+            Some(front.encode(call, verdict))
+        }
+    };
+    match (owed.pop_front()?, out) {
+        (Owed::Ready(out), _) => Some(out),
+        (Owed::Waiting(_), out) => out.flatten(),
+    }
+}
--- /dev/null
+++ b/crates/thrift/src/upstream.rs
@@ -0,0 +1,259 @@
+//! Towards the boxes: one attempt over one connection, and how it ended.
+
+use crate::codec::application;
+use crate::codec::decoder::{Accept, Decoder, Item};
+use crate::codec::message::{Encoded, Message};
+use crate::codec::{Fault, Form, Kind, Limits, Transport};
+use crate::table::Method;
+use laurelroute_core::budget::Lease;
+use laurelroute_core::call::{Exchange, GivenUp, HandOver, Reply, Verdict, Wire};
+use laurelroute_core::connect::{connect, Held, NoLink};
+use laurelroute_core::fleet::Kept;
+use laurelroute_core::gateway::Attempt;
+use laurelroute_core::tally;
+use laurelroute_policy::interface::{Ending, Nanos};
+use std::cell::Cell;
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Thrift's place among a server's addresses.
+pub const THRIFT: Wire = Wire(1);
+
+/// What is read at once; it bounds what a connection holds that has nothing under way.
+pub(crate) const READ: usize = 4096;
+/// An answer that has begun and stands still for this long is none, as on HTTP.
+const STALL: Duration = Duration::from_millis(250);
+
+/// How the boxes speak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Boxes {
+    /// The form that all of them speak.
+    pub form: Form,
+    /// The type of the TApplicationException by which a box says that it turned a call away, which never ran.
+    pub turned_away: i32,
+    /// What an answer may cost.
+    pub limits: Limits,
+}
+
+/// A box's answer, and the memory that it takes; no message where none is owed.
+#[derive(Debug)]
+pub struct Served {
+    /// The answer.
+    pub message: Option<Message>,
+    _lease: Lease,
+}
+
+/// A client's call as every attempt sends it, and the place of its answer.
+#[derive(Debug)]
+pub struct ThriftExchange {
+    message: Message,
+    method: Method,
+    boxes: Boxes,
+    reply: Reply<Served>,
+    _lease: Lease,
+}
+
+impl ThriftExchange {
+    /// A call of a method, which takes what the lease holds.
+    pub fn new(message: Message, method: Method, boxes: Boxes, reply: Reply<Served>, lease: Lease) -> Self {
+        ThriftExchange { message, method, boxes, reply, _lease: lease }
+    }
+
+    fn encode(&self, millis_left: u64) -> Result<Encoded, Fault> {
+        if self.boxes.form.transport != Transport::Header {
+            return self.message.encode(self.boxes.form, None);
+        }
+        let mut header = self.message.header.clone().unwrap_or_default();
+        self.method.tell_deadline(&mut header, millis_left);
+        header.seqid = self.message.head.seqid as u32;
+        self.message.encode(self.boxes.form, Some(&header))
+    }
+
+    fn oneway(&self) -> bool {
+        self.message.head.kind == Kind::Oneway
+    }
+
+    fn put(&self, message: Option<Message>, lease: Lease) {
+        self.reply.put(Verdict::Served(Served { message, _lease: lease }));
+    }
+}
+
+impl Exchange for ThriftExchange {
+    fn start(self: Rc<Self>, attempt: Attempt) -> AbortHandle {
+        tokio::task::spawn_local(async move {
+            if let Err(ending) = exchange(&self, &attempt).await {
+                attempt.ended(ending);
+            }
+        })
+        .abort_handle()
+    }
+
+    fn give_up(&self, end: GivenUp) {
+        self.reply.put(Verdict::GivenUp(end));
+    }
+}
+
+/// How much of a call the kernel has.
+#[derive(Debug, Default)]
+struct Progress {
+    complete: Cell<bool>,
+}
+
+impl HandOver for Progress {
+    fn handed_over(&self) -> bool {
+        self.complete.get()
+    }
+}
+
+struct Link {
+    stream: TcpStream,
+    decoder: Decoder,
+    _held: Held,
+}
+
+impl Kept for Link {
+    fn quiet(&self) -> bool {
+        !self.decoder.partial() && silent(&self.stream)
+    }
+}
+
+/// Nothing has come and the peer has not closed; this asks the kernel itself.
+pub(crate) fn silent(stream: &TcpStream) -> bool {
+    tally::peek();
+    let mut byte = [MaybeUninit::uninit()];
+    let seen = socket2::SockRef::from(stream).peek(&mut byte);
+    matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// Reads once into the decoder; 0 where the peer has closed.
+pub(crate) async fn read(stream: &mut TcpStream, decoder: &mut Decoder) -> io::Result<usize> {
+    decoder.buffer().reserve(READ);
+    let read = stream.read_buf(decoder.buffer()).await;
+    tally::read(false);
+    read
+}
+
+/// Writes both parts whole.
+pub(crate) async fn write(stream: &mut TcpStream, out: &Encoded) -> io::Result<()> {
+    let (mut prefix, mut payload) = (&out.prefix[..], &out.payload[..]);
+    while !(prefix.is_empty() && payload.is_empty()) {
+        let slices = [io::IoSlice::new(prefix), io::IoSlice::new(payload)];
+        let mut n = stream.write_vectored(&slices[usize::from(prefix.is_empty())..]).await?;
+        tally::write();
+        if n == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
+        let first = n.min(prefix.len());
+        prefix = &prefix[first..];
+        n -= first;
+        payload = &payload[n..];
+    }
+    Ok(())
+}
+
+async fn open(attempt: &Attempt, boxes: &Boxes, dial: SocketAddr) -> Result<Link, NoLink> {
+    let (stream, held) = connect(attempt.gateway(), attempt.server(), THRIFT, dial).await?;
+    // Calls are written whole: waiting to fill a segment would only delay them.
+    let _ = stream.set_nodelay(true);
+    let decoder = Decoder::new(Accept::Only(boxes.form), boxes.limits);
+    Ok(Link { stream, decoder, _held: held })
+}
+
+/// Plays one attempt to its end; an error is how it ended where it was not told of yet. Where the gateway has
+/// stopped waiting, the attempt may go on for a while, so that its connection can be kept.
+async fn exchange(call: &ThriftExchange, attempt: &Attempt) -> Result<(), Ending> {
+    let (gateway, server) = (attempt.gateway(), attempt.server());
+    let Some(dial) = attempt.dial(THRIFT) else { return Err(Ending::NotSent) };
+    let mut kept: Option<(Box<Link>, Nanos)> =
+        gateway.fleet(|f| f.checkout(server, THRIFT, gateway.oldest_idle()));
+    loop {
+        let reused = kept.is_some();
+        let (mut link, opened) = match kept.take() {
+            Some(kept) => kept,
+            None => match open(attempt, &call.boxes, dial).await {
+                Ok(link) => (Box::new(link), gateway.clock.now()),
+                Err(NoLink::Failed) => return Err(Ending::ConnectFailed),
+                Err(NoLink::Exhausted) => return Err(Ending::NotSent),
+            },
+        };
+        // Connecting takes time, and the list may have changed: nothing new to a box that drains.
+        if attempt.dial(THRIFT) != Some(dial) {
+            return Err(Ending::NotSent);
+        }
+        // What was walked through when it came can be encoded; were it otherwise, it would never have run.
+        let out = call.encode(attempt.millis_left()).map_err(|_| Ending::NotSent)?;
+        let progress = Rc::new(Progress::default());
+        attempt.writes_through(progress.clone());
+        match write(&mut link.stream, &out).await {
+            Ok(()) => progress.complete.set(true),
+            // A kept connection that the box was just closing: it does not have the call, whose attempt has not
+            // begun. A new connection tells whether the box is there.
+            Err(_) if reused => continue,
+            Err(_) => return Err(Ending::ConnectFailed),
+        }
+        let keep = if call.oneway() { sent(call, attempt) } else { answer(call, attempt, &mut link).await? };
+        if keep {
+            let times = (opened, gateway.clock.now());
+            gateway.fleet(|f| f.checkin(server, (THRIFT, dial), link, times));
+        }
+        return Ok(());
+    }
+}
+
+/// No answer is owed to a oneway call: with its last byte handed over all is done that can be done.
+fn sent(call: &ThriftExchange, attempt: &Attempt) -> bool {
+    if attempt.served() {
+        call.put(None, attempt.gateway().budget.lease());
+    }
+    true
+}
+
+/// Takes an answer and tells of it; whether the connection is at the answer's end.
+async fn answer(call: &ThriftExchange, attempt: &Attempt, link: &mut Link) -> Result<bool, Ending> {
+    let message = whole(link).await.ok_or(Ending::Reset)?;
+    // Another call's answer, or a call: what else may come on this connection nobody knows.
+    if !call.message.head.answered_by(&message.head) {
+        return Err(Ending::Reset);
+    }
+    match message.head.kind {
+        Kind::Reply => {
+            let mut lease = attempt.gateway().budget.lease();
+            if !lease.grow(message.bytes().len().max(READ)) {
+                return Err(Ending::Reset);
+            }
+            if attempt.served() {
+                call.put(Some(message), lease);
+            }
+        }
+        Kind::Exception => {
+            let turned_away = application::decode(&message).0 == call.boxes.turned_away;
+            attempt.ended(if turned_away { Ending::Full } else { Ending::Error });
+        }
+        Kind::Call | Kind::Oneway => return Err(Ending::Reset),
+    }
+    Ok(!link.decoder.partial())
+}
+
+/// A whole message, waited for as long as it may take; once it has begun it has to come to its end. `None` where it
+/// is unsound, stands still, or where the connection ends.
+async fn whole(link: &mut Link) -> Option<Message> {
+    loop {
+        match link.decoder.take_item() {
+            Some(Item::Message(message)) => return Some(message),
+            Some(Item::Malformed(_)) => return None,
+            None => {}
+        }
+        let begun = link.decoder.partial();
+        let reading = read(&mut link.stream, &mut link.decoder);
+        let n = if begun { tokio::time::timeout(STALL, reading).await.ok()? } else { reading.await };
+        if n.ok()? == 0 {
+            return None;
+        }
+    }
+}
--- a/crates/thrift/tests/common/mod.rs
+++ b/crates/thrift/tests/common/mod.rs
@@ -353,7 +353,7 @@
 pub fn peer_message(protocol: Protocol, name: &str, seqid: i32, value: &Val) -> Vec<u8> {
     let mut out = Vec::new();
     let id = TMessageIdentifier::new(name, TMessageType::Call, seqid);
-    let mut write = |writer: &mut dyn TOutputProtocol| -> thrift::Result<()> {
+    let write = |writer: &mut dyn TOutputProtocol| -> thrift::Result<()> {
         writer.write_message_begin(&id)?;
         peer_put(writer, value)?;
         writer.write_message_end()?;
