Add a testkit and a rule suite that runs unchanged over HTTP and six Thrift forms

The four rules were held against sockets by single tests on HTTP only.

The testkit has boxes that act by a plan (answer, error, turn away, misfit, noise, reset before or after the last byte, close, half an answer, stall, trickle) on both wires and record what ran by request, a discovery with versions and lag, clients on every wire and a load that tells what became of each request.

--- /dev/null
+++ b/crates/testkit/src/boxes.rs
@@ -0,0 +1,234 @@
+//! Stand-in web boxes: each listens on HTTP and on Thrift, acts by a plan, and records what came and what ran.
+
+use crate::lock;
+use crate::wire::{Conn, Say, Seen, Wire};
+use laurelroute_thrift::codec::Form;
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// What a box does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// Says this.
+    Say(Say),
+    /// Serves it after a while.
+    After(Duration),
+    /// Reads it and never says anything.
+    Stall,
+    /// Resets the connection at the request's first byte.
+    ResetBefore,
+    /// Reads it whole and resets the connection.
+    ResetAfter,
+    /// Reads it whole and closes the connection.
+    CloseAfter,
+    /// Begins an answer and stops half-way.
+    Half,
+    /// Serves it a few bytes at a time.
+    Trickle,
+    /// Serves it and closes the connection.
+    ServeAndClose,
+}
+
+/// A request that came to a box.
+#[derive(Clone, Debug)]
+pub struct Came {
+    /// Its identity; `None` where the box did not read that far.
+    pub id: Option<String>,
+    /// When its first byte was there.
+    pub at: Instant,
+    /// The box has run it: it has read the last byte and did not turn it away.
+    pub ran: bool,
+    /// The box's connection that it came on.
+    pub connection: usize,
+}
+
+/// What all boxes of a fleet share: the acts for the next requests, whichever box they come to.
+#[derive(Debug, Default)]
+pub struct Plan(Mutex<VecDeque<Act>>);
+
+impl Plan {
+    /// The next requests are treated like this, in turn.
+    pub fn next(&self, acts: &[Act]) {
+        lock(&self.0).extend(acts);
+    }
+
+    /// How many acts are left.
+    pub fn left(&self) -> usize {
+        lock(&self.0).len()
+    }
+
+    fn take(&self) -> Option<Act> {
+        lock(&self.0).pop_front()
+    }
+}
+
+struct Shared {
+    came: Mutex<Vec<Came>>,
+    plan: Arc<Plan>,
+    usual: Mutex<Act>,
+    connections: AtomicUsize,
+    open: AtomicUsize,
+    most_open: AtomicUsize,
+    gone: AtomicBool,
+}
+
+/// A box.
+pub struct StandIn {
+    /// Its name in the list.
+    pub name: String,
+    /// Where it speaks HTTP.
+    pub http: SocketAddr,
+    /// Where it speaks Thrift.
+    pub thrift: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl StandIn {
+    /// Starts a box that follows the plan, speaks Thrift in this form, and serves at once what is not planned.
+    pub fn start(name: &str, form: Form, plan: Arc<Plan>) -> StandIn {
+        let shared = Arc::new(Shared {
+            came: Mutex::default(),
+            plan,
+            usual: Mutex::new(Act::Say(Say::Served)),
+            connections: AtomicUsize::new(0),
+            open: AtomicUsize::new(0),
+            most_open: AtomicUsize::new(0),
+            gone: AtomicBool::new(false),
+        });
+        let http = listen(shared.clone(), None);
+        let thrift = listen(shared.clone(), Some(form));
+        StandIn { name: name.to_owned(), http, thrift, shared }
+    }
+
+    /// What it does where nothing is planned.
+    pub fn usually(&self, act: Act) {
+        *lock(&self.shared.usual) = act;
+    }
+
+    /// All that has come, in order.
+    pub fn came(&self) -> Vec<Came> {
+        lock(&self.shared.came).clone()
+    }
+
+    /// How often a request ran here.
+    pub fn runs(&self, id: &str) -> usize {
+        lock(&self.shared.came).iter().filter(|c| c.ran && c.id.as_deref() == Some(id)).count()
+    }
+
+    /// How often a request came here as far as its id.
+    pub fn arrivals(&self, id: &str) -> usize {
+        lock(&self.shared.came).iter().filter(|c| c.id.as_deref() == Some(id)).count()
+    }
+
+    /// Requests that came after this moment.
+    pub fn since(&self, at: Instant) -> usize {
+        lock(&self.shared.came).iter().filter(|c| c.at > at).count()
+    }
+
+    /// The most connections that were open at once, over both wires.
+    pub fn most_open(&self) -> usize {
+        self.shared.most_open.load(Ordering::SeqCst)
+    }
+
+    /// From now on it resets every connection: its process is gone, and the port is somebody else's.
+    pub fn die(&self) {
+        self.shared.gone.store(true, Ordering::SeqCst);
+    }
+
+    /// Its address on a wire.
+    pub fn address(&self, wire: Wire) -> SocketAddr {
+        match wire {
+            Wire::Http => self.http,
+            Wire::Thrift { .. } => self.thrift,
+        }
+    }
+}
+
+fn listen(shared: Arc<Shared>, form: Option<Form>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let shared = shared.clone();
+            if shared.gone.load(Ordering::SeqCst) {
+                reset(&Conn::new(stream, None));
+                continue;
+            }
+            let number = shared.connections.fetch_add(1, Ordering::SeqCst);
+            let open = shared.open.fetch_add(1, Ordering::SeqCst) + 1;
+            shared.most_open.fetch_max(open, Ordering::SeqCst);
+            thread::spawn(move || {
+                let mut conn = Conn::new(stream, form);
+                while serve(&shared, &mut conn, number) {}
+                shared.open.fetch_sub(1, Ordering::SeqCst);
+            });
+        }
+    });
+    address
+}
+
+/// Closes so that the peer sees a reset.
+fn reset(conn: &Conn) {
+    let _ = socket2::SockRef::from(&conn.stream).set_linger(Some(Duration::ZERO));
+}
+
+/// Serves one request; whether the connection goes on.
+fn serve(shared: &Shared, conn: &mut Conn, connection: usize) -> bool {
+    if !conn.begun() {
+        return false;
+    }
+    let at = Instant::now();
+    if shared.gone.load(Ordering::SeqCst) {
+        reset(conn);
+        return false;
+    }
+    let act = shared.plan.take().unwrap_or_else(|| *lock(&shared.usual));
+    if act == Act::ResetBefore {
+        lock(&shared.came).push(Came { id: None, at, ran: false, connection });
+        reset(conn);
+        return false;
+    }
+    let Some(seen) = conn.request() else { return false };
+    let ran = act != Act::Say(Say::TurnedAway);
+    lock(&shared.came).push(Came { id: Some(seen.ask.id.clone()), at, ran, connection });
+    // Nobody waits for an answer to a oneway call.
+    if seen.ask.oneway {
+        return true;
+    }
+    act_on(conn, &seen, act)
+}
+
+fn act_on(conn: &mut Conn, seen: &Seen, act: Act) -> bool {
+    match act {
+        Act::Say(say) => conn.write(&seen.answer(say)),
+        Act::After(pause) => {
+            thread::sleep(pause);
+            conn.write(&seen.answer(Say::Served))
+        }
+        // The connection is held until the peer gives it up.
+        Act::Stall => conn.begun(),
+        Act::ResetBefore | Act::ResetAfter => {
+            reset(conn);
+            false
+        }
+        Act::CloseAfter => false,
+        Act::Half => {
+            let whole = seen.answer(Say::Served);
+            conn.write(&whole[..whole.len() / 2]);
+            conn.begun();
+            false
+        }
+        Act::Trickle => seen.answer(Say::Served).chunks(3).all(|part| {
+            thread::sleep(Duration::from_millis(2));
+            conn.write(part)
+        }),
+        Act::ServeAndClose => {
+            conn.write(&seen.answer(Say::Served));
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/client.rs
@@ -0,0 +1,76 @@
+//! A client on any wire, which sends one request at a time or many.
+
+use crate::wire::{Answer, Ask, Conn, Wire};
+use crate::PATIENCE;
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// A connection to a node.
+#[derive(Debug)]
+pub struct Client {
+    wire: Wire,
+    conn: Conn,
+    next: i32,
+}
+
+impl Client {
+    /// Connects; `None` where nobody listens.
+    pub fn connect(wire: Wire, address: SocketAddr) -> Option<Client> {
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        let form = match wire {
+            Wire::Http => None,
+            Wire::Thrift { client, .. } => Some(client),
+        };
+        Some(Client { wire, conn: Conn::new(stream, form), next: 1 })
+    }
+
+    /// Sends a request; gives its number on the connection.
+    pub fn send(&mut self, ask: &Ask) -> i32 {
+        let seqid = self.next;
+        self.next += 1;
+        self.conn.write(&ask.bytes(self.wire, seqid));
+        seqid
+    }
+
+    /// Sends bytes as they are.
+    pub fn raw(&mut self, bytes: &[u8]) -> bool {
+        self.conn.write(bytes)
+    }
+
+    /// The next answer; `None` where the connection ends first.
+    pub fn answer(&mut self) -> Option<Answer> {
+        self.conn.answer()
+    }
+
+    /// The next Thrift answer with its call's number.
+    pub fn numbered(&mut self) -> Option<(i32, Answer)> {
+        self.conn.numbered_answer()
+    }
+
+    /// Sends a request and waits for its answer.
+    pub fn ask(&mut self, ask: &Ask) -> Option<Answer> {
+        self.send(ask);
+        self.answer()
+    }
+
+    /// Whether nothing more comes for a while: not one answer too many.
+    pub fn silent_for(&mut self, pause: Duration) -> bool {
+        let _ = self.conn.stream.set_read_timeout(Some(pause));
+        let silent = match self.conn.stream.peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(_) => true,
+        };
+        let _ = self.conn.stream.set_read_timeout(Some(PATIENCE));
+        silent
+    }
+
+    /// Waits until the node closes the connection; false where something else comes, or nothing in time.
+    pub fn closed(&mut self) -> bool {
+        let begun = Instant::now();
+        match self.conn.stream.peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(_) => begun.elapsed() < PATIENCE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/discovery.rs
@@ -0,0 +1,157 @@
+//! A stand-in for discovery: one list with versions, told to watches after a lag.
+
+use crate::boxes::StandIn;
+use crate::lock;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// A box's entry in the list.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// Its name.
+    pub name: String,
+    /// Where it speaks HTTP.
+    pub http: SocketAddr,
+    /// Where it speaks Thrift; `None` where the list does not say.
+    pub thrift: Option<SocketAddr>,
+    /// `active`, `leaving` or `left`.
+    pub health: &'static str,
+    /// When it started, Unix time in milliseconds.
+    pub born_ms: u64,
+    /// Its cell.
+    pub block: u16,
+}
+
+impl Entry {
+    /// An active, long-started box.
+    pub fn of(stand_in: &StandIn) -> Entry {
+        Entry {
+            name: stand_in.name.clone(),
+            http: stand_in.http,
+            thrift: Some(stand_in.thrift),
+            health: "active",
+            born_ms: 0,
+            block: 1,
+        }
+    }
+
+    /// The same, which drains.
+    pub fn leaving(self) -> Entry {
+        Entry { health: "leaving", ..self }
+    }
+
+    /// The same, started then.
+    pub fn born(self, born_ms: u64) -> Entry {
+        Entry { born_ms, ..self }
+    }
+
+    fn json(&self) -> serde_json::Value {
+        let mut entry = serde_json::json!({"host": self.name, "dial": self.http, "site": "a", "class": "m",
+            "block": self.block, "health": self.health, "share": 1.0, "born_ms": self.born_ms});
+        if let Some(thrift) = self.thrift {
+            entry["thrift"] = serde_json::json!(thrift);
+        }
+        entry
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    seq: u64,
+    hosts: Vec<serde_json::Value>,
+    /// When the list became what it is.
+    changed: Instant,
+    lag: Duration,
+}
+
+/// Discovery.
+#[derive(Debug)]
+pub struct Discovery {
+    /// Where nodes watch it.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    told: Arc<Mutex<Option<(u64, Instant)>>>,
+    /// Watches that were opened.
+    pub watches: Arc<AtomicUsize>,
+}
+
+impl Discovery {
+    /// Starts with a list.
+    pub fn start(entries: &[Entry]) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let hosts = entries.iter().map(Entry::json).collect();
+        let state = State { seq: 1, hosts, changed: Instant::now(), lag: Duration::ZERO };
+        let state = Arc::new(Mutex::new(state));
+        let told = Arc::new(Mutex::new(None));
+        let watches = Arc::new(AtomicUsize::new(0));
+        let (list, heard, count) = (state.clone(), told.clone(), watches.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (list, heard) = (list.clone(), heard.clone());
+                count.fetch_add(1, Ordering::SeqCst);
+                thread::spawn(move || watch(stream, &list, &heard));
+            }
+        });
+        Discovery { address, state, told, watches }
+    }
+
+    /// From now on changes are told this much later.
+    pub fn lag(&self, lag: Duration) {
+        lock(&self.state).lag = lag;
+    }
+
+    /// Changes the list; gives its version.
+    pub fn tell(&self, entries: &[Entry]) -> u64 {
+        let mut state = lock(&self.state);
+        state.seq += 1;
+        state.hosts = entries.iter().map(Entry::json).collect();
+        state.changed = Instant::now();
+        state.seq
+    }
+
+    /// Waits until a version was written to a watch, and gives when.
+    pub fn told(&self, seq: u64) -> Instant {
+        let mut at = None;
+        crate::until("discovery tells its list", || {
+            at = lock(&self.told).filter(|(told, _)| *told >= seq).map(|(_, at)| at);
+            at.is_some()
+        });
+        at.unwrap_or_else(Instant::now)
+    }
+}
+
+fn watch(mut stream: TcpStream, state: &Mutex<State>, told: &Mutex<Option<(u64, Instant)>>) -> Option<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        (stream.read(&mut byte).ok()? == 1).then_some(())?;
+        head.push(byte[0]);
+    }
+    stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
+    let (mut last, mut spoken) = (0, Instant::now());
+    loop {
+        let (seq, line, due) = {
+            let state = lock(state);
+            let list = serde_json::json!({"seq": state.seq, "whole": true, "hosts": state.hosts});
+            (state.seq, format!("{list}\n"), state.changed.elapsed() >= state.lag)
+        };
+        if seq != last && (due || last == 0) {
+            let at = Instant::now();
+            write!(stream, "{:x}\r\n{line}\r\n", line.len()).ok()?;
+            (last, spoken) = (seq, Instant::now());
+            let mut told = lock(told);
+            if told.is_none_or(|(before, _)| before < seq) {
+                *told = Some((seq, at));
+            }
+        } else if spoken.elapsed() > Duration::from_millis(500) {
+            stream.write_all(b"1\r\n\n\r\n").ok()?;
+            spoken = Instant::now();
+        }
+        thread::sleep(Duration::from_millis(5));
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/program.rs
@@ -0,0 +1,233 @@
+//! The real program, with a site around it.
+
+use crate::boxes::{Plan, StandIn};
+use crate::client::Client;
+use crate::discovery::{Discovery, Entry};
+use crate::wire::{Answer, Ask, Class, Wire};
+use crate::{fresh, until};
+use laurelroute_thrift::codec::Form;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+
+/// What a test may want otherwise of the site.
+#[derive(Clone, Debug)]
+pub struct Wishes {
+    /// Descriptors that the node may hold.
+    pub sockets: usize,
+    /// Cold servers start at this share of their capacity, and are warm after so many milliseconds.
+    pub cold: (f64, u64),
+    /// Attempts of one request at most.
+    pub max_attempts: u32,
+    /// How long a kept connection may stand idle, in milliseconds.
+    pub conn_idle_ms: u64,
+    /// The aim of every class in milliseconds. The module expects a third of it at first, and turns away what has
+    /// less time left.
+    pub aim_ms: u64,
+    /// Lines for the operator's file, ahead of its Thrift part.
+    pub site: String,
+    /// Who drops the repeats of keyed requests: `all`, `zone` or `cell`.
+    pub group: &'static str,
+}
+
+impl Default for Wishes {
+    fn default() -> Self {
+        Wishes {
+            sockets: 256,
+            cold: (0.3, 5_000),
+            max_attempts: 3,
+            conn_idle_ms: 10_000,
+            aim_ms: 3_000,
+            site: String::new(),
+            group: "all",
+        }
+    }
+}
+
+/// A running node. It is ended with the test.
+#[derive(Debug)]
+pub struct Program {
+    child: Child,
+    /// Where it takes HTTP.
+    pub http: SocketAddr,
+    /// Where it takes Thrift.
+    pub thrift: SocketAddr,
+    wishes: Wishes,
+    files: [PathBuf; 2],
+}
+
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+impl Program {
+    /// Starts `program` with Thrift on, its boxes speaking `form`, and waits until it takes clients.
+    pub fn start(program: &Path, discovery: SocketAddr, form: Form, wishes: Wishes) -> Program {
+        let (http, thrift) = (free_port(), free_port());
+        let base = std::env::temp_dir().join(format!("laurelroute-{}-{}", std::process::id(), fresh()));
+        let files = [base.with_extension("json"), base.with_extension("toml")];
+        write_config(&files[0], http, discovery, &wishes);
+        std::fs::write(&files[1], site(thrift, form, &wishes)).expect("the site's file can be written");
+        let child = Command::new(program)
+            .arg("--site")
+            .arg(&files[1])
+            .env("GW_CONFIG", &files[0])
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        let program = Program { child, http, thrift, wishes, files };
+        until("the program is up", || program.up());
+        program
+    }
+
+    fn up(&self) -> bool {
+        let Some(mut client) = Client::connect(Wire::Http, self.http) else { return false };
+        client.raw(b"GET /up HTTP/1.1\r\nHost: app.svc\r\n\r\n");
+        client.answer().is_some_and(|a| a.served())
+    }
+
+    /// Replaces the configuration by one with another discovery.
+    pub fn configure(&self, discovery: SocketAddr) {
+        write_config(&self.files[0], self.http, discovery, &self.wishes);
+    }
+
+    /// Sends a signal, named as `kill` names it.
+    pub fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
+        assert!(kill.expect("kill runs").success());
+    }
+
+    /// The process's number.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether it still runs.
+    pub fn running(&mut self) -> bool {
+        self.child.try_wait().expect("it can be asked").is_none()
+    }
+
+    /// Where it listens on a wire.
+    pub fn address(&self, wire: Wire) -> SocketAddr {
+        match wire {
+            Wire::Http => self.http,
+            Wire::Thrift { .. } => self.thrift,
+        }
+    }
+
+    /// A new connection.
+    pub fn connect(&self, wire: Wire) -> Client {
+        Client::connect(wire, self.address(wire)).expect("the program accepts")
+    }
+
+    /// One request on a connection of its own.
+    pub fn ask(&self, wire: Wire, ask: &Ask) -> Option<Answer> {
+        Client::connect(wire, self.address(wire))?.ask(ask)
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        self.files.iter().for_each(|file| drop(std::fs::remove_file(file)));
+    }
+}
+
+fn site(listen: SocketAddr, form: Form, wishes: &Wishes) -> String {
+    let methods: String = crate::wire::CLASSES
+        .iter()
+        .map(|c| format!("[[thrift.method]]\nname = \"{0}\"\nclass = \"{0}\"\n", c.name()))
+        .collect();
+    format!(
+        "{}\n[thrift]\nlisten = \"{listen}\"\n[thrift.boxes]\nform = \"{}\"\n[thrift.facts]\n\
+         request_id = [\"field:1\"]\ndeadline = [\"field:2\"]\n{methods}",
+        wishes.site,
+        form.name()
+    )
+}
+
+fn write_config(path: &Path, listen: SocketAddr, discovery: SocketAddr, wishes: &Wishes) {
+    let class = |name: &str, effect: &str| {
+        serde_json::json!({"name": name, "aimNs": wishes.aim_ms * 1_000_000, "giveUpNs": 5_000_000_000u64, "worth": 1.0,
+            "effect": effect, "group": wishes.group, "windowNs": 5_000_000_000u64})
+    };
+    let config = serde_json::json!({
+        "name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 48, "sockets": wishes.sockets},
+        "settings": {
+            "classes": [class("read", "pure"), class("write", "side_effect"), class("keyed", "token")],
+            "tenants": [], "zone": 0, "zones": ["a"], "skus": ["m"], "ordinal": 0, "groupSize": 1,
+            "registryMode": "automatic",
+            "caps": {"maxAttempts": wishes.max_attempts, "secondCopies": false, "cancelling": true,
+                "mayProbe": false, "peers": false, "retryAfter": true, "maxRetryAfterNs": 2_000_000_000u64,
+                "connIdleNs": wishes.conn_idle_ms * 1_000_000, "connectTimeoutNs": 1_000_000_000u64},
+            "guarantees": {"coldFrom": wishes.cold.0, "rampTimeNs": wishes.cold.1 * 1_000_000,
+                "tipMultiple": 3.0, "fallNs": 2_000_000_000u64},
+        },
+    });
+    // Renamed into place: the program must never read half a file.
+    let draft = path.with_extension("new");
+    std::fs::write(&draft, config.to_string()).expect("the configuration can be written");
+    std::fs::rename(&draft, path).expect("the configuration can be replaced");
+}
+
+/// A site: boxes, discovery and a node that has heard of all boxes.
+pub struct Bed {
+    /// The wire under test.
+    pub wire: Wire,
+    /// The boxes.
+    pub boxes: Vec<StandIn>,
+    /// What they do with the next requests.
+    pub plan: Arc<Plan>,
+    /// Discovery.
+    pub discovery: Discovery,
+    /// The node.
+    pub node: Program,
+}
+
+impl Bed {
+    /// A site of so many boxes.
+    pub fn new(program: &Path, wire: Wire, boxes: usize) -> Bed {
+        Bed::wishing(program, wire, boxes, Wishes::default())
+    }
+
+    /// A site with wishes.
+    pub fn wishing(program: &Path, wire: Wire, boxes: usize, wishes: Wishes) -> Bed {
+        let form = match wire {
+            Wire::Http => Form::named("framed-binary").expect("a form"),
+            Wire::Thrift { boxes, .. } => boxes,
+        };
+        let plan = Arc::<Plan>::default();
+        let boxes: Vec<_> =
+            (0..boxes).map(|k| StandIn::start(&format!("box-{k}"), form, plan.clone())).collect();
+        let entries: Vec<_> = boxes.iter().map(Entry::of).collect();
+        let discovery = Discovery::start(&entries);
+        let node = Program::start(program, discovery.address, form, wishes);
+        let bed = Bed { wire, boxes, plan, discovery, node };
+        until("the node serves", || bed.one(Class::Read).is_some_and(|a| a.served()));
+        bed
+    }
+
+    /// One request of a class on a connection of its own.
+    pub fn one(&self, class: Class) -> Option<Answer> {
+        self.node.ask(self.wire, &Ask::new(class))
+    }
+
+    /// How often a request ran, over all boxes.
+    pub fn runs(&self, id: &str) -> usize {
+        self.boxes.iter().map(|b| b.runs(id)).sum()
+    }
+
+    /// How often a request came to a box as far as its id, over all boxes.
+    pub fn arrivals(&self, id: &str) -> usize {
+        self.boxes.iter().map(|b| b.arrivals(id)).sum()
+    }
+
+    /// The list as it stands when all is well.
+    pub fn entries(&self) -> Vec<Entry> {
+        self.boxes.iter().map(Entry::of).collect()
+    }
+}
