Let idle clients of one wire make room for those of another

All fronts share the node's descriptors, but each made room among its own connections only: silent Thrift clients, which may stand idle for a minute, kept HTTP's out. And two boxes whose Thrift addresses fall together by a slip in the operator's file took one another out of use on HTTP too.

Accepting is handed one way to make room over all fronts; only the first wire's address tells processes apart. Tests for both.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -126,25 +126,21 @@
         servers
     }
 
+    /// Only the first wire's addresses count: they tell processes apart, while those of others may follow from a rule
+    /// of the operator's, whose slip must not take servers out of use on every wire.
+    ///
     /// One process listens at an address. Where a newer server has it, the older one is gone, also while the
     /// list still names it: what is sent there reaches the newer one, past all that is counted for it.
     fn displace(&mut self, now: Nanos, servers: &mut Vec<Server>) {
         let mut holders: BTreeMap<SocketAddr, Server> = BTreeMap::new();
         let mut gone = Vec::new();
         for u in self.upstreams.values().filter(|u| u.closed_at.is_none()) {
-            for dial in u.dials.iter().flatten() {
-                let Some(other) = holders.insert(*dial, u.server).filter(|o| o.endpoint != u.server.endpoint)
-                else {
-                    continue;
-                };
-                let (older, newer) = if other.started_at > u.server.started_at {
-                    (u.server, other)
-                } else {
-                    (other, u.server)
-                };
-                holders.insert(*dial, newer);
-                gone.push(older.endpoint);
-            }
+            let Some(Some(dial)) = u.dials.first() else { continue };
+            let Some(other) = holders.insert(*dial, u.server) else { continue };
+            let (older, newer) =
+                if other.started_at > u.server.started_at { (u.server, other) } else { (other, u.server) };
+            holders.insert(*dial, newer);
+            gone.push(older.endpoint);
         }
         for endpoint in gone {
             let Some(upstream) = self.upstreams.get_mut(&endpoint) else { continue };
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -138,6 +138,23 @@
         })
     }
 
+    /// Closes a connection that nobody needs: one that has never said anything, and else the one that has stood
+    /// idle longest; false where there is none. Each is told once, so that a burst of new ones makes as much room as
+    /// it takes.
+    pub fn make_room(&self) -> bool {
+        let open = self.open.borrow();
+        let now = self.gateway.clock.now();
+        let talked = |c: &Client| c.requests.get() > 0;
+        let spare = |c: &&Rc<Client>| {
+            let rested = talked(c) || now.saturating_sub(c.since.get()) >= SILENT;
+            c.stage.get() == Stage::Idle && !c.closing.get() && rested
+        };
+        let mut idle: Vec<_> = open.values().filter(spare).collect();
+        idle.sort_unstable_by_key(|c| (talked(c), c.since.get()));
+        let found = idle.into_iter().find(|c| c.idle());
+        found.inspect(|client| client.stop(false)).is_some()
+    }
+
     /// Every `SWEEP`: closes what stands still.
     pub fn sweep(&self) {
         let now = self.gateway.clock.now();
@@ -179,23 +196,6 @@
         });
     }
 
-    /// Closes a connection that nobody needs: one that has never said anything, and else the one that has stood
-    /// idle longest. Each is told once, so that a burst of new ones makes as much room as it takes.
-    fn make_room(&self) {
-        let open = self.open.borrow();
-        let now = self.gateway.clock.now();
-        let talked = |c: &Client| c.requests.get() > 0;
-        let spare = |c: &&Rc<Client>| {
-            let rested = talked(c) || now.saturating_sub(c.since.get()) >= SILENT;
-            c.stage.get() == Stage::Idle && !c.closing.get() && rested
-        };
-        let mut idle: Vec<_> = open.values().filter(spare).collect();
-        idle.sort_unstable_by_key(|c| (talked(c), c.since.get()));
-        if let Some(client) = idle.into_iter().find(|c| c.idle()) {
-            client.stop(false);
-        }
-    }
-
     fn left(&self) -> &Notify {
         &self.left
     }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -3,7 +3,7 @@
 use crate::config::{Config, ConfigError};
 use crate::discovery::Watcher;
 use crate::site::{Site, SiteError};
-use laurelroute_core::accept::accept;
+use laurelroute_core::accept::{accept, MakeRoom};
 use laurelroute_core::gateway::Gateway;
 use laurelroute_http::front::{Clients, SWEEP};
 use laurelroute_thrift::front::Front;
@@ -99,17 +99,19 @@
     spawn_local(gateway.clone().run_timers());
     let clients = Clients::new(gateway.clone());
     let (stop, stop_thrift) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
-    let mut accepting =
-        vec![spawn_local(accept(clients.clone(), gateway.budget.clone(), listener, stop.clone()))];
-    let front = thrift.map(|(listener, front)| {
-        accepting.push(spawn_local(accept(
-            front.clone(),
-            gateway.budget.clone(),
-            listener,
-            stop_thrift.clone(),
-        )));
-        front
-    });
+    let (thrift_listener, front) = thrift.unzip();
+    let make_room: MakeRoom = {
+        let (clients, front) = (clients.clone(), front.clone());
+        Rc::new(move || {
+            let _ = clients.make_room() || front.as_ref().is_some_and(|f| f.make_room());
+        })
+    };
+    let (budget, room) = (gateway.budget.clone(), make_room.clone());
+    let mut accepting = vec![spawn_local(accept(clients.clone(), budget, room, listener, stop.clone()))];
+    if let (Some(listener), Some(front)) = (thrift_listener, &front) {
+        let budget = gateway.budget.clone();
+        accepting.push(spawn_local(accept(front.clone(), budget, make_room, listener, stop_thrift.clone())));
+    }
     let ready = gateway.clone();
     spawn_local(async move {
         tokio::time::sleep(READY_KNOWN).await;
--- a/crates/node/tests/thrift.rs
+++ b/crates/node/tests/thrift.rs
@@ -3,6 +3,7 @@
 use laurelroute_testkit::boxes::{Act, Plan, StandIn};
 use laurelroute_testkit::client::Client;
 use laurelroute_testkit::discovery::{Discovery, Entry};
+use laurelroute_testkit::load::Load;
 use laurelroute_testkit::program::{Bed, Program, Wishes};
 use laurelroute_testkit::wire::{Answer, Ask, Class, Say, Wire};
 use laurelroute_testkit::{until, PATIENCE};
@@ -417,3 +418,34 @@
     std::fs::remove_file(&path).unwrap();
     assert_eq!(check().0, Some(1));
 }
+
+/// Silent Thrift connections that hold all places make room for clients of either wire.
+#[test]
+fn silent_connections_make_room_for_both_wires() {
+    let wishes = Wishes { sockets: 64, ..Wishes::default() };
+    let bed = Bed::wishing(Path::new(PROGRAM), Wire::thrift("framed-binary"), 1, wishes);
+    let silent: Vec<_> = (0..100).map(|_| bed.node.connect(bed.wire)).collect();
+    for wire in [Wire::Http, bed.wire] {
+        assert!(bed.node.ask(wire, &Ask::new(Class::Read)).is_some_and(|a| a.served()), "{wire:?}");
+    }
+    drop(silent);
+}
+
+/// Boxes whose Thrift addresses fall together by a slip in the operator's file are still all there for HTTP.
+#[test]
+fn one_thrift_address_for_two_boxes_takes_neither_from_http() {
+    let bed = bed("framed-binary", 2);
+    let shared = Some(bed.boxes[0].thrift);
+    let entries: Vec<_> = bed.entries().into_iter().map(|e| Entry { thrift: shared, ..e }).collect();
+    bed.discovery.told(bed.discovery.tell(&entries));
+    until("Thrift is in use at one address", || {
+        let before = bed.boxes[1].came().len();
+        (0..20).all(|_| bed.one(Class::Read).is_some_and(|a| a.served()))
+            && bed.boxes[1].came().len() == before
+    });
+    bed.boxes.iter().for_each(|b| b.usually(Act::After(Duration::from_millis(5))));
+    let load = Load::start(Wire::Http, bed.node.http, 4, Class::Read, 0);
+    let before: Vec<_> = bed.boxes.iter().map(|b| b.came().len()).collect();
+    until("both boxes serve HTTP", || bed.boxes.iter().zip(&before).all(|(b, n)| b.came().len() > n + 5));
+    assert!(load.finish().lost.is_empty());
+}
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -100,6 +100,18 @@
         })
     }
 
+    /// Tells the connection that has stood idle longest to close; false where none is idle.
+    pub fn make_room(&self) -> bool {
+        let open = self.open.borrow();
+        let idle = open.values().filter(|c| c.idle.get() && !c.closing.get());
+        let found = idle.min_by_key(|c| c.since.get());
+        found.inspect(|client| {
+            client.closing.set(true);
+            client.close.notify_one();
+        });
+        found.is_some()
+    }
+
     /// Closes all connections that are between calls; the number of those that are left.
     pub fn close_idle(&self) -> usize {
         let open = self.open.borrow();
@@ -251,16 +263,6 @@
         });
     }
 
-    /// Tells the connection that has stood idle longest to close.
-    fn make_room(&self) {
-        let open = self.open.borrow();
-        let idle = open.values().filter(|c| c.idle.get() && !c.closing.get());
-        if let Some(client) = idle.min_by_key(|c| c.since.get()) {
-            client.closing.set(true);
-            client.close.notify_one();
-        }
-    }
-
     fn left(&self) -> &Notify {
         &self.left
     }
