Hold one cold budget over both wires in the rule suite

A box that speaks both wires is one server; the suite showed that for its cap on connections and not for its cold budget. The new case puts half of the clients on another wire; the box falls over where it gets more than it takes.

--- a/crates/testkit/src/suite.rs
+++ b/crates/testkit/src/suite.rs
@@ -389,10 +389,29 @@
 
 /// A box comes up cold beside two warm ones, and takes at first a tenth of what they take: it is not pushed over.
 pub fn cold_box_is_not_pushed_over(ground: &Ground) {
+    cold_box(ground, &[ground.wire]);
+}
+
+/// The same with half of the clients on another wire: the box has one budget for both.
+pub fn one_cold_budget_over_both_wires(ground: &Ground) {
+    cold_box(ground, &[ground.wire, other(ground.wire)]);
+}
+
+/// A wire that the same node speaks beside this one.
+fn other(wire: Wire) -> Wire {
+    match wire {
+        Wire::Http => Wire::thrift("framed-binary"),
+        Wire::Thrift { .. } => Wire::Http,
+    }
+}
+
+fn cold_box(ground: &Ground, wires: &[Wire]) {
     let (from, ramp_ms, clients, takes) = (0.1, 20_000, 8, Duration::from_millis(10));
     let bed = ground.wishing(3, Wishes { cold: (from, ramp_ms), ..Wishes::default() });
     bed.boxes.iter().for_each(|b| b.usually(Act::After(takes)));
-    let load = Load::start(bed.wire, bed.node.address(bed.wire), clients, Class::Read, 0);
+    let start =
+        |wire: &Wire| Load::start(*wire, bed.node.address(*wire), clients / wires.len(), Class::Read, 0);
+    let loads: Vec<_> = wires.iter().map(start).collect();
     until("the load is on", || bed.boxes.iter().all(|b| b.came().len() > 20));
     let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64);
     // A warm box's part of the most that such clients can ask for, whatever the machine.
@@ -403,8 +422,7 @@
     entries[2] = entries[2].clone().born(now);
     bed.discovery.told(bed.discovery.tell(&entries));
     thread::sleep(Duration::from_millis(3_000));
-    let tally = load.finish();
-    sound(&tally, &bed, Class::Read);
+    loads.into_iter().for_each(|load| sound(&load.finish(), &bed, Class::Read));
     assert!(!bed.boxes[2].fallen(), "the cold box was pushed over");
     assert!(bed.boxes[0].came().len() > 50, "too little came to say anything");
 }
@@ -533,10 +551,7 @@
     let site = "[servers]\nmax_connections = 4\n".to_owned();
     let bed = ground.wishing(1, Wishes { site, ..Wishes::default() });
     bed.boxes[0].usually(Act::After(Duration::from_millis(10)));
-    let other = match bed.wire {
-        Wire::Http => Wire::thrift("framed-binary"),
-        Wire::Thrift { .. } => Wire::Http,
-    };
+    let other = other(bed.wire);
     let one = Load::start(bed.wire, bed.node.address(bed.wire), 6, Class::Read, 0);
     let two = Load::start(other, bed.node.address(other), 6, Class::Read, 0);
     thread::sleep(Duration::from_millis(600));
@@ -604,6 +619,7 @@
                     safe_kept_connection_closed unsafe_kept_connection_closed
                     safe_kept_connection_reset unsafe_kept_connection_reset keyed_kept_connection_reset
                     safe_drain_under_load unsafe_drain_under_load gone_under_load cold_box_is_not_pushed_over
+                    one_cold_budget_over_both_wires
                     safe_restart_under_load unsafe_restart_under_load restart_with_a_request_out
                     reload_under_load client_goes_away an_open_id_is_taken_once a_trickle_is_served
                     drawn_failures_keep_the_rules a_large_body_is_served keyed_stays_in_its_cell one_cap_over_both_wires
