--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -172,11 +172,6 @@
         Some(Place(upstream.open.clone()))
     }
 
-    /// Connections open to a server, over all wires.
-    pub fn connections(&self, server: Endpoint) -> u32 {
-        self.upstreams.get(&server).map_or(0, |u| u.open.get())
-    }
-
     /// The newest kept connection of the wire that is still good, and when it was opened.
     pub fn checkout<C: Kept>(
         &mut self,
