Say of a refused Thrift call only what is known, and share a method's sources

Read once more: a refused call was told that it never ran, which is so for an unsafe one; a safe one may have run and is refused because repeating it does no harm. The text now says that. A method's sources were cloned with every call; the table hands them out shared. The four lists of sources were read twice by near copies, and the next answer was matched in two passes.

--- a/crates/node/src/site.rs
+++ b/crates/node/src/site.rs
@@ -204,6 +204,18 @@
         list.iter().map(source).collect()
     }
 
+    /// The sources of deadline, request id, tenant and route key, whose keys stand under `prefix`.
+    fn facts(&self, prefix: &str, lists: [&[Spanned<String>]; 4]) -> Result<Sources, SiteError> {
+        let [deadline, request_id, tenant, route_key] = lists;
+        let sources = |key: &str, list| self.sources(&format!("{prefix}{key}"), list);
+        Ok(Sources {
+            deadline: sources("deadline", deadline)?,
+            request_id: sources("request_id", request_id)?,
+            tenant: sources("tenant", tenant)?,
+            route_key: sources("route_key", route_key)?,
+        })
+    }
+
     fn thrift(&self, table: ThriftTable, classes: Classes<'_>) -> Result<Thrift, SiteError> {
         let standard = Limits::default();
         let message = self.number("thrift.max_message", table.max_message, MOST_MESSAGE, standard.message)?;
@@ -224,12 +236,9 @@
             }
             port => port.map(Spanned::into_inner),
         };
-        let common = Sources {
-            deadline: self.sources("thrift.facts.deadline", &table.facts.deadline)?,
-            request_id: self.sources("thrift.facts.request_id", &table.facts.request_id)?,
-            tenant: self.sources("thrift.facts.tenant", &table.facts.tenant)?,
-            route_key: self.sources("thrift.facts.route_key", &table.facts.route_key)?,
-        };
+        let facts = &table.facts;
+        let common = self
+            .facts("thrift.facts.", [&facts.deadline, &facts.request_id, &facts.tenant, &facts.route_key])?;
         let mut methods = Table::default();
         for method in &table.methods {
             self.method(&mut methods, method, &common, classes)?;
@@ -278,12 +287,8 @@
                 class
             }
         };
-        let sources = Sources {
-            deadline: self.sources("deadline", &method.deadline)?,
-            request_id: self.sources("request_id", &method.request_id)?,
-            tenant: self.sources("tenant", &method.tenant)?,
-            route_key: self.sources("route_key", &method.route_key)?,
-        };
+        let sources =
+            self.facts("", [&method.deadline, &method.request_id, &method.tenant, &method.route_key])?;
         if !methods.add(name, Method { class: class as u8, sources: sources.or(common) }) {
             return Err(self.at(&method.name, format!("`{name}` stands twice")));
         }
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -163,16 +163,10 @@
         tokio::task::spawn_local(async move {
             let verdict = waiting.verdict().await;
             front.oneway.set(front.oneway.get() - 1);
-            front.lost(&waiting.head, &verdict);
+            tell_lost(&waiting.head, &verdict);
         });
     }
 
-    fn lost(&self, head: &Head, verdict: &Verdict<Served>) {
-        if let Verdict::GivenUp(end) = verdict {
-            tracing::warn!("thrift: oneway call of {:?} was not sent: {end:?}", head.name);
-        }
-    }
-
     /// Checks a call, before anything is held for it, and hands it to the gateway.
     fn submit(
         self: &Rc<Self>,
@@ -209,7 +203,7 @@
     /// The final answer in the form of its call; `None` where none is owed.
     fn encode(&self, call: &Waiting, verdict: Verdict<Served>) -> Option<Encoded> {
         if call.head.kind == Kind::Oneway {
-            self.lost(&call.head, &verdict);
+            tell_lost(&call.head, &verdict);
             return None;
         }
         let exception =
@@ -232,14 +226,21 @@
     }
 }
 
+/// Nobody hears that a oneway call was given up but the operator.
+fn tell_lost(head: &Head, verdict: &Verdict<Served>) {
+    if let Verdict::GivenUp(end) = verdict {
+        tracing::warn!("thrift: oneway call of {:?} was given up: {end:?}", head.name);
+    }
+}
+
 fn pairs(message: &Message) -> Vec<(String, String)> {
     message.header.as_ref().map(|h| h.pairs.clone()).unwrap_or_default()
 }
 
 fn advice(gateway: &Gateway, retry_after: Nanos) -> String {
     match gateway.site.advice(retry_after) {
-        Some(seconds) => format!("refused, never ran; retry after {seconds:.3} s"),
-        None => "refused, never ran".to_owned(),
+        Some(seconds) => format!("refused, repeating it is harmless; retry after {seconds:.3} s"),
+        None => "refused, repeating it is harmless".to_owned(),
     }
 }
 
@@ -374,15 +375,14 @@
 
 /// Waits for the answer that is owed first, and takes it off the queue.
 async fn next_answer(front: &Front, owed: &mut VecDeque<Owed>) -> Option<Encoded> {
-    let out = match owed.front_mut()? {
-        Owed::Ready(_) => None,
-        Owed::Waiting(call) => {
-            let verdict = call.verdict().await;
-            Some(front.encode(call, verdict))
-        }
-    };
-    match (owed.pop_front()?, out) {
-        (Owed::Ready(out), _) => Some(out),
-        (Owed::Waiting(_), out) => out.flatten(),
+    if let Owed::Waiting(call) = owed.front_mut()? {
+        let verdict = call.verdict().await;
+        let out = front.encode(call, verdict);
+        owed.pop_front();
+        return out;
+    }
+    match owed.pop_front()? {
+        Owed::Ready(out) => Some(out),
+        Owed::Waiting(_) => None,
     }
 }
--- a/crates/thrift/src/table.rs
+++ b/crates/thrift/src/table.rs
@@ -4,6 +4,7 @@
 use crate::codec::message::Message;
 use crate::codec::path::{find, FieldPath, PathError, Value};
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::str::FromStr;
 
 /// Bytes of a request's id, tenant or route key at most.
@@ -157,16 +158,16 @@
 
 /// Methods by their names: `method`, `service:method`, and `service:*` for the rest of a service.
 #[derive(Clone, Debug, Default)]
-pub struct Table(HashMap<String, Method>);
+pub struct Table(HashMap<String, Rc<Method>>);
 
 impl Table {
     /// Adds a method; false where the name is there already.
     pub fn add(&mut self, name: &str, method: Method) -> bool {
-        self.0.insert(name.to_owned(), method).is_none()
+        self.0.insert(name.to_owned(), Rc::new(method)).is_none()
     }
 
     /// What a call of this name means; `None` where the table does not say.
-    pub fn method(&self, name: &str) -> Option<&Method> {
+    pub fn method(&self, name: &str) -> Option<&Rc<Method>> {
         let rest = || name.split_once(':').and_then(|(service, _)| self.0.get(&format!("{service}:*")));
         self.0.get(name).or_else(rest)
     }
--- a/crates/thrift/src/upstream.rs
+++ b/crates/thrift/src/upstream.rs
@@ -54,7 +54,7 @@
 #[derive(Debug)]
 pub struct ThriftExchange {
     message: Message,
-    method: Method,
+    method: Rc<Method>,
     boxes: Boxes,
     reply: Reply<Served>,
     _lease: Lease,
@@ -62,7 +62,13 @@
 
 impl ThriftExchange {
     /// A call of a method, which takes what the lease holds.
-    pub fn new(message: Message, method: Method, boxes: Boxes, reply: Reply<Served>, lease: Lease) -> Self {
+    pub fn new(
+        message: Message,
+        method: Rc<Method>,
+        boxes: Boxes,
+        reply: Reply<Served>,
+        lease: Lease,
+    ) -> Self {
         ThriftExchange { message, method, boxes, reply, _lease: lease }
     }
 
