Roles forward, plan and explain over a channel under mutual TLS

Many thin forwarders move traffic by the plan of a few planners. Planners hold soft state only.

It found two faults on the way: a planner that did not speak Thrift dropped the boxes' Thrift addresses, and a planner with a stale list went on being followed.

--- /dev/null
+++ b/crates/channel/src/frames.rs
@@ -0,0 +1,95 @@
+//! Messages on a stream: four bytes of length, highest first, then the message.
+
+use laurelroute_plan::wire::{Body, Frame, LONGEST};
+use prost::Message;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Why a connection is of no more use.
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    /// The stream broke or ended.
+    #[error("{0}")]
+    Stream(#[from] std::io::Error),
+    /// A message is too long to be taken.
+    #[error("a message of {0} bytes; at most {LONGEST} are taken")]
+    TooLong(usize),
+    /// The bytes are no message.
+    #[error("a message that cannot be read: {0}")]
+    Unreadable(#[from] prost::DecodeError),
+}
+
+/// Memory that is taken for a message before its bytes come: a length alone must not cost a peer's word.
+const FIRST: usize = 16 << 10;
+
+/// Reads the next message; `None` for one of a kind that this version does not know.
+pub async fn read(stream: &mut (impl AsyncRead + Unpin)) -> Result<Option<Body>, FrameError> {
+    let length = stream.read_u32().await? as usize;
+    if length > LONGEST {
+        return Err(FrameError::TooLong(length));
+    }
+    let mut bytes = Vec::with_capacity(length.min(FIRST));
+    let got = stream.take(length as u64).read_to_end(&mut bytes).await?;
+    if got < length {
+        return Err(std::io::Error::from(std::io::ErrorKind::UnexpectedEof).into());
+    }
+    Ok(Frame::decode(&bytes[..])?.body)
+}
+
+/// Writes one message; its bytes on the wire are given back.
+pub async fn write(stream: &mut (impl AsyncWrite + Unpin), body: Body) -> Result<usize, FrameError> {
+    let frame = Frame::from(body);
+    let length = frame.encoded_len();
+    if length > LONGEST {
+        return Err(FrameError::TooLong(length));
+    }
+    let mut bytes = Vec::with_capacity(length + 4);
+    bytes.extend_from_slice(&(length as u32).to_be_bytes());
+    // A vector grows as it is written to: this cannot fail.
+    let _ = frame.encode(&mut bytes);
+    stream.write_all(&bytes).await?;
+    stream.flush().await?;
+    Ok(bytes.len())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use laurelroute_plan::wire::{Ask, Part};
+
+    fn run<T>(future: impl std::future::Future<Output = T>) -> T {
+        tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(future)
+    }
+
+    #[test]
+    fn messages_come_as_they_were_sent_and_bad_ones_are_told_apart() {
+        run(async {
+            let (mut a, mut b) = tokio::io::duplex(1 << 20);
+            let bodies = [Body::Ask(Ask::default()), Body::Part(Part { version: 7, ..Part::default() })];
+            for body in &bodies {
+                write(&mut a, body.clone()).await.unwrap();
+            }
+            for body in bodies {
+                assert_eq!(read(&mut b).await.unwrap(), Some(body));
+            }
+            // A kind of a later version: field 99, empty.
+            a.write_all(&[0, 0, 0, 3, 0x9a, 0x06, 0]).await.unwrap();
+            assert_eq!(read(&mut b).await.unwrap(), None);
+            a.write_all(&[0, 0, 0, 1, 0xff]).await.unwrap();
+            assert!(matches!(read(&mut b).await, Err(FrameError::Unreadable(_))));
+            a.write_all(&[0xff; 4]).await.unwrap();
+            assert!(matches!(read(&mut b).await, Err(FrameError::TooLong(_))));
+            a.write_all(&[0, 0, 1, 0, 5]).await.unwrap();
+            drop(a);
+            assert!(matches!(read(&mut b).await, Err(FrameError::Stream(_))));
+        });
+    }
+
+    #[test]
+    fn a_message_beyond_the_bound_is_not_sent() {
+        run(async {
+            let (mut a, _b) = tokio::io::duplex(64);
+            let part = Part { removed: vec!["x".repeat(LONGEST)], ..Part::default() };
+            assert!(matches!(write(&mut a, Body::Part(part)).await, Err(FrameError::TooLong(_))));
+        });
+    }
+}
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -153,6 +153,28 @@
         }
     }
 
+    /// Sets how many connections of this node's one server may hold from now on. What is above it is closed as it is
+    /// given back.
+    pub fn limit(&mut self, most: Option<u32>) {
+        self.most_connections = most;
+    }
+
+    /// Under which identity the module knows a server, while it is remembered.
+    pub fn known(&self, host: &str) -> Option<Endpoint> {
+        let endpoint = self.endpoint(host);
+        self.upstreams.contains_key(&endpoint).then_some(endpoint)
+    }
+
+    /// A server's name.
+    pub fn name(&self, server: Endpoint) -> Option<&str> {
+        self.upstreams.get(&server).map(|u| u.host.as_str())
+    }
+
+    /// Connections open to each server, over all wires.
+    pub fn connections(&self) -> impl Iterator<Item = u32> + '_ {
+        self.upstreams.values().map(|u| u.open.get())
+    }
+
     /// Where a server listens, as long as it may be sent anything new.
     pub fn dial(&self, server: Endpoint, wire: Wire) -> Option<SocketAddr> {
         let upstream = self.upstreams.get(&server).filter(|u| u.closed_at.is_none())?;
@@ -200,8 +222,9 @@
         (opened, since): (Nanos, Nanos),
     ) {
         let current = self.dial(server, wire) == Some(dial);
+        let most = self.most_connections.unwrap_or(u32::MAX);
         if let Some(u) = self.upstreams.get_mut(&server).filter(|_| current) {
-            if u.server.started_at <= opened {
+            if u.server.started_at <= opened && u.open.get() <= most {
                 u.idle.push(Idle { wire, connection, opened, since });
             }
         }
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -9,7 +9,8 @@
 use crate::fleet::{Entry, Fleet};
 use crate::ids::Ids;
 use laurelroute_policy::interface::{
-    Action, Ending, Endpoint, Event, ListKind, Nanos, Request, RequestId, Settings, SettingsError,
+    Action, Ending, Endpoint, Event, Guide, ListKind, Nanos, Observed, Request, RequestId, Settings,
+    SettingsError,
 };
 use laurelroute_policy::Balancer;
 use std::cell::{Cell, RefCell};
@@ -273,6 +274,24 @@
         self.handle(&mut state, Event::List { kind, servers });
     }
 
+    /// A plan for the whole fleet has come, or has aged.
+    pub fn guide(self: &Rc<Self>, guide: Guide) {
+        let mut state = self.state.borrow_mut();
+        self.handle(&mut state, Event::Plan(guide));
+    }
+
+    /// What the module has met of each server, by name.
+    pub fn observed(&self) -> Vec<(String, Observed)> {
+        let state = self.state.borrow();
+        let named = |o: Observed| Some((state.fleet.name(o.server)?.to_owned(), o));
+        state.balancer.observed(self.clock.now()).filter_map(named).collect()
+    }
+
+    /// Requests a second that were let in lately, by class and by tenant.
+    pub fn admitted(&self) -> [Vec<f64>; 2] {
+        self.state.borrow().balancer.admitted(self.clock.now())
+    }
+
     /// Waits for timers and tells the module of them, for good.
     pub async fn run_timers(self: Rc<Self>) {
         loop {
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,7 +1,7 @@
 //! The command line.
 
 use crate::config::Config;
-use crate::run::{self, StartError};
+use crate::run::{self, Role, StartError};
 use crate::site::{Site, SiteError};
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
@@ -12,7 +12,7 @@
 #[command(name = "laurelroute", version)]
 struct Arguments {
     /// The operator's file (see deploy/site.example.toml).
-    #[arg(long, value_name = "FILE")]
+    #[arg(long, value_name = "FILE", global = true)]
     site: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Command>,
@@ -20,6 +20,22 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Moves traffic by the plan of the planners that the operator's file names.
+    Forward,
+    /// Plans for all forwarders.
+    Plan,
+    /// Asks a planner what its plan says now, and why.
+    Explain {
+        /// The planner's address.
+        #[arg(long, value_name = "ADDRESS")]
+        plan: std::net::SocketAddr,
+        /// Of this box.
+        #[arg(long = "box", value_name = "ID")]
+        server: Option<String>,
+        /// Of this class.
+        #[arg(long, value_name = "CLASS", conflicts_with = "server")]
+        class: Option<String>,
+    },
     /// Checks an operator's file; errors name key and line.
     Check {
         /// The file.
@@ -38,6 +54,8 @@
     Config(#[from] crate::config::ConfigError),
     #[error("{0}")]
     Site(#[from] SiteError),
+    #[error("{0}")]
+    Ask(#[from] crate::ask::AskError),
 }
 
 /// The program, from its arguments to its exit.
@@ -52,8 +70,14 @@
 }
 
 fn act(arguments: Arguments) -> Result<(), Failure> {
+    let site = arguments.site.as_deref();
     match arguments.command {
-        None => Ok(run::start(arguments.site.as_deref())?),
+        None => Ok(run::start(site, Role::OneLevel)?),
+        Some(Command::Forward) => Ok(run::start(site, Role::Forwarder)?),
+        Some(Command::Plan) => Ok(run::start(site, Role::Planner)?),
+        Some(Command::Explain { plan, server, class }) => {
+            Ok(crate::ask::explain(site, plan, server.unwrap_or_default(), class.unwrap_or_default())?)
+        }
         Some(Command::Check { file, config }) => check(&file, config.as_deref()),
     }
 }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -8,13 +8,12 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use laurelroute_core::fleet::{Dials, Entry};
-use laurelroute_core::gateway::{Gateway, ListCall};
+use laurelroute_core::gateway::ListCall;
 use laurelroute_policy::interface::{Endpoint, ListKind, Phase, Server};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -98,9 +97,14 @@
     Moved,
 }
 
+/// Who is told what discovery says: what kind of list, its version and its entries.
+pub type Sink = Box<dyn Fn(ListKind, u64, Vec<Entry>)>;
+
 /// Follows discovery.
 pub struct Watcher {
-    gateway: Rc<Gateway>,
+    sink: Sink,
+    /// Discovery has to be asked, and may let a call wait.
+    must_subscribe: bool,
     seq: u64,
     /// Nothing is held that changes could build on.
     blank: bool,
@@ -118,13 +122,8 @@
 
 impl Watcher {
     /// Starts with the list that the configuration holds.
-    pub fn new(
-        gateway: Rc<Gateway>,
-        config: &Config,
-        site: &Site,
-        address: watch::Receiver<SocketAddr>,
-    ) -> Self {
-        let rng = Pcg64Mcg::seed_from_u64(gateway.site.seed ^ 0x6469_7363);
+    pub fn new(sink: Sink, config: &Config, site: &Site, address: watch::Receiver<SocketAddr>) -> Self {
+        let rng = Pcg64Mcg::seed_from_u64(config.site.seed ^ 0x6469_7363);
         let heard_at = Some(*address.borrow());
         let mut watcher = Watcher {
             seq: 0,
@@ -137,18 +136,25 @@
             kinds: config.kinds.clone(),
             thrift: site.thrift.as_ref().map(|t| t.port),
             rng,
-            gateway,
+            sink,
+            must_subscribe: config.site.settings.must_subscribe,
         };
         if let Some(known) = config.known.clone() {
             watcher.seq = known.seq;
             watcher.blank = false;
             watcher.tell(ListKind::Cached, known);
         } else {
-            watcher.gateway.list(ListKind::Cached, Vec::new());
+            (watcher.sink)(ListKind::Cached, 0, Vec::new());
         }
         watcher
     }
 
+    /// Every address that an entry has is told: others may speak wires that this process does not.
+    pub fn with_all_addresses(mut self) -> Self {
+        self.thrift = self.thrift.or(Some(None));
+        self
+    }
+
     /// Lists come unasked: the watch is the node's to keep alive.
     pub async fn follow(mut self) {
         let mut pause = PAUSE_FIRST;
@@ -189,7 +195,7 @@
                     next = Some(ListCall::Subscribe);
                     continue;
                 }
-                self.gateway.list(ListKind::Failed, Vec::new());
+                (self.sink)(ListKind::Failed, self.seq, Vec::new());
             }
             next = calls.recv().await;
         }
@@ -222,7 +228,7 @@
         }
         let mut body = self.get(path).await?;
         let mut held: Vec<u8> = Vec::new();
-        let patience = if self.gateway.site.settings.must_subscribe { CALL } else { SILENCE };
+        let patience = if self.must_subscribe { CALL } else { SILENCE };
         let mut within = patience;
         while let Some(frame) = timeout(within, body.frame()).await.map_err(|_| WatchError::Silent)? {
             within = SILENCE;
@@ -259,7 +265,6 @@
         self.seq = list.seq;
         self.blank = false;
         self.tell(if list.whole { ListKind::Full } else { ListKind::Changes }, list);
-        self.gateway.ready.set(true);
         Ok(())
     }
 
@@ -286,7 +291,7 @@
                 started_at: h.born_ms.unwrap_or(0).saturating_mul(1_000_000),
             },
         };
-        self.gateway.list(kind, list.hosts.into_iter().map(entry).collect());
+        (self.sink)(kind, list.seq, list.hosts.into_iter().map(entry).collect());
     }
 
     /// Its addresses by wire: HTTP, and Thrift where this node speaks it.
@@ -314,7 +319,7 @@
         *request.uri_mut() = path.parse().unwrap_or_default();
         let host = hyper::header::HeaderValue::try_from(address.to_string());
         request.headers_mut().extend(host.ok().map(|h| (hyper::header::HOST, h)));
-        let wait = if self.gateway.site.settings.must_subscribe { CALL } else { SILENCE };
+        let wait = if self.must_subscribe { CALL } else { SILENCE };
         let answer = timeout(wait, sender.send_request(request)).await.map_err(|_| WatchError::Silent)??;
         match answer.status() {
             StatusCode::OK => Ok(answer.into_body()),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,8 +1,13 @@
 //! The node: configuration, discovery and the wiring of fronts, core and decision module.
 
+mod ask;
 pub mod cli;
 pub mod config;
 pub mod discovery;
+mod forward;
+pub mod levels;
 mod log;
+mod plan;
 pub mod run;
 pub mod site;
+mod source;
--- a/crates/node/src/log.rs
+++ b/crates/node/src/log.rs
@@ -4,6 +4,7 @@
 
 use std::io::{self, Write};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
 use tracing_subscriber::fmt::MakeWriter;
 
 /// Lines that one life of the node writes at most: a log that grows with the trouble is trouble itself.
@@ -67,10 +68,49 @@
         .try_init();
 }
 
+/// A kind of line that peers can cause: written at once, and then at most once in a while, with a count of the rest.
+#[derive(Debug, Default)]
+pub(crate) struct Seldom {
+    at: Option<Instant>,
+    held_back: u64,
+}
+
+/// Between two lines of one kind.
+const SELDOM: Duration = Duration::from_secs(10);
+
+impl Seldom {
+    /// Warns by what `text` makes of a remark on how many lines were held back, which is empty for none.
+    pub(crate) fn warn(&mut self, text: impl FnOnce(String) -> String) {
+        if let Some(remark) = self.turn(Instant::now()) {
+            tracing::warn!("{}", text(remark));
+        }
+    }
+
+    fn turn(&mut self, now: Instant) -> Option<String> {
+        if self.at.is_some_and(|at| now.saturating_duration_since(at) < SELDOM) {
+            self.held_back += 1;
+            return None;
+        }
+        self.at = Some(now);
+        Some(match std::mem::take(&mut self.held_back) {
+            0 => String::new(),
+            n => format!(" (and {n} more like it)"),
+        })
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
 
+    #[test]
+    fn what_peers_cause_is_written_seldom() {
+        let (mut seldom, now) = (Seldom::default(), Instant::now());
+        assert_eq!(seldom.turn(now).as_deref(), Some(""));
+        assert!((0..9).all(|_| seldom.turn(now + SELDOM / 2).is_none()));
+        assert_eq!(seldom.turn(now + SELDOM).as_deref(), Some(" (and 9 more like it)"));
+    }
+
     #[test]
     fn lines_are_bounded_in_number_and_length() {
         let log = Bounded::default();
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -2,7 +2,10 @@
 
 use crate::config::{Config, ConfigError};
 use crate::discovery::Watcher;
+use crate::forward::Forwarding;
+use crate::levels::LevelError;
 use crate::site::{Site, SiteError};
+use crate::{plan, source};
 use laurelroute_core::accept::{accept, MakeRoom};
 use laurelroute_core::gateway::Gateway;
 use laurelroute_http::front::{Clients, SWEEP};
@@ -39,6 +42,9 @@
     /// The operator's file is at fault.
     #[error("{0}")]
     Site(#[from] SiteError),
+    /// The role needs more than the operator's file says.
+    #[error("{0}")]
+    Level(#[from] LevelError),
     /// The address is taken, or none of this machine's.
     #[error("cannot listen on {address}: {error}")]
     Listen {
@@ -52,14 +58,40 @@
     System(#[from] std::io::Error),
 }
 
+/// What this process is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Decides by itself and moves traffic: the platform's node.
+    OneLevel,
+    /// Moves traffic by a plan.
+    Forwarder,
+    /// Plans.
+    Planner,
+}
+
 /// Runs a node on this thread until SIGTERM: by `GW_CONFIG`, and by the operator's file where there is one.
-pub fn start(site: Option<&Path>) -> Result<(), StartError> {
+pub fn start(site: Option<&Path>, role: Role) -> Result<(), StartError> {
     crate::log::start();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, run(site))
+    LocalSet::new().block_on(&runtime, async {
+        match role {
+            Role::OneLevel | Role::Forwarder => run(site, role).await,
+            Role::Planner => plan::run(site).await,
+        }
+    })
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+/// The configuration, and the operator's file checked against it.
+pub(crate) fn load(site: Option<&Path>) -> Result<(Config, Site), StartError> {
+    let config = Config::load()?;
+    let site = match site {
+        Some(path) => Site::load(path, Some((&config.site.classes, &config.site.settings)))?,
+        None => Site::default(),
+    };
+    Ok((config, site))
+}
+
+pub(crate) fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     let open = || {
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         // A restarted node must not wait for its former connections to age.
@@ -70,14 +102,14 @@
     open().map_err(|error| StartError::Listen { address, error })
 }
 
-async fn run(site: Option<&Path>) -> Result<(), StartError> {
+async fn run(site: Option<&Path>, role: Role) -> Result<(), StartError> {
     // Before all else: either signal ends a program that does not listen for it.
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
-    let mut config = Config::load()?;
-    let site = match site {
-        Some(path) => Site::load(path, Some((&config.site.classes, &config.site.settings)))?,
-        None => Site::default(),
+    let (mut config, site) = load(site)?;
+    let forwarding = match role {
+        Role::Forwarder => Some(Forwarding::new(&site)?),
+        Role::OneLevel | Role::Planner => None,
     };
     config.site.most_connections = site.max_connections;
     let (push, known) =
@@ -90,11 +122,11 @@
         Some(thrift) => Some((listen(thrift.listen)?, Front::new(gateway.clone(), thrift.front.clone()))),
         None => None,
     };
-    let watcher = Watcher::new(gateway.clone(), &config, &site, discovery.subscribe());
-    if push {
-        spawn_local(watcher.follow());
-    } else {
-        spawn_local(watcher.obey(calls));
+    let one_level = || Watcher::new(source::to_gateway(&gateway), &config, &site, discovery.subscribe());
+    match forwarding {
+        Some(forwarding) => forwarding.start(&gateway, &config, &site, discovery.subscribe()),
+        None if push => drop(spawn_local(one_level().follow())),
+        None => drop(spawn_local(one_level().obey(calls))),
     }
     spawn_local(gateway.clone().run_timers());
     let clients = Clients::new(gateway.clone());
@@ -138,7 +170,7 @@
 
 /// SIGHUP: the configuration has been replaced. What can change under way is taken over; a file that cannot be
 /// read, or that is only half there yet, is tried again a few times and else leaves everything as it was.
-async fn reload(old: Config, discovery: watch::Sender<SocketAddr>, mut hangup: Signal) {
+pub(crate) async fn reload(old: Config, discovery: watch::Sender<SocketAddr>, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
         for _ in 0..RELOAD_TRIES {
             match Config::load() {
--- a/crates/node/src/site.rs
+++ b/crates/node/src/site.rs
@@ -2,6 +2,7 @@
 //!
 //! Every error names the file, the line and the key. Nothing in it is on unless it is named there.
 
+use crate::levels::{ForwardTable, LevelTables, Levels, PeersTable, PlanTable};
 use laurelroute_policy::interface::{Effect, Settings};
 use laurelroute_thrift::codec::decoder::Accept;
 use laurelroute_thrift::codec::{application, Form, Limits, FORMS};
@@ -50,6 +51,9 @@
     #[serde(default)]
     servers: ServersTable,
     thrift: Option<ThriftTable>,
+    peers: Option<Spanned<PeersTable>>,
+    forward: Option<Spanned<ForwardTable>>,
+    plan: Option<Spanned<PlanTable>>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -129,6 +133,8 @@
     pub max_connections: Option<u32>,
     /// The Thrift side.
     pub thrift: Option<Thrift>,
+    /// Two levels: who this peer is, and what it does as forwarder or planner.
+    pub levels: Levels,
 }
 
 /// The classes that methods can name, with their effects; `None` where only the file itself is checked.
@@ -158,27 +164,36 @@
             n => n.as_ref().map(|n| *n.get_ref()),
         };
         let thrift = table.thrift.map(|t| check.thrift(t, classes)).transpose()?;
-        Ok(Site { max_connections, thrift })
+        let tables = LevelTables { peers: table.peers, forward: table.forward, plan: table.plan };
+        let levels = tables.checked(&check, classes)?;
+        Ok(Site { max_connections, thrift, levels })
     }
 }
 
-struct Check<'a> {
-    file: &'a str,
+/// The file under check.
+pub(crate) struct Check<'a> {
+    pub(crate) file: &'a str,
     text: &'a str,
 }
 
 impl Check<'_> {
-    fn error(&self, offset: Option<usize>, message: impl Into<String>) -> SiteError {
+    pub(crate) fn error(&self, offset: Option<usize>, message: impl Into<String>) -> SiteError {
         let line = offset.map(|at| 1 + self.text[..at.min(self.text.len())].matches('\n').count());
         SiteError { file: self.file.to_owned(), line, message: message.into() }
     }
 
-    fn at<T>(&self, value: &Spanned<T>, message: impl Into<String>) -> SiteError {
+    pub(crate) fn at<T>(&self, value: &Spanned<T>, message: impl Into<String>) -> SiteError {
         self.error(Some(value.span().start), message)
     }
 
     /// A number between 1 and a limit, or the default where there is none.
-    fn number<T>(&self, key: &str, value: Option<Spanned<T>>, most: T, or: T) -> Result<T, SiteError>
+    pub(crate) fn number<T>(
+        &self,
+        key: &str,
+        value: Option<Spanned<T>>,
+        most: T,
+        or: T,
+    ) -> Result<T, SiteError>
     where
         T: Copy + PartialOrd + Default + fmt::Display,
     {
--- /dev/null
+++ b/crates/node/src/source.rs
@@ -0,0 +1,34 @@
+//! What discovery says, handed to whoever goes by it.
+
+use crate::discovery::Sink;
+use laurelroute_core::fleet::Entry;
+use laurelroute_core::gateway::Gateway;
+use laurelroute_plan::member::Member;
+use laurelroute_policy::interface::ListKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Straight to the gateway: the one-level node.
+pub(crate) fn to_gateway(gateway: &Rc<Gateway>) -> Sink {
+    let gateway = gateway.clone();
+    Box::new(move |kind, _, entries| {
+        gateway.list(kind, entries);
+        if matches!(kind, ListKind::Full | ListKind::Changes) {
+            gateway.ready.set(true);
+        }
+    })
+}
+
+/// A box as planners and forwarders know it.
+pub(crate) fn member(entry: Entry) -> Member {
+    Member { name: entry.host, addresses: entry.dials, server: entry.server }
+}
+
+/// A box as the gateway knows it. Where the list does not say where it speaks Thrift, it does so on `port`.
+pub(crate) fn entry(member: Member, port: Option<u16>) -> Entry {
+    let mut dials = member.addresses;
+    if let (Some(port), Some(Some(http)), [_, None]) = (port, dials.first().copied(), &dials[..]) {
+        dials[1] = Some(SocketAddr::new(http.ip(), port));
+    }
+    Entry { host: member.name, dials, server: member.server }
+}
--- a/crates/node/tests/rules.rs
+++ b/crates/node/tests/rules.rs
@@ -1,5 +1,6 @@
 //! The rule suite over every wire: the same bodies, the real program, sockets on loopback.
 
+use laurelroute_testkit::levels::Levels;
 use laurelroute_testkit::wire::Wire;
 
 laurelroute_testkit::rule_suite! { env!("CARGO_BIN_EXE_laurelroute");
@@ -9,5 +10,8 @@
     unframed_binary: super::Wire::thrift("unframed-binary");
     unframed_compact: super::Wire::thrift("unframed-compact");
     theader: super::Wire::thrift("header-binary");
+    forwarder_planners_up: (super::Wire::Http, super::Levels::Up);
+    forwarder_planners_dead: (super::Wire::Http, super::Levels::Dead);
+    forwarder_planners_disagreeing: (super::Wire::Http, super::Levels::Disagreeing);
     compact_to_binary: super::Wire::mixed("header-compact", "framed-binary");
 }
--- a/crates/plan/src/explain.rs
+++ b/crates/plan/src/explain.rs
@@ -2,7 +2,7 @@
 
 use crate::planner::{Planner, Server};
 use crate::wire::{Ask, Suspicion};
-use laurelroute_policy::interface::{Nanos, Phase};
+use laurelroute_policy::interface::Phase;
 use std::fmt::Write;
 
 /// Lines about single forwarders; the rest are counted.
@@ -12,7 +12,7 @@
 
 impl Planner {
     /// Answers what the plan says now of a box, of a class, or as a whole where neither is named.
-    pub fn explain(&self, now: Nanos, ask: &Ask) -> String {
+    pub fn explain(&self, ask: &Ask) -> String {
         if !ask.server.is_empty() {
             let id = self.by_name.get(&ask.server);
             return match id.and_then(|id| self.servers.get(id)) {
@@ -30,10 +30,10 @@
                 }
             };
         }
-        self.explain_all(now)
+        self.explain_all()
     }
 
-    fn explain_all(&self, _now: Nanos) -> String {
+    fn explain_all(&self) -> String {
         let count = |phase| self.servers.values().filter(|s| s.member.server.phase == phase).count();
         let suspects = self.servers.values().filter(|s| s.suspicion() != Suspicion::None).count();
         let version = self.membership_version().map_or("none yet".to_owned(), |v| v.to_string());
--- a/crates/plan/src/follower.rs
+++ b/crates/plan/src/follower.rs
@@ -1,7 +1,8 @@
 //! A forwarder's side: what several planners say, and the membership where nobody says anything, become one view.
 //!
-//! - One planner is followed at a time and kept as long as it speaks. Another is taken only when it has been silent
-//!   for [`HOLD`], and then for at least that long: a forwarder never alternates.
+//! - One planner is followed at a time and kept as long as it speaks. Another is taken only when it has been silent,
+//!   or has gone by an older membership than others, for [`HOLD`], and then for at least that long: a forwarder never
+//!   alternates.
 //! - What makes sending safer counts whoever says it: drains and leavings of all planners and of the own membership
 //!   together, and the least of the cold budgets.
 //! - As a plan ages it is trusted less, step by step ([`trust`]), and the forwarder's own counters take over. What the
@@ -22,6 +23,8 @@
 pub const HOLD: Nanos = 2_000 * MS;
 /// With nobody heard for this long the forwarder reads the membership itself.
 pub const ALONE: Nanos = 1_000 * MS;
+/// At the start it reads the membership when nobody was heard for this long.
+const FIRST: Nanos = 300 * MS;
 /// Age of a plan, and how far it is trusted up to there.
 const AGES: [(Nanos, f64); 4] =
     [(2_000 * MS, 1.0), (8_000 * MS, 0.75), (30_000 * MS, 0.5), (120_000 * MS, 0.25)];
@@ -120,6 +123,8 @@
     slots: Vec<Slot>,
     following: Option<usize>,
     switched_at: Nanos,
+    /// Since when another planner goes by a later membership than the one followed.
+    behind_since: Option<Nanos>,
     switches: u32,
     heard_at: Nanos,
     marks: BTreeMap<String, Mark>,
@@ -136,8 +141,10 @@
             slots: planners.iter().map(slot).collect(),
             following: None,
             switched_at: now,
+            behind_since: None,
             switches: 0,
-            heard_at: now,
+            // A first word is waited for less long: clients wait with it.
+            heard_at: now.saturating_sub(if planners.is_empty() { ALONE } else { ALONE - FIRST }),
             marks: BTreeMap::new(),
             own: None,
         }
@@ -303,22 +310,34 @@
         }
     }
 
+    fn silent(&self, now: Nanos, planner: usize) -> Nanos {
+        self.slots[planner].copy.as_ref().map_or(Nanos::MAX, |c| now.saturating_sub(c.heard_at))
+    }
+
+    /// Whether another planner, who is there, goes by a later membership.
+    fn behind(&self, now: Nanos, planner: usize) -> bool {
+        let own = self.slots[planner].copy.as_ref().map(|c| c.membership);
+        self.newest_beside(now, planner).is_some_and(|newest| own.is_some_and(|own| own < newest))
+    }
+
     fn choose(&mut self, now: Nanos) {
-        let heard = |k: usize| self.slots[k].copy.as_ref().map(|c| c.heard_at);
-        let fresh = |k: &usize| heard(*k).is_some_and(|at| now.saturating_sub(at) < FRESH);
         if let Some(k) = self.following {
-            let silent = heard(k).map_or(Nanos::MAX, |at| now.saturating_sub(at));
-            if silent < HOLD || now.saturating_sub(self.switched_at) < HOLD {
+            self.behind_since = self.behind(now, k).then(|| self.behind_since.unwrap_or(now));
+            let left_behind = self.behind_since.is_some_and(|since| now.saturating_sub(since) >= HOLD);
+            let given_up = self.silent(now, k) >= HOLD || left_behind;
+            if !given_up || now.saturating_sub(self.switched_at) < HOLD {
                 return;
             }
         }
         // Spread by names, so that the loss of one planner does not send all forwarders to the same other.
-        let weight =
-            |k: &usize| scramble(mix(2, self.name.as_bytes()) ^ mix(3, self.slots[*k].name.as_bytes()));
-        let best = (0..self.slots.len()).filter(fresh).max_by_key(weight);
+        let me = mix(2, self.name.as_bytes());
+        let weight = |k: &usize| scramble(me ^ mix(3, self.slots[*k].name.as_bytes()));
+        let fit = |k: &usize| self.silent(now, *k) < FRESH && !self.behind(now, *k);
+        let best = (0..self.slots.len()).filter(fit).max_by_key(weight);
         if best.is_some() && best != self.following {
             self.following = best;
             self.switched_at = now;
+            self.behind_since = None;
             self.switches += 1;
         }
     }
@@ -328,6 +347,11 @@
         self.switches
     }
 
+    /// The name of the planner followed.
+    pub fn following(&self) -> Option<&str> {
+        self.following.map(|k| self.slots[k].name.as_str())
+    }
+
     /// The planner followed, its life, and the version and membership of its plan as held here.
     pub fn standing(&self) -> Option<(usize, u64, u64, u64)> {
         let k = self.following?;
@@ -364,6 +388,16 @@
                 }
             });
         }
+        let later = self.slots.iter().filter_map(|s| s.copy.as_ref());
+        let later =
+            later.filter(|c| c.membership > copy.membership && now.saturating_sub(c.heard_at) < FRESH);
+        for other in later {
+            members.iter_mut().for_each(|m| {
+                if let Some(held) = other.rows.get(&m.name) {
+                    *m = held.member.clone();
+                }
+            });
+        }
         members = self.closing(members);
         if let Some(own) = &self.own {
             self.fill(&mut members, own);
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -19,8 +19,8 @@
 pub const MOST_BOXES: usize = 40_000;
 /// Forwarders that a planner serves at most.
 pub const MOST_FORWARDERS: usize = 10_000;
-/// A planner collects reports for this long before its first plan: fewer forwarders than there are would each get
-/// far too many boxes.
+/// A planner collects reports for this long before its first plan, where nothing else is set: fewer forwarders than
+/// there are would each get far too many boxes.
 pub const SETTLE: Nanos = 700 * MS;
 /// Subsets are made anew no more often than this.
 const PLAN_EVERY: Nanos = 100 * MS;
@@ -69,6 +69,8 @@
     pub cold_from: f64,
     /// It is warm after this; accomplishment fades by e in the same time.
     pub ramp: Nanos,
+    /// How long it collects reports before its first plan.
+    pub settle: Nanos,
     /// Classes, with their limits in requests a second over all forwarders.
     pub classes: Vec<(String, Option<f64>)>,
     /// Tenants, with their shares in requests a second over all forwarders.
@@ -635,7 +637,7 @@
             self.sweep(now);
         }
         let due = match self.planned_at {
-            None => self.membership.is_some() && now.saturating_sub(self.started_at) >= SETTLE,
+            None => self.membership.is_some() && now.saturating_sub(self.started_at) >= self.settings.settle,
             Some(at) => self.dirty && now.saturating_sub(at) >= PLAN_EVERY,
         };
         if due {
--- a/crates/plan/tests/two.rs
+++ b/crates/plan/tests/two.rs
@@ -18,6 +18,7 @@
         wanted: 8,
         cold_from: 0.2,
         ramp: 10 * S,
+        settle: SETTLE,
         classes: vec![("status".into(), None), ("gauges".into(), Some(100.0))],
         tenants: vec![("swan".into(), 50.0)],
         bytes_per_second: 8_000.0,
@@ -251,6 +252,31 @@
     assert_eq!(follower.switches(), 2, "the first one's return is no reason either");
 }
 
+#[test]
+fn one_that_stays_behind_is_left_and_its_facts_do_not_count() {
+    let (mut a, now) = planner(6, &["f0"]);
+    let (mut b, _) = planner(6, &["f0"]);
+    let mut follower = follower();
+    exchange(now, &mut b, 1, &mut follower);
+    exchange(now, &mut a, 0, &mut follower);
+    let mut moved = Member::warm("box-3");
+    moved.server.cell = 9;
+    a.membership(now, 2, false, vec![moved]);
+    exchange(now + MS, &mut a, 0, &mut follower);
+    let cell =
+        |f: &Follower, at| f.view(at).members.iter().find(|m| m.name == "box-3").map(|m| m.server.cell);
+    assert_eq!((follower.standing().unwrap().0, cell(&follower, now + MS)), (1, Some(9)));
+    for step in 1..=20u64 {
+        let at = now + step * BEAT;
+        exchange(at, &mut b, 1, &mut follower);
+        exchange(at, &mut a, 0, &mut follower);
+        follower.poll(at);
+        let followed = follower.standing().unwrap().0;
+        assert_eq!(followed, usize::from(at < now + HOLD + BEAT), "after {step} beats");
+    }
+    assert_eq!(follower.switches(), 2);
+}
+
 #[test]
 fn a_plan_is_trusted_less_as_it_ages() {
     let steps: Vec<f64> = [0, 1_999, 2_000, 8_000, 30_000, 120_000].iter().map(|ms| trust(ms * MS)).collect();
@@ -339,8 +365,7 @@
     planner.report(now, "f1", &report(vec![out("box-1")])).unwrap();
     exchange(now, &mut planner, 0, &mut follower);
     assert_eq!(suspects(&follower), 1);
-    let text =
-        planner.explain(now, &laurelroute_plan::wire::Ask { server: "box-1".into(), ..Default::default() });
+    let text = planner.explain(&laurelroute_plan::wire::Ask { server: "box-1".into(), ..Default::default() });
     assert!(text.contains("suspected: it takes no connections"), "{text}");
     for name in ["f0", "f1", "f2"] {
         let all = (0..10).map(|k| out(&format!("box-{k}"))).collect();
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod boxes;
 pub mod client;
 pub mod discovery;
+pub mod levels;
 pub mod load;
 pub mod program;
 pub mod suite;
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -3,6 +3,7 @@
 use crate::boxes::{Plan, StandIn};
 use crate::client::Client;
 use crate::discovery::{Discovery, Entry};
+use crate::levels::{Levels, Upper};
 use crate::wire::{Answer, Ask, Class, Wire};
 use crate::{fresh, until};
 use laurelroute_thrift::codec::Form;
@@ -35,6 +36,10 @@
     pub output: Option<PathBuf>,
     /// Who drops the repeats of keyed requests: `all`, `zone` or `cell`.
     pub group: &'static str,
+    /// Two levels: the node is a forwarder, with planners in this state.
+    pub levels: Option<Levels>,
+    /// The node's name among its peers.
+    pub name: String,
 }
 
 impl Default for Wishes {
@@ -50,6 +55,8 @@
             launch: Vec::new(),
             output: None,
             group: "all",
+            levels: None,
+            name: "f0".to_owned(),
         }
     }
 }
@@ -66,7 +73,7 @@
     files: [PathBuf; 2],
 }
 
-fn free_port() -> SocketAddr {
+pub(crate) fn free_port() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     listener.local_addr().expect("an address")
 }
@@ -94,6 +101,9 @@
             }
             None => Stdio::null(),
         };
+        if wishes.levels.is_some() {
+            command.arg("forward");
+        }
         command.arg("--site").arg(&files[1]).env("GW_CONFIG", &files[0]).stdout(sink()).stderr(sink());
         let child = command.spawn().expect("the program starts");
         let program = Program { child, http, thrift, wishes, files };
@@ -174,7 +184,7 @@
     )
 }
 
-fn write_config(path: &Path, listen: SocketAddr, discovery: SocketAddr, wishes: &Wishes) {
+pub(crate) fn write_config(path: &Path, listen: SocketAddr, discovery: SocketAddr, wishes: &Wishes) {
     let class = |name: &str, effect: &str| {
         serde_json::json!({"name": name, "aimNs": wishes.aim_ms * 1_000_000, "giveUpNs": 5_000_000_000u64, "worth": 1.0,
             "effect": effect, "group": wishes.group, "windowNs": 5_000_000_000u64})
@@ -211,6 +221,8 @@
     pub discovery: Discovery,
     /// The node.
     pub node: Program,
+    /// The planners above it, on two levels.
+    pub upper: Option<Upper>,
 }
 
 impl Bed {
@@ -230,9 +242,15 @@
             (0..boxes).map(|k| StandIn::start(&format!("box-{k}"), form, plan.clone())).collect();
         let entries: Vec<_> = boxes.iter().map(Entry::of).collect();
         let discovery = Discovery::start(&entries);
+        let upper = wishes.levels.map(|levels| Upper::start(program, levels, &discovery, &entries, &wishes));
+        let site = upper.as_ref().map(|u| u.site(&wishes.name)).unwrap_or_default();
+        let wishes = Wishes { site: wishes.site + &site, ..wishes };
         let node = Program::start(program, discovery.address, form, wishes);
-        let bed = Bed { wire, boxes, plan, discovery, node };
+        let mut bed = Bed { wire, boxes, plan, discovery, node, upper };
         until("the node serves", || bed.one(Class::Read).is_some_and(|a| a.served()));
+        if let Some(upper) = &mut bed.upper {
+            upper.settle(&bed.discovery);
+        }
         bed
     }
 
@@ -241,6 +259,13 @@
         self.node.ask(self.wire, &Ask::new(class))
     }
 
+    /// All are told of another discovery.
+    pub fn configure(&self, discovery: SocketAddr) {
+        self.node.configure(discovery);
+        self.node.signal("HUP");
+        self.upper.iter().flat_map(|u| &u.planners).for_each(|p| p.configure(discovery));
+    }
+
     /// How often a request ran, over all boxes.
     pub fn runs(&self, id: &str) -> usize {
         self.boxes.iter().map(|b| b.runs(id)).sum()
--- a/crates/testkit/src/suite.rs
+++ b/crates/testkit/src/suite.rs
@@ -5,6 +5,7 @@
 
 use crate::boxes::{Act, Ramp};
 use crate::discovery::{Discovery, Entry};
+use crate::levels::Levels;
 use crate::load::{Load, Tally};
 use crate::program::{Bed, Wishes};
 use crate::wire::{Answer, Ask, Class, Say, Wire, CLASSES};
@@ -21,11 +22,30 @@
     pub program: PathBuf,
     /// The wire.
     pub wire: Wire,
+    /// Two levels, with planners in this state; else the one-level node.
+    pub levels: Option<Levels>,
+}
+
+impl From<Wire> for Ground {
+    fn from(wire: Wire) -> Ground {
+        Ground { program: PathBuf::new(), wire, levels: None }
+    }
+}
+
+impl From<(Wire, Levels)> for Ground {
+    fn from((wire, levels): (Wire, Levels)) -> Ground {
+        Ground { program: PathBuf::new(), wire, levels: Some(levels) }
+    }
 }
 
 impl Ground {
+    /// A wire alone, or a wire with planners in some state, for this program.
+    pub fn new(program: impl Into<PathBuf>, ground: impl Into<Ground>) -> Ground {
+        Ground { program: program.into(), ..ground.into() }
+    }
+
     fn bed(&self, boxes: usize) -> Bed {
-        Bed::new(&self.program, self.wire, boxes)
+        self.wishing(boxes, Wishes::default())
     }
 
     /// A site that expects quick answers, so that requests with short deadlines are let in.
@@ -34,7 +54,7 @@
     }
 
     fn wishing(&self, boxes: usize, wishes: Wishes) -> Bed {
-        Bed::wishing(&self.program, self.wire, boxes, wishes)
+        Bed::wishing(&self.program, self.wire, boxes, Wishes { levels: self.levels, ..wishes })
     }
 }
 
@@ -469,8 +489,7 @@
     let mut bed = ground.bed(3);
     let load = Load::start(bed.wire, bed.node.address(bed.wire), 4, Class::Write, 20);
     let second = Discovery::start(&bed.entries()[1..]);
-    bed.node.configure(second.address);
-    bed.node.signal("HUP");
+    bed.configure(second.address);
     until("the new discovery is watched", || second.watches.load(std::sync::atomic::Ordering::SeqCst) > 0);
     until("the first box is out of use", || {
         let before = bed.boxes[0].came().len();
@@ -631,7 +650,7 @@
         $(
             #[test]
             fn $case() {
-                let ground = $crate::suite::Ground { program: $program.into(), wire: $value };
+                let ground = $crate::suite::Ground::new($program, $value);
                 $crate::suite::$case(&ground);
             }
         )*
