--- a/crates/plan/src/explain.rs
+++ b/crates/plan/src/explain.rs
@@ -44,13 +44,15 @@
         };
         format!(
             "site {}, membership {version}, {}\nboxes: {} ready, {} draining, {} gone lately, {suspects} suspected\n\
-             forwarders: {} connected\neach box has {} forwarders, with {limit}\n",
+             forwarders: {} connected, {} hold the plan as it is now, {} follow a planner\neach box has {} forwarders, with {limit}\n",
             self.settings.site,
             if self.settled() { "settled" } else { "still collecting reports" },
             count(Phase::Ready),
             count(Phase::Draining),
             count(Phase::Gone),
             self.connected(),
+            self.up_to_date(),
+            self.forwarders.values().filter(|f| !f.following.is_empty()).count(),
             cover.forwarders,
         )
     }
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -379,6 +379,7 @@
             self.dirty |= f.zone != zone;
             f.zone = zone;
             f.left_at = None;
+            f.refused = false;
             f.whole = true;
             f.answered = f.version;
             f.sent_at = 0;
@@ -912,6 +913,14 @@
         self.forwarders.values().filter(|f| f.left_at.is_none()).count()
     }
 
+    /// Forwarders that hold their plan as it is now.
+    pub fn up_to_date(&self) -> usize {
+        let holds = |f: &&Forwarder| {
+            f.left_at.is_none() && !f.whole && !f.refused && f.version > 0 && f.answered == f.version
+        };
+        self.forwarders.values().filter(holds).count()
+    }
+
     /// Boxes that are held, departed ones among them.
     pub fn servers_held(&self) -> usize {
         self.servers.len()
--- a/crates/testkit/src/levels.rs
+++ b/crates/testkit/src/levels.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Its configuration's file.
+    pub fn config(&self) -> &Path {
+        &self.files[0]
+    }
+
     /// The process's number.
     pub fn pid(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
@@ -188,6 +193,22 @@
         upper
     }
 
+    /// Ends all planners with SIGKILL.
+    pub fn kill(&mut self) {
+        self.planners.iter_mut().for_each(Planner::kill);
+    }
+
+    /// Starts all planners, with nothing but their files.
+    pub fn start_again(&mut self) {
+        self.planners.iter_mut().for_each(Planner::start);
+    }
+
+    /// Whether every planner says that so many forwarders hold its plan as it is now.
+    pub fn all_hold(&self, forwarders: usize) -> bool {
+        let words = format!("{forwarders} connected, {forwarders} hold the plan");
+        self.planners.iter().all(|p| p.explain(&[]).is_ok_and(|text| text.contains(&words)))
+    }
+
     /// Waits until all planners have made a plan.
     pub fn until_planning(&self) {
         for planner in &self.planners {
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod levels;
 pub mod load;
+pub mod outage;
 pub mod program;
 pub mod suite;
 pub mod wire;
