Simulated worlds of forwarders, planners and boxes, and rig two-level, faults, outage, scale

Promises are asserted after every event under drawn faults: lost, late and cut messages, killed and lying planners, frozen and late lists, skewed clocks, boxes that fail, hang, restart cold, drain and leave. The three policies meet the same load and troubles.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -15,14 +15,14 @@
 use laurelroute_channel::tls::Tls;
 use laurelroute_core::gateway::Gateway;
 use laurelroute_plan::follower::{Follower, View};
+use laurelroute_plan::lead::{self, Told};
 use laurelroute_plan::member::Member;
 use laurelroute_plan::reporter::{Now, Reporter};
-use laurelroute_plan::wire::{Body, Role, Suspicion};
-use laurelroute_policy::interface::{Guide, ListKind, Nanos, Phase, Standing};
+use laurelroute_plan::wire::{Body, Role};
+use laurelroute_policy::interface::{Guide, ListKind, Nanos, Phase};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -69,7 +69,7 @@
 struct Forwarder {
     gateway: Rc<Gateway>,
     follower: RefCell<Follower>,
-    told: RefCell<BTreeMap<String, Member>>,
+    told: RefCell<Told>,
     guide: RefCell<Guide>,
     /// The operator's own limit of connections to one box.
     most_connections: Option<u32>,
@@ -149,21 +149,8 @@
     fn apply(&self) {
         let now = self.gateway.clock.now();
         let view = self.follower.borrow().view(now);
-        let mut entries = Vec::new();
-        {
-            let mut told = self.told.borrow_mut();
-            let members: BTreeMap<String, Member> =
-                view.members.iter().map(|m| (m.name.clone(), m.clone())).collect();
-            for (name, member) in &members {
-                let before = told.get(name);
-                let news =
-                    before != Some(member) && (before.is_some() || member.server.phase == Phase::Ready);
-                entries.extend(news.then(|| source::entry(member.clone(), self.thrift_port)));
-            }
-            let absent = told.values().filter(|m| !members.contains_key(&m.name));
-            entries.extend(absent.map(|m| source::entry(m.clone().in_phase(Phase::Gone), self.thrift_port)));
-            *told = members;
-        }
+        let changes = self.told.borrow_mut().changes(&view);
+        let entries: Vec<_> = changes.into_iter().map(|m| source::entry(m, self.thrift_port)).collect();
         if !entries.is_empty() {
             self.gateway.list(ListKind::Changes, entries);
         }
@@ -181,26 +168,14 @@
     }
 
     fn guide_of(&self, view: &View) -> Guide {
-        let standing = |word: &laurelroute_plan::follower::Word| {
-            Some(Standing {
-                server: self.gateway.fleet(|f| f.known(&word.name))?,
-                accomplished: word.accomplished,
-                suspected: word.suspicion != Suspicion::None,
-                cold_rate: word.cold_rate,
-            })
-        };
         let site = &self.gateway.site;
-        let tenants = site.tenants.iter().zip(&site.settings.tenant_quota).map(|(name, quota)| {
-            let even = quota / f64::from(site.settings.group_size);
-            view.tenants.get(name).copied().unwrap_or(even)
-        });
-        let class = |name: &String| view.classes.get(name).copied().unwrap_or(f64::INFINITY);
-        Guide {
-            trust: view.trust,
-            servers: view.words.iter().filter_map(standing).collect(),
-            tenants: tenants.collect(),
-            classes: site.classes.iter().map(class).collect(),
-        }
+        let tenants = site.tenants.iter().zip(&site.settings.tenant_quota);
+        lead::guide(
+            view,
+            |name| self.gateway.fleet(|f| f.known(name)),
+            &site.classes,
+            tenants.map(|(name, quota)| (name.as_str(), quota / f64::from(site.settings.group_size))),
+        )
     }
 
     /// Time: the plan ages, planners fall silent, and the membership is watched as long as it has to be.
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -7,11 +7,13 @@
 //! - [`subset`]: which forwarder uses which boxes.
 //! - [`share`]: how a rate is split among forwarders.
 //! - [`follower`]: several planners' plans in, one view out, ageing with the silence.
+//! - [`lead`]: from that view to the decision module's events.
 //! - [`reporter`]: what a forwarder has met, as changes within a budget of bytes.
 //! - [`wire`]: the messages.
 
 pub mod follower;
 pub mod grade;
+pub mod lead;
 pub mod member;
 pub mod planner;
 pub mod reporter;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -33,7 +33,7 @@
 /// Parts under way to a forwarder that are not answered yet. One that reads slowly gets the sum of all changes later.
 const WINDOW: u64 = 4;
 /// A part that is not answered for this long is taken for lost.
-const PATIENCE: Nanos = 3_000 * MS;
+const PATIENCE: Nanos = 1_500 * MS;
 /// Before a plan that was refused is offered again.
 const REFUSED_WAIT: Nanos = 1_000 * MS;
 /// Rows of one report that are taken; a forwarder says the rest in the next.
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -260,6 +260,11 @@
         })
     }
 
+    /// The servers of a zone that this node ranks, the most accomplished first.
+    pub fn ranking(&self, zone: usize) -> impl Iterator<Item = Endpoint> + '_ {
+        self.ranks.get(zone).into_iter().flatten().map(|&i| self.nodes[i].server.endpoint)
+    }
+
     /// Requests a second that were let in lately, by class and by tenant.
     pub fn admitted(&self, now: Nanos) -> [Vec<f64>; 2] {
         [&self.classes, &self.tenants].map(|rates| rates.iter().map(|r| r.read(now, self.memory)).collect())
@@ -310,9 +315,13 @@
     /// where no further word comes.
     fn follow_plan(&mut self, now: Nanos, guide: Guide) {
         let grown = self.increment(now) * guide.trust.clamp(0.0, 1.0);
-        for i in 0..self.nodes.len() {
-            let endpoint = self.nodes[i].server.endpoint;
-            let said = guide.servers.iter().find(|s| s.server == endpoint);
+        let mut said: Vec<Option<&Standing>> = vec![None; self.nodes.len()];
+        for standing in &guide.servers {
+            if let Some(&i) = self.by_endpoint.get(&standing.server) {
+                said[i] = Some(standing);
+            }
+        }
+        for (i, said) in said.into_iter().enumerate() {
             let standing = said.map_or(0.0, |s| s.accomplished);
             let planned = if standing.is_finite() { standing.max(0.0) * grown } else { 0.0 };
             let node = &mut self.nodes[i];
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -4,11 +4,14 @@
 mod boxes;
 mod cost;
 mod demo;
+mod levels;
 mod load;
 mod passthrough;
 mod report;
+mod scale;
 mod site;
 mod thrift;
+mod two_level;
 
 use clap::{Args, Parser, Subcommand};
 use report::Failure;
@@ -50,6 +53,47 @@
     Thrift(Common),
     /// What a request costs the node, against a bare pass-through on the same libraries.
     Cost(Common),
+    /// One level against two levels against a policy that sees all queues: in simulated time, and over sockets.
+    TwoLevel {
+        #[command(flatten)]
+        common: Common,
+        /// Forwarders in simulated time.
+        #[arg(long, default_value_t = 28)]
+        forwarders: usize,
+        /// Boxes in simulated time.
+        #[arg(long, default_value_t = 210)]
+        boxes: usize,
+        /// Connections that a forwarder would like to hold to each box: fewer make for larger subsets.
+        #[arg(long, default_value_t = 8)]
+        wanted: u32,
+        /// Nothing goes wrong.
+        #[arg(long)]
+        calm: bool,
+        /// Part of the sound fleet's capacity that is asked for.
+        #[arg(long, default_value_t = 0.92)]
+        load: f64,
+    },
+    /// Planners and forwarders in simulated time under drawn faults: every promise, seed after seed.
+    Faults {
+        #[command(flatten)]
+        common: Common,
+        /// How many seeds, from `--seed` on.
+        #[arg(long, default_value_t = 10_000)]
+        seeds: u64,
+    },
+    /// All planners killed under load, and their return: real processes.
+    Outage {
+        #[command(flatten)]
+        common: Common,
+        /// How many seeds, from `--seed` on.
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
+        /// Forwarders.
+        #[arg(long, default_value_t = 4)]
+        forwarders: usize,
+    },
+    /// What a planner costs as forwarders and boxes grow.
+    Scale(Common),
     /// A node, as the measurements run it.
     #[command(hide = true)]
     Node {
@@ -69,11 +113,23 @@
     Passthrough { boxes: Vec<std::net::SocketAddr> },
 }
 
+/// Set for children of this program that are to be the program `laurelroute` itself.
+pub const AS_PROGRAM: &str = "LAURELROUTE_RIG_AS_PROGRAM";
+
 fn main() -> ExitCode {
+    if std::env::var_os(AS_PROGRAM).is_some() {
+        return laurelroute_node::cli::main();
+    }
     let outcome = match Arguments::parse().command {
         Command::Demo(common) => demo::run(&common),
         Command::Thrift(common) => thrift::run(&common),
         Command::Cost(common) => cost::run(&common),
+        Command::TwoLevel { common, forwarders, boxes, wanted, calm, load } => {
+            two_level::run(&common, &two_level::Size { forwarders, boxes, wanted, calm, load })
+        }
+        Command::Faults { common, seeds } => levels::faults(&common, seeds),
+        Command::Outage { common, seeds, forwarders } => levels::outage(&common, seeds, forwarders),
+        Command::Scale(common) => scale::run(&common),
         Command::Node { site } => site::node(&site),
         Command::Boxes { form, count } => boxes::run(&form, count),
         Command::Passthrough { boxes } => passthrough::run(boxes),
