Suspicion weighs in the choice and not in admission; warm servers forget their cold wait

A planner that suspected every box made the queue estimate of all so long that everything was refused: its cost now counts where servers are compared and nowhere else. And a node that started while servers were cold, with no requests yet, set the first send to them to 11 days later and kept to that when they were warm: the wait is at most one fall, and it ends with the ramp.

--- a/crates/node/src/site.rs
+++ b/crates/node/src/site.rs
@@ -341,6 +341,9 @@
         let site = Site::parse("example", EXAMPLE, Some((&names, &settings))).unwrap();
         let thrift = site.thrift.expect("the example has Thrift on");
         assert_eq!(thrift.front.table.method("Warnings:acknowledge").map(|m| m.class), Some(2));
+        let levels = site.levels;
+        assert!(levels.peers.is_some() && levels.forward.is_some());
+        assert_eq!(levels.plan.map(|p| p.limits), Some(vec![("gauges".to_owned(), 5000.0)]));
         assert!(Site::parse("empty", "", None).unwrap().thrift.is_none());
     }
 
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -73,8 +73,8 @@
 const KNOWN_AFTER: u32 = 6 * TYPICAL_DOWN as u32;
 /// A tenant is over its share when it gets this many deviations of chance more.
 const CHANCE: f64 = 1.0;
-/// What others' failures at a server cost, in mean responses: it comes last, but where all are suspected, none
-/// is behind the others. An own success counts for more than such word for this many give-up times.
+/// What others' failures at a server cost, in mean responses: it comes last, but where all are suspected,
+/// none is behind the others. An own success counts for more than such word for this many give-up times.
 const SUSPECT_COST: f64 = 4.0;
 const OWN_WORD: f64 = 1.0;
 /// What a key's own server may be behind the best: it saves work there.
@@ -436,7 +436,8 @@
             // Every node hears of a cold server at about the same time: first sends are spread over an
             // interval, or all of them together would spend its tipping budget at once.
             if self.cold_share(now, i) < 1.0 {
-                let wait = self.cold_interval(now, i) * self.chance();
+                // Where nobody has asked yet, there is no rate; one send in a fall tips nobody.
+                let wait = self.cold_interval(now, i).min(self.settings.fall as f64) * self.chance();
                 self.nodes[i].cold_next = now.saturating_add(wait as Nanos);
             }
         }
@@ -534,15 +535,20 @@
             (node.queued / node.size * known + since.min(own) + self.usual_queue * (1.0 - known)).max(own);
         // The lag already holds the usual queue: only what differs from it counts.
         let faults = (self.faults_now(now, i) - self.faults).max(0.0) * FAULT_COST;
-        let suspect = if self.suspect(now, i) { SUSPECT_COST * self.guide.trust } else { 0.0 };
-        (lag + waiting - self.usual_queue).max(own) + faults + suspect
+        (lag + waiting - self.usual_queue).max(own) + faults
     }
 
-    /// Suspected by others, with no success of its own to the contrary.
-    fn suspect(&self, now: Nanos, i: usize) -> bool {
+    /// What it costs in the choice, not in admission, that others suspect a server and this node has met no
+    /// success there of late.
+    fn suspect(&self, now: Nanos, i: usize) -> f64 {
         let node = &self.nodes[i];
         let own = (OWN_WORD * self.longest as f64) as Nanos;
-        node.suspected && node.served_at.is_none_or(|at| now.saturating_sub(at) > own)
+        let suspected = node.suspected && node.served_at.is_none_or(|at| now.saturating_sub(at) > own);
+        if suspected {
+            SUSPECT_COST * self.guide.trust
+        } else {
+            0.0
+        }
     }
 
     /// A server's share of failures. It fades: one that gets no requests has to be found out again.
@@ -564,7 +570,7 @@
         let node = &self.nodes[i];
         node.blocked_until <= now
             && (node.strikes == 0 || node.out == 0)
-            && node.cold_next <= now
+            && (node.cold_next <= now || self.cold_share(now, i) >= 1.0)
             && (node.place.is_some() || self.cold_share(now, i) >= 1.0)
             && !pending.attempts.iter().any(|a| a.node == i)
             && self.inside(now, i, pending)
@@ -625,7 +631,8 @@
                 (i, queue)
             })
             .min_by(|a, b| {
-                let (qa, qb) = ((a.1 / TIE_STEP).round(), (b.1 / TIE_STEP).round());
+                let cost = |s: &(usize, f64)| ((s.1 + self.suspect(now, s.0)) / TIE_STEP).round();
+                let (qa, qb) = (cost(a), cost(b));
                 let place = |i: usize| self.nodes[i].place.unwrap_or(usize::MAX);
                 qa.total_cmp(&qb).then(place(a.0).cmp(&place(b.0)))
             })
--- a/crates/policy/tests/incidents.rs
+++ b/crates/policy/tests/incidents.rs
@@ -332,3 +332,25 @@
         bed.outcome(id, server, 0, MS, Ending::Ok);
     }
 }
+
+/// A node that starts while servers are cold has no rate yet from which their share could follow: it must find them
+/// all the same, and use them like others once they are warm.
+#[test]
+fn servers_that_were_cold_at_the_start_are_used() {
+    let s = settings(Effect::Safe);
+    let ramp = s.ramp;
+    let list = |now| (0..4).map(|k| Server { started_at: now, ..Server::warm(endpoint(k)) }).collect();
+    let mut bed = Bed::new(s, list(1_000_000 * MS), 3);
+    bed.now += 800 * MS;
+    assert!(bed.served(130 * MS).is_some(), "all are cold, and one has to be tried");
+    bed.now += ramp;
+    let mut used = std::collections::BTreeSet::new();
+    for _ in 0..40 {
+        let (_, actions) = bed.request();
+        used.extend(actions.iter().filter_map(|a| match a {
+            Action::Send { server, .. } => Some(*server),
+            _ => None,
+        }));
+    }
+    assert_eq!(used.len(), 4);
+}
