--- a/crates/rig/src/cost.rs
+++ b/crates/rig/src/cost.rs
@@ -61,7 +61,7 @@
 }
 
 /// Processor time a request in microseconds, and requests a second.
-fn saturated(pid: u32, address: SocketAddr, seconds: f64) -> Result<(f64, f64), Failure> {
+pub fn saturated(pid: u32, address: SocketAddr, seconds: f64) -> Result<(f64, f64), Failure> {
     load::run(plan(Until::Time(Duration::from_millis(300)), CONNECTIONS), address)?;
     let before = cpu_ns(pid)?;
     let tally = load::run(plan(Until::Time(Duration::from_secs_f64(seconds)), CONNECTIONS), address)?;
--- a/crates/rig/src/levels.rs
+++ b/crates/rig/src/levels.rs
@@ -59,7 +59,7 @@
                 let mut seen = seen.lock().unwrap_or_else(|e| e.into_inner());
                 seen.0.extend(broken);
                 seen.1.push((took, seed));
-                if (k + 1) % 1_000 == 0 {
+                if (k + 1).is_multiple_of(1_000) {
                     println!("{} of {seeds} seeds ...", k + 1);
                 }
             });
--- a/crates/rig/src/two_level.rs
+++ b/crates/rig/src/two_level.rs
@@ -1,11 +1,17 @@
 //! `rig two-level`: one level, two levels, and a policy that sees every queue, on the same load and troubles.
 
+use crate::boxes::{Addresses, Boxes};
+use crate::cost::saturated;
 use crate::levels::COLD;
-use crate::report::{table, Failure, Outcome};
-use crate::Common;
+use crate::report::{median, table, Failure, Outcome};
+use crate::{Common, AS_PROGRAM};
 use laurelroute_simulation::faults::troubles;
 use laurelroute_simulation::world::{Mode, Setup, World};
 use laurelroute_simulation::{MS, S};
+use laurelroute_testkit::discovery::{Discovery, Entry};
+use laurelroute_testkit::levels::{Levels, Upper};
+use laurelroute_testkit::program::{Program, Wishes};
+use laurelroute_thrift::codec::Form;
 
 const SPEEDS: [f64; 5] = [0.5, 0.8, 1.0, 1.3, 2.0];
 const WORKERS: usize = 4;
@@ -16,6 +22,81 @@
 const MODES: [(&str, Mode); 3] =
     [("one level", Mode::OneLevel), ("two levels", Mode::TwoLevel), ("true state", Mode::TrueState)];
 
+/// Nodes and boxes of the comparison over sockets.
+const NODES: usize = 6;
+const BOXES: usize = 60;
+/// Nodes of each side that are loaded, one after another, and rounds of it.
+const LOADED: usize = 2;
+const ROUNDS: usize = 3;
+
+/// Resident memory of a process, in MB.
+fn resident(pid: u32) -> Result<f64, Failure> {
+    let text = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = text.lines().find_map(|l| l.strip_prefix("VmRSS:"));
+    let kb = line.and_then(|l| l.split_whitespace().next()?.parse::<f64>().ok());
+    Ok(kb.unwrap_or(f64::NAN) / 1e3)
+}
+
+/// Processor time and memory of a one-level node and of a forwarder, each before the same boxes, in turn.
+fn sockets(common: &Common, outcome: &mut Outcome) -> Result<(), Failure> {
+    println!(
+        "over sockets: {NODES} one-level nodes and {NODES} forwarders with two planners, {BOXES} boxes ..."
+    );
+    let form = Form::named("framed-binary").ok_or_else(|| Failure("no form".into()))?;
+    let boxes = Boxes::start(form, BOXES)?;
+    std::env::set_var(AS_PROGRAM, "1");
+    let program = std::env::current_exe()?;
+    let entry = |(k, (http, thrift)): (usize, &Addresses)| Entry {
+        name: format!("box-{k}"),
+        http: *http,
+        thrift: Some(*thrift),
+        health: "active",
+        born_ms: 0,
+        block: 1,
+    };
+    let entries: Vec<Entry> = boxes.addresses.iter().enumerate().map(entry).collect();
+    let discovery = Discovery::start(&entries);
+    let wishes = Wishes { sockets: 1024, ..Wishes::default() };
+    let led = Wishes { levels: Some(Levels::Up), ..wishes.clone() };
+    let upper = Upper::start(&program, Levels::Up, &discovery, &entries, &led);
+    let start = |wishes: Wishes| Program::start(&program, discovery.address, form, wishes);
+    let single: Vec<Program> = (0..NODES).map(|_| start(wishes.clone())).collect();
+    let forwarders: Vec<Program> = (0..NODES)
+        .map(|k| {
+            let name = format!("f{k}");
+            start(Wishes { site: upper.site(&name), name, ..led.clone() })
+        })
+        .collect();
+    laurelroute_testkit::until("every forwarder holds the plans", || upper.all_hold(NODES));
+    let mut figures = [Vec::new(), Vec::new()];
+    for _ in 0..ROUNDS {
+        for (side, nodes) in [&single, &forwarders].into_iter().enumerate() {
+            for node in &nodes[..LOADED] {
+                figures[side].push(saturated(node.pid(), node.http, common.seconds / 2.0)?);
+            }
+        }
+    }
+    let mut rows = Vec::new();
+    let mut cpu = [0.0; 2];
+    for (side, (name, nodes)) in
+        [("one-level node", &single), ("forwarder", &forwarders)].into_iter().enumerate()
+    {
+        cpu[side] = median(figures[side].iter().map(|f| f.0).collect());
+        let rate = median(figures[side].iter().map(|f| f.1).collect());
+        let memory = nodes[..LOADED].iter().map(|n| resident(n.pid())).collect::<Result<Vec<_>, _>>()?;
+        rows.push(vec![
+            name.to_owned(),
+            format!("{:.1}", cpu[side]),
+            format!("{rate:.0}"),
+            format!("{:.1}", median(memory.clone())),
+        ]);
+        outcome.put(format!("memory_mb_{}", ["one_level", "forwarder"][side]), median(memory));
+    }
+    table(&["", "CPU us a request", "a second", "memory MB"], &rows);
+    outcome.put("cpu_ratio", cpu[1] / cpu[0]);
+    Ok(())
+}
+
 /// What is compared.
 pub struct Size {
     /// Forwarders.
@@ -120,6 +201,7 @@
     let closed = (shares[1] - shares[0]) / (shares[2] - shares[0]).max(1e-9);
     println!("two levels close {:.0}% of the distance between one level and the true state", closed * 100.0);
     outcome.put("distance_closed", closed);
+    sockets(common, &mut outcome)?;
     outcome.close("two-level", common)?;
     match broken.first() {
         Some(first) => Err(Failure(first.clone())),
--- a/crates/simulation/src/world/levels.rs
+++ b/crates/simulation/src/world/levels.rs
@@ -150,7 +150,7 @@
             mover.follower.forget_membership();
         }
         self.apply(f);
-        if count % REPORT_EVERY == 0 {
+        if count.is_multiple_of(REPORT_EVERY) {
             (0..self.brains.len()).for_each(|p| self.send_report(p, f));
         }
         if !self.together(f) {
--- a/crates/testkit/src/outage.rs
+++ b/crates/testkit/src/outage.rs
@@ -8,6 +8,7 @@
 use crate::wire::{Ask, Class, Wire};
 use crate::{until, Random};
 use laurelroute_thrift::codec::Form;
+use std::collections::HashMap;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -53,6 +54,9 @@
     /// Ends the loads and checks what became of every request.
     fn finish(&self, what: &str, loads: Vec<Load>, seen: &mut Seen) -> (f64, usize) {
         let (mut served, mut all) = (0, 0);
+        let came: Vec<_> = self.boxes.iter().flat_map(StandIn::came).filter(|c| c.ran).collect();
+        let mut runs: HashMap<&str, usize> = HashMap::new();
+        came.iter().filter_map(|c| c.id.as_deref()).for_each(|id| *runs.entry(id).or_default() += 1);
         for (place, load) in loads.into_iter().enumerate() {
             let tally: Tally = load.finish();
             served += tally.served.len();
@@ -66,8 +70,7 @@
             }
             // The second load of each forwarder is the one that must not run twice.
             if place % 3 == 1 {
-                let runs = |id: &String| self.boxes.iter().map(|b| b.runs(id)).sum::<usize>();
-                let wrong = tally.served.iter().filter(|id| runs(id) != 1).count();
+                let wrong = tally.served.iter().filter(|id| runs.get(id.as_str()) != Some(&1)).count();
                 if wrong > 0 {
                     seen.broken.push(format!("{what}: {wrong} served requests did not run once"));
                 }
