--- a/crates/testkit/src/outage.rs
+++ b/crates/testkit/src/outage.rs
@@ -54,11 +54,11 @@
     /// Ends the loads and checks what became of every request.
     fn finish(&self, what: &str, loads: Vec<Load>, seen: &mut Seen) -> (f64, usize) {
         let (mut served, mut all) = (0, 0);
+        let tallies: Vec<Tally> = loads.into_iter().map(Load::finish).collect();
         let came: Vec<_> = self.boxes.iter().flat_map(StandIn::came).filter(|c| c.ran).collect();
         let mut runs: HashMap<&str, usize> = HashMap::new();
         came.iter().filter_map(|c| c.id.as_deref()).for_each(|id| *runs.entry(id).or_default() += 1);
-        for (place, load) in loads.into_iter().enumerate() {
-            let tally: Tally = load.finish();
+        for (place, tally) in tallies.into_iter().enumerate() {
             served += tally.served.len();
             all += tally.served.len() + tally.refused + tally.failed + tally.lost.len();
             if !tally.lost.is_empty() || !tally.mixed.is_empty() {
