Check what ran in linear time, and look for agreement only once it is owed

A restart under load on a fast wire leaves tens of thousands of requests; asking every box for each of them kept one test of the suite busy for minutes.

--- a/crates/simulation/src/faults.rs
+++ b/crates/simulation/src/faults.rs
@@ -210,6 +210,7 @@
     }
 
     fn heal(&mut self) {
+        self.agree_from = self.now;
         self.lag = 5 * MS;
         for p in 0..self.brains.len() {
             self.brains[p].lies = false;
--- a/crates/simulation/src/world/levels.rs
+++ b/crates/simulation/src/world/levels.rs
@@ -153,7 +153,7 @@
         if count.is_multiple_of(REPORT_EVERY) {
             (0..self.brains.len()).for_each(|p| self.send_report(p, f));
         }
-        if !self.together(f) {
+        if now >= self.agree_from && !self.together(f) {
             self.tally.apart_at = now;
         }
     }
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -197,6 +197,8 @@
     events: HashMap<u64, Ev>,
     next_event: u64,
     faults: Vec<Fault>,
+    /// Agreement is looked at from here on.
+    pub agree_from: Nanos,
     /// Measure the time that the decision module takes; it changes nothing in the world.
     pub timed: bool,
     decided: std::time::Duration,
@@ -278,6 +280,7 @@
             events: HashMap::new(),
             next_event: 0,
             faults: Vec::new(),
+            agree_from: Nanos::MAX,
             timed: false,
             decided: std::time::Duration::ZERO,
             setup,
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -7,6 +7,7 @@
 use crate::wire::{Answer, Ask, Class, Wire};
 use crate::{fresh, until};
 use laurelroute_thrift::codec::Form;
+use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -271,6 +272,14 @@
         self.boxes.iter().map(|b| b.runs(id)).sum()
     }
 
+    /// How often each request ran, over all boxes: for those who ask of many.
+    pub fn ran(&self) -> HashMap<String, usize> {
+        let mut ran = HashMap::new();
+        let came = self.boxes.iter().flat_map(StandIn::came).filter(|c| c.ran);
+        came.filter_map(|c| c.id).for_each(|id| *ran.entry(id).or_default() += 1);
+        ran
+    }
+
     /// How often a request came to a box as far as its id, over all boxes.
     pub fn arrivals(&self, id: &str) -> usize {
         self.boxes.iter().map(|b| b.arrivals(id)).sum()
--- a/crates/testkit/src/suite.rs
+++ b/crates/testkit/src/suite.rs
@@ -363,12 +363,14 @@
     assert!(tally.lost.is_empty(), "lost: {:?}", tally.lost);
     assert!(tally.mixed.is_empty(), "mixed up: {:?}", tally.mixed);
     assert!(!tally.served.is_empty(), "nothing was served: {tally:?}");
+    let ran = bed.ran();
+    let runs = |id: &String| ran.get(id).copied().unwrap_or(0);
     for id in &tally.crossed {
-        assert_eq!(bed.runs(id), 0, "a request was taken and its connection closed");
+        assert_eq!(runs(id), 0, "a request was taken and its connection closed");
     }
     if class == Class::Write {
         for id in &tally.served {
-            assert_eq!(bed.runs(id), 1);
+            assert_eq!(runs(id), 1);
         }
     }
 }
