--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -170,11 +170,6 @@
         self.upstreams.get(&server).map(|u| u.host.as_str())
     }
 
-    /// Connections open to each server, over all wires.
-    pub fn connections(&self) -> impl Iterator<Item = u32> + '_ {
-        self.upstreams.values().map(|u| u.open.get())
-    }
-
     /// Where a server listens, as long as it may be sent anything new.
     pub fn dial(&self, server: Endpoint, wire: Wire) -> Option<SocketAddr> {
         let upstream = self.upstreams.get(&server).filter(|u| u.closed_at.is_none())?;
--- a/crates/plan/src/follower.rs
+++ b/crates/plan/src/follower.rs
@@ -304,9 +304,7 @@
                 || self.own.as_ref().is_some_and(|o| o.members.contains_key(name))
         };
         if self.marks.len() > MOST_ROWS / 2 {
-            let kept: BTreeMap<String, Mark> =
-                self.marks.iter().filter(|(name, _)| named(name)).map(|(n, m)| (n.clone(), *m)).collect();
-            self.marks = kept;
+            self.marks.retain(|name, _| named(name));
         }
     }
 
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -903,11 +903,6 @@
         Some(Part { rows, removed: gone, classes, tenants, ..self.part(version, base) })
     }
 
-    /// When it should be polled again at the latest.
-    pub fn next_poll(&self, now: Nanos) -> Nanos {
-        now + if self.planned_at.is_some() && !self.dirty { BEAT } else { PLAN_EVERY }
-    }
-
     /// Forwarders that are connected.
     pub fn connected(&self) -> usize {
         self.forwarders.values().filter(|f| f.left_at.is_none()).count()
@@ -921,11 +916,6 @@
         self.forwarders.values().filter(holds).count()
     }
 
-    /// Boxes that are held, departed ones among them.
-    pub fn servers_held(&self) -> usize {
-        self.servers.len()
-    }
-
     /// A forwarder's subset, by name, for those who look on.
     pub fn subset_of(&self, forwarder: &str) -> Vec<&str> {
         let f = self.forwarder_ids.get(forwarder).and_then(|id| self.forwarders.get(id));
--- a/crates/rig/src/boxes.rs
+++ b/crates/rig/src/boxes.rs
@@ -1,6 +1,7 @@
 //! Boxes that answer at once, in a process of their own: what they cost is not the node's.
 
 use crate::report::Failure;
+use laurelroute_testkit::discovery::Entry;
 use laurelroute_thrift::codec::decoder::{Accept, Decoder, Item};
 use laurelroute_thrift::codec::head::Head;
 use laurelroute_thrift::codec::walk::Token;
@@ -26,6 +27,19 @@
 }
 
 impl Boxes {
+    /// Their list, as discovery tells it.
+    pub fn entries(&self) -> Vec<Entry> {
+        let entry = |(k, (http, thrift)): (usize, &Addresses)| Entry {
+            name: format!("box-{k}"),
+            http: *http,
+            thrift: Some(*thrift),
+            health: "active",
+            born_ms: 0,
+            block: 1,
+        };
+        self.addresses.iter().enumerate().map(entry).collect()
+    }
+
     /// Starts so many, which speak Thrift in this form.
     pub fn start(form: Form, count: usize) -> Result<Boxes, Failure> {
         let mut child = Command::new(std::env::current_exe()?)
--- a/crates/rig/src/site.rs
+++ b/crates/rig/src/site.rs
@@ -1,11 +1,11 @@
 //! A node as the measurements run it: this program under another name, so that what it allocates and asks of the
 //! kernel is counted and told at its end.
 
-use crate::boxes::{Addresses, Boxes};
+use crate::boxes::Boxes;
 use crate::report::Failure;
 use crate::ALLOCATOR;
 use laurelroute_core::tally::Tally;
-use laurelroute_testkit::discovery::{Discovery, Entry};
+use laurelroute_testkit::discovery::Discovery;
 use laurelroute_testkit::program::{Program, Wishes};
 use laurelroute_testkit::wire::{Ask, Class, Wire};
 use laurelroute_thrift::codec::Form;
@@ -101,15 +101,7 @@
 impl Site {
     /// Starts a node before these boxes, which speak this form, and waits until it serves.
     pub fn start(boxes: &Boxes, form: Form, counted: bool) -> Result<Site, Failure> {
-        let entry = |(k, (http, thrift)): (usize, &Addresses)| Entry {
-            name: format!("box-{k}"),
-            http: *http,
-            thrift: Some(*thrift),
-            health: "active",
-            born_ms: 0,
-            block: 1,
-        };
-        let entries: Vec<Entry> = boxes.addresses.iter().enumerate().map(entry).collect();
+        let entries = boxes.entries();
         let discovery = Discovery::start(&entries);
         let output = std::env::temp_dir().join(format!(
             "laurelroute-rig-{}-{}.out",
--- a/crates/rig/src/two_level.rs
+++ b/crates/rig/src/two_level.rs
@@ -1,6 +1,6 @@
 //! `rig two-level`: one level, two levels, and a policy that sees every queue, on the same load and troubles.
 
-use crate::boxes::{Addresses, Boxes};
+use crate::boxes::Boxes;
 use crate::cost::saturated;
 use crate::levels::COLD;
 use crate::report::{median, table, Failure, Outcome};
@@ -8,7 +8,7 @@
 use laurelroute_simulation::faults::troubles;
 use laurelroute_simulation::world::{Mode, Setup, World};
 use laurelroute_simulation::{MS, S};
-use laurelroute_testkit::discovery::{Discovery, Entry};
+use laurelroute_testkit::discovery::Discovery;
 use laurelroute_testkit::levels::{Levels, Upper};
 use laurelroute_testkit::program::{Program, Wishes};
 use laurelroute_thrift::codec::Form;
@@ -46,15 +46,7 @@
     let boxes = Boxes::start(form, BOXES)?;
     std::env::set_var(AS_PROGRAM, "1");
     let program = std::env::current_exe()?;
-    let entry = |(k, (http, thrift)): (usize, &Addresses)| Entry {
-        name: format!("box-{k}"),
-        http: *http,
-        thrift: Some(*thrift),
-        health: "active",
-        born_ms: 0,
-        block: 1,
-    };
-    let entries: Vec<Entry> = boxes.addresses.iter().enumerate().map(entry).collect();
+    let entries = boxes.entries();
     let discovery = Discovery::start(&entries);
     let wishes = Wishes { sockets: 1024, ..Wishes::default() };
     let led = Wishes { levels: Some(Levels::Up), ..wishes.clone() };
--- a/crates/simulation/src/boxes.rs
+++ b/crates/simulation/src/boxes.rs
@@ -102,11 +102,6 @@
         first.max(now) + (work / (self.speed * self.warmth(now, cold)) * 1e9) as Nanos
     }
 
-    /// Work that waits or is under way, in seconds.
-    pub fn backlog(&self, now: Nanos) -> f64 {
-        self.free_at.iter().map(|at| at.saturating_sub(now) as f64 / 1e9).sum()
-    }
-
     /// Its process ends: nothing is under way any longer.
     pub fn clear(&mut self) {
         self.free_at.iter_mut().for_each(|at| *at = 0);
