Let worth count within seconds at a node that sees few requests

Cause: a class was known after 300 answers (KNOWN_AFTER), which is a minute at 15 requests a second over three classes; its usual answer time moved by 1/50 and 1/200 an answer from a guess of a third of the aim; the part turned away moved by 1/100 a request. Ruled out: no usable server (0 refusals of that kind in 36,000), refusals by tenant.

Now first answers are averaged, a class is known after 20, and shortage is averaged over the requests that come while a server's lag is believed (5 to 100).

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -78,12 +78,13 @@
 /// Lesser worth for the work lowers the limit with this power of its ratio to the best.
 const WORTH_POWER: f64 = 0.5;
 /// ... fully where this part of all requests is turned away, and less where less is: with room for nearly
-/// all, little is gained by keeping the least worthy out. Weight of a new request in that part.
+/// all, little is gained by keeping the least worthy out. It is averaged over as many requests as come while
+/// the lag of a server is believed, within these bounds: a node with few must not remember a jam for longer.
 const SHORTAGE: f64 = 0.2;
-const SHORTAGE_WEIGHT: f64 = 0.01;
-/// A class's answer time is a guess until so many answers have come that little of the first guess is left.
+const SHORTAGE_OVER: (f64, f64) = (5.0, 100.0);
+/// A class's answer time is a guess until so many answers have come that chance has little part in it.
 /// Compared by it with classes that are known to be quick, it would be refused, and never get to be known.
-const KNOWN_AFTER: u32 = 6 * TYPICAL_DOWN as u32;
+const KNOWN_AFTER: u32 = 20;
 /// A tenant is over its share when it gets this many deviations of chance more.
 const CHANCE: f64 = 1.0;
 /// What a key's own server may be behind the best: it saves work there.
@@ -697,7 +698,9 @@
             if let Some((i, queue)) = tried.or_else(|| self.choose(now, &pending)) {
                 let wait = self.line.read(queue) * self.typical[class] - self.limit(now, &request);
                 let turned_away = if wait > 0.0 { 1.0 } else { 0.0 };
-                self.turned_away += (turned_away - self.turned_away) * SHORTAGE_WEIGHT;
+                let recent = self.arrivals.since_start(now, ramp) * self.memory / 1e9;
+                let over = recent.clamp(SHORTAGE_OVER.0, SHORTAGE_OVER.1);
+                self.turned_away += (turned_away - self.turned_away) / over;
                 if wait <= 0.0 {
                     if let Some(rate) = self.tenants.get_mut(request.tenant as usize) {
                         rate.count(now, self.memory);
@@ -854,7 +857,8 @@
             node.silent_since = now;
         }
         if matches!(ending, Ending::Ok | Ending::TimedOut) {
-            self.answers[class] = self.answers[class].saturating_add(1);
+            let answers = self.answers[class].saturating_add(1);
+            self.answers[class] = answers;
             let typical = &mut self.typical[class];
             if let Some(hint) = hint {
                 let [mean, spread, both] = &mut self.hints[class];
@@ -867,7 +871,9 @@
             let ratio = took as f64 / (*typical * weight);
             // The yardstick follows slowly, upwards slowest: it has to outlive a jam.
             let late = (took as f64).min(SURGE * *typical) - *typical;
-            *typical += late / if ratio > 1.0 { TYPICAL_UP } else { TYPICAL_DOWN };
+            // The first answers are averaged: a node of many sees few, and would go by its guess for minutes.
+            let slow = if ratio > 1.0 { TYPICAL_UP / TYPICAL_DOWN } else { 1.0 };
+            *typical += late / (slow * f64::from(answers).min(TYPICAL_DOWN));
             let gap = (-(now.saturating_sub(node.lag_at) as f64) / self.memory).exp();
             node.lag = 1.0 + (node.lag - 1.0) * gap;
             // A server that answers others is there: one connection alone has fallen silent.
