--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -341,7 +341,10 @@
     /// Takes over words that were said to another process of this node.
     pub fn merge_bans(self: &Rc<Self>, words: Vec<Word>) {
         let changed = self.fleet(|f| f.bans.merge(words));
-        self.reconsider(&changed);
+        // What is kept comes back with each call, mostly without news: that is no word on the list.
+        if !changed.is_empty() {
+            self.reconsider(&changed);
+        }
     }
 
     fn reconsider(self: &Rc<Self>, hosts: &[String]) {
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -75,6 +75,16 @@
     pub kinds: Vec<String>,
 }
 
+/// What `GW_MANAGEMENT` says, where it says anything.
+pub(crate) fn management_named() -> Option<String> {
+    std::env::var("GW_MANAGEMENT").ok().filter(|text| !text.is_empty())
+}
+
+/// The second address that a text names.
+pub(crate) fn management_address(text: &str) -> Result<SocketAddr, ConfigError> {
+    text.parse().map_err(|_| ConfigError::Management { text: text.to_owned() })
+}
+
 impl Config {
     /// Reads the file that `GW_CONFIG` names.
     pub fn load() -> Result<Self, ConfigError> {
@@ -87,8 +97,7 @@
         let path = file.display().to_string();
         let bytes =
             std::fs::read(file).map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
-        let management = std::env::var("GW_MANAGEMENT").ok().filter(|text| !text.is_empty());
-        Self::parse(&path, &bytes, management.as_deref())
+        Self::parse(&path, &bytes, management_named().as_deref())
     }
 
     fn parse(path: &str, bytes: &[u8], management: Option<&str>) -> Result<Self, ConfigError> {
@@ -96,8 +105,7 @@
         let mut file: File = serde_json::from_slice(bytes)
             .map_err(|error| ConfigError::Malformed { path: path.clone(), error })?;
         if let (None, Some(text)) = (file.management, management) {
-            file.management =
-                Some(text.parse().map_err(|_| ConfigError::Management { text: text.to_owned() })?);
+            file.management = Some(management_address(text)?);
         }
         for (name, value, least) in
             [("memory_mb", file.limits.memory_mb, 16), ("sockets", file.limits.sockets as u64, 48)]
--- a/crates/node/src/staff.rs
+++ b/crates/node/src/staff.rs
@@ -1,6 +1,6 @@
 //! `laurelroute ready` and `laurelroute servers`: one call on a running node's second address.
 
-use crate::config::{Config, ConfigError};
+use crate::config::{management_address, management_named, Config, ConfigError};
 use crate::management::encode;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
@@ -72,9 +72,8 @@
     if let Some(address) = named {
         return Ok(address);
     }
-    let text = std::env::var("GW_MANAGEMENT").ok().filter(|text| !text.is_empty());
-    match text {
-        Some(text) => Ok(text.parse().map_err(|_| ConfigError::Management { text })?),
+    match management_named() {
+        Some(text) => Ok(management_address(&text)?),
         None if std::env::var_os("GW_CONFIG").is_some() => {
             Config::load()?.management.ok_or(StaffError::Nowhere)
         }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -43,8 +43,7 @@
 const RELIEF: f64 = 3.0;
 const TYPICAL_UP: f64 = 200.0;
 const TYPICAL_DOWN: f64 = 50.0;
-/// Weight of a new answer in what is learnt of hints, and the least answer time given to a light one.
-const HINT_WEIGHT: f64 = 0.01;
+/// The least answer time given to a light request by its hint.
 const LIGHTEST: f64 = 0.25;
 /// A reported queue is believed for this part of the lag's memory; usual ones average this many reports.
 const REPORT_MEMORY: f64 = 0.15;
@@ -160,7 +159,7 @@
     typical: Vec<f64>,
     answers: Vec<u32>,
     turned_away: f64,
-    hints: Vec<[f64; 3]>,
+    hints: Vec<forecast::Slope>,
     pressure: f64,
     pressure_at: Nanos,
     arrivals: Rate,
@@ -196,7 +195,7 @@
             typical: settings.classes.iter().map(|c| c.aim as f64 / 3.0).collect(),
             answers: vec![0; settings.classes.len()],
             turned_away: 0.0,
-            hints: vec![[0.0; 3]; settings.classes.len()],
+            hints: vec![forecast::Slope::default(); settings.classes.len()],
             pressure: 1.0,
             pressure_at: 0,
             arrivals: Rate::default(),
@@ -468,14 +467,11 @@
     /// mean for all would send the heaviest, which hold most of the worth, anywhere.
     fn weight(&self, request: &Request) -> f64 {
         let class = usize::from(request.class);
-        let [mean, spread, both] = self.hints[class];
-        match request.work_hint {
-            Some(hint) if spread > 0.0 => {
-                let more = (both / spread).max(0.0) * (hint as f64 - mean) / self.typical[class];
-                (1.0 + more).max(LIGHTEST)
-            }
-            _ => 1.0,
-        }
+        let slope = self.hints[class];
+        request.work_hint.map_or(1.0, |hint| {
+            let more = slope.rise() * (hint as f64 - slope.mean) / self.typical[class];
+            (1.0 + more).max(LIGHTEST)
+        })
     }
 
     /// How long an answer takes here, in the class's mean responses: recent lag, or the silence while work is
@@ -861,11 +857,7 @@
             self.answers[class] = answers;
             let typical = &mut self.typical[class];
             if let Some(hint) = hint {
-                let [mean, spread, both] = &mut self.hints[class];
-                let (far, late) = (hint as f64 - *mean, took as f64 - *typical);
-                *mean += far * HINT_WEIGHT;
-                *spread += (far * far - *spread) * HINT_WEIGHT;
-                *both += (far * late - *both) * HINT_WEIGHT;
+                self.hints[class].met(hint as f64, took as f64 - *typical);
             }
             // One answer that never comes is no jam: it tells of its server, and of the fleet only so much.
             let ratio = took as f64 / (*typical * weight);
--- a/crates/policy/src/forecast.rs
+++ b/crates/policy/src/forecast.rs
@@ -8,24 +8,47 @@
 
 use super::*;
 
-/// Weight of a new answer in the line. Lighter ones follow a jam too late, heavier ones follow chance.
-const LINE_WEIGHT: f64 = 0.01;
+/// Weight of a new answer in a slope and the line. Lighter ones follow a jam too late, heavier ones chance.
+const WEIGHT: f64 = 0.01;
 /// Spread of the queues that are taken to have been met before any answer.
 const FIRST_SPREAD: f64 = 1.0;
 
-/// Expected and real answer times in mean responses: means, spread of the expected, and how both go together.
+/// How much later answers come for each unit of what was known of them ahead (least squares, fading).
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Slope {
+    /// Of what was known ahead.
+    pub(super) mean: f64,
+    spread: f64,
+    /// How both go together.
+    both: f64,
+}
+
+impl Slope {
+    /// An answer came so much later than usual.
+    pub(super) fn met(&mut self, known: f64, late: f64) {
+        let far = known - self.mean;
+        self.mean += far * WEIGHT;
+        self.spread += (far * far - self.spread) * WEIGHT;
+        self.both += (far * late - self.both) * WEIGHT;
+    }
+
+    /// Nothing where nothing has differed yet.
+    pub(super) fn rise(&self) -> f64 {
+        (self.both / self.spread.max(f64::MIN_POSITIVE)).max(0.0)
+    }
+}
+
+/// Expected and real answer times in mean responses.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Line {
-    expected: f64,
+    slope: Slope,
     real: f64,
-    spread: f64,
-    both: f64,
 }
 
 impl Default for Line {
     /// Before any answer what is expected is what comes.
     fn default() -> Self {
-        Line { expected: 1.0, real: 1.0, spread: FIRST_SPREAD, both: FIRST_SPREAD }
+        Line { slope: Slope { mean: 1.0, spread: FIRST_SPREAD, both: FIRST_SPREAD }, real: 1.0 }
     }
 }
 
@@ -33,16 +56,14 @@
     /// An answer has come, or was waited for in vain. A single one counts for so many expected ones at most.
     pub(super) fn met(&mut self, expected: f64, real: f64) {
         let real = real.min(SURGE * expected.max(1.0));
-        let (far, late) = (expected - self.expected, real - self.real);
-        self.expected += far * LINE_WEIGHT;
-        self.real += late * LINE_WEIGHT;
-        self.spread += (far * far - self.spread) * LINE_WEIGHT;
-        self.both += (far * late - self.both) * LINE_WEIGHT;
+        let late = real - self.real;
+        self.real += late * WEIGHT;
+        self.slope.met(expected, late);
     }
 
     /// The answer time that a queue tells of. Never more than the queue: what it adds up is all there is.
     pub(super) fn read(&self, queue: f64) -> f64 {
-        let slope = (self.both / self.spread.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0);
-        (self.real + slope * (queue - self.expected)).max(0.0).min(queue)
+        let rise = self.slope.rise().min(1.0);
+        (self.real + rise * (queue - self.slope.mean)).max(0.0).min(queue)
     }
 }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod load;
 pub mod outage;
 pub mod port;
+pub mod process;
 pub mod program;
 pub mod suite;
 pub mod takeover;
