Ask those who meet full servers only to stay away for a tenth of the aim at least

Seen: safe_where_all_are_full failed on every wire with the advice 0.000. Cause: the advice is the class's usual answer time, which since first answers are averaged follows quick boxes within a few answers (before, it was a third of the aim for minutes); answers in under a millisecond made advice to come back in no time.

Test: advice_is_worth_heeding_where_answers_are_quick, and the rule suite.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -84,6 +84,8 @@
 /// A class's answer time is a guess until so many answers have come that chance has little part in it.
 /// Compared by it with classes that are known to be quick, it would be refused, and never get to be known.
 const KNOWN_AFTER: u32 = 20;
+/// Who meets full servers only is to stay away for this part of the aim at least, however quick they are.
+const LEAST_PAUSE: f64 = 0.1;
 /// A tenant is over its share when it gets this many deviations of chance more.
 const CHANCE: f64 = 1.0;
 /// What a key's own server may be behind the best: it saves work there.
@@ -920,7 +922,8 @@
         if next.is_none() {
             p.answered = true;
             if harmless && now < p.request.give_up_at {
-                self.refuse(id, self.typical[class], sink);
+                let aim = self.settings.classes[class].aim as f64;
+                self.refuse(id, self.typical[class].max(LEAST_PAUSE * aim), sink);
             } else {
                 sink.push(Action::Fail { request: id });
             }
--- a/crates/policy/tests/few.rs
+++ b/crates/policy/tests/few.rs
@@ -45,3 +45,24 @@
     let part = |(refused, of): (u32, u32)| f64::from(refused) / f64::from(of);
     assert!(part(lesser) > 1.5 * part(worthy), "of the worthy {worthy:?}, of the lesser {lesser:?} refused");
 }
+
+/// Answers that come in no time make no advice to come back in no time, where all servers are full.
+#[test]
+fn advice_is_worth_heeding_where_answers_are_quick() {
+    let mut bed = Bed::new(
+        Settings { retry_after: true, max_retry_after: 2_000 * MS, ..settings(Effect::Safe) },
+        servers(1),
+        3,
+    );
+    for _ in 0..40 {
+        bed.served(MS / 2);
+    }
+    let (id, actions) = bed.request();
+    let server = sent(&actions, id).expect("an idle fleet takes it");
+    let actions = bed.outcome(id, server, 0, MS / 2, Ending::Full);
+    let advice = actions.iter().find_map(|a| match a {
+        Action::Refuse { retry_after, .. } => Some(*retry_after),
+        _ => None,
+    });
+    assert!(advice.is_some_and(|after| after >= 20 * MS), "{advice:?} ns");
+}
