--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -22,6 +22,17 @@
     settings
 }
 
+/// A worthy class, and one of an eighth of its worth, both with 400 ms to be in aim.
+pub fn two_classes() -> Settings {
+    let mut settings = settings(Effect::Safe);
+    let class = settings.classes[0].clone();
+    settings.classes.push(Class { worth: class.worth / 8.0, ..class });
+    settings
+}
+
+/// An attempt under way: when its answer comes, when it was sent, the request and its server.
+pub type Out = (Nanos, Nanos, RequestId, Endpoint);
+
 pub struct Bed {
     pub balancer: Balancer,
     pub now: Nanos,
@@ -71,6 +82,15 @@
         self.feed(Event::Outcome { request, server, attempt, finished, took, ending, report: None })
     }
 
+    /// Brings the answers that are due by now, the earliest first.
+    pub fn answer_due(&mut self, out: &mut Vec<Out>) {
+        out.sort_unstable_by_key(|o| o.0);
+        while out.first().is_some_and(|o| o.0 <= self.now) {
+            let (at, sent_at, id, server) = out.remove(0);
+            self.outcome(id, server, 0, at - sent_at, Ending::Ok);
+        }
+    }
+
     /// Sends one request and answers it at once after `took`; tells where it went.
     pub fn served(&mut self, took: Nanos) -> Option<Endpoint> {
         let (id, actions) = self.request();
--- a/crates/policy/tests/forecast.rs
+++ b/crates/policy/tests/forecast.rs
@@ -5,28 +5,15 @@
 use common::*;
 use laurelroute_policy::interface::*;
 
-/// A worthy class, and one of an eighth of its worth, both with 400 ms to be in aim.
-fn two_classes() -> Settings {
-    let mut s = settings(Effect::Safe);
-    let class = s.classes[0].clone();
-    s.classes.push(Class { worth: class.worth / 8.0, ..class });
-    s
-}
-
 /// Four servers with requests always out; an answer takes 30 ms by itself, and `wait` more for each one ahead of it at its
 /// server. How many of the lesser class are refused, of 800.
 fn refused_of_lesser(wait: Nanos) -> usize {
     let mut bed = Bed::new(two_classes(), servers(4), 5);
-    let mut out: Vec<(Nanos, Nanos, RequestId, Endpoint)> = Vec::new();
+    let mut out: Vec<Out> = Vec::new();
     let mut refused = 0;
     for id in 1..=4_000 {
         bed.now += 2 * MS;
-        out.sort_unstable_by_key(|o| o.0);
-        while out.first().is_some_and(|o| o.0 <= bed.now) {
-            let (_, sent_at, id, server) = out.remove(0);
-            let took = bed.now - sent_at;
-            bed.outcome(id, server, 0, took, Ending::Ok);
-        }
+        bed.answer_due(&mut out);
         let class = u8::from(id % 4 == 0);
         let request = Request { class, ..Request::new(id, bed.now + 800 * MS) };
         let actions = bed.feed(Event::Request(request));
--- a/crates/policy/tests/incidents.rs
+++ b/crates/policy/tests/incidents.rs
@@ -354,3 +354,24 @@
     }
     assert_eq!(used.len(), 4);
 }
+
+/// Answers that come in no time make no advice to come back in no time, where all servers are full.
+#[test]
+fn advice_is_worth_heeding_where_answers_are_quick() {
+    let mut bed = Bed::new(
+        Settings { retry_after: true, max_retry_after: 2_000 * MS, ..settings(Effect::Safe) },
+        servers(1),
+        3,
+    );
+    for _ in 0..40 {
+        bed.served(MS / 2);
+    }
+    let (id, actions) = bed.request();
+    let server = sent(&actions, id).expect("an idle fleet takes it");
+    let actions = bed.outcome(id, server, 0, MS / 2, Ending::Full);
+    let advice = actions.iter().find_map(|a| match a {
+        Action::Refuse { retry_after, .. } => Some(*retry_after),
+        _ => None,
+    });
+    assert!(advice.is_some_and(|after| after >= 20 * MS), "{advice:?} ns");
+}
