--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -21,6 +21,19 @@
     pub dials: Dials,
     /// All that the module is told; the endpoint is filled in by the fleet.
     pub server: Server,
+    /// What else is said of it, where somebody goes by that.
+    pub said: Option<Box<Said>>,
+}
+
+/// What the list says of a server beside what the module is told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Said {
+    /// Its machine kind, by name.
+    pub kind: String,
+    /// What it runs.
+    pub version: String,
+    /// Whatever else.
+    pub metadata: BTreeMap<String, String>,
 }
 
 /// A server's addresses, by [`Wire`]; `None` where it does not speak that one.
@@ -145,7 +158,12 @@
     /// What has changed by the operators' last word on these servers, in the module's words.
     pub fn reconsider(&mut self, now: Nanos, hosts: &[String]) -> Vec<Server> {
         let known = hosts.iter().filter_map(|host| self.upstreams.get(&self.endpoint(host)));
-        let entry = |u: &Upstream| Entry { host: u.host.clone(), dials: u.dials.clone(), server: u.listed };
+        let entry = |u: &Upstream| Entry {
+            host: u.host.clone(),
+            dials: u.dials.clone(),
+            server: u.listed,
+            said: None,
+        };
         let entries = known.filter(|u| u.listed.phase != Phase::Gone).map(entry).collect();
         self.follow(now, ListKind::Changes, entries)
     }
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -6,7 +6,7 @@
 use crate::budget::Budget;
 use crate::call::{Call, Exchange, GivenUp, HandOver, Verdict, Wire};
 use crate::clock::Clock;
-use crate::fleet::{Entry, Fleet};
+use crate::fleet::{Entry, Fleet, Said};
 use crate::ids::Ids;
 use laurelroute_handover::bans::{BanError, Bans, Word};
 use laurelroute_policy::interface::{
@@ -14,6 +14,9 @@
     Settings, SettingsError,
 };
 use laurelroute_policy::Balancer;
+use laurelroute_shift::course::{Change, Refused, Word as ShiftWord};
+use laurelroute_shift::follow::{Follower, Look, Told};
+use laurelroute_shift::pool::Facts;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -157,6 +160,7 @@
 
 struct Live {
     exchange: Rc<dyn Exchange>,
+    request: Request,
     give_up_at: Nanos,
     /// The client has had no final answer yet.
     owed: bool,
@@ -182,6 +186,8 @@
     lingering: VecDeque<(Nanos, AbortHandle)>,
     next_id: RequestId,
     ids: Ids,
+    /// A shift from one pool of servers to another, where the operator's file names one.
+    shift: Option<Box<Follower>>,
 }
 
 /// What the discovery task is asked to do, where the list has to be asked for.
@@ -224,6 +230,7 @@
             lingering: VecDeque::new(),
             next_id: 0,
             ids: Ids::default(),
+            shift: None,
         };
         Ok(Rc::new(Gateway {
             budget: Budget::new(site.sockets, site.memory_mb, site.kept_sockets),
@@ -284,9 +291,14 @@
         let id = state.next_id;
         state.next_id = id.wrapping_add(1);
         let give_up_at = call.give_up_at;
-        state.live.insert(id, Live { exchange, give_up_at, owed: true, attempts: Vec::new() });
+        let mut request = Request { id, ..call.request };
+        if let Some(shift) = &mut state.shift {
+            request.place = shift.place(&request);
+            shift.came(&request);
+        }
+        state.live.insert(id, Live { exchange, request, give_up_at, owed: true, attempts: Vec::new() });
         self.start_timer(&mut state, give_up_at, Wake::Deadline(id));
-        self.handle(&mut state, Event::Request(Request { id, ..call.request }));
+        self.handle(&mut state, Event::Request(request));
         Claim { gateway: self.clone(), id }
     }
 
@@ -303,12 +315,22 @@
     pub fn list(self: &Rc<Self>, kind: ListKind, entries: Vec<Entry>) {
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
+        let said = state.shift.is_some().then(|| entries.clone());
         let servers = state.fleet.follow(now, kind, entries);
+        if let (Some(shift), Some(said)) = (&mut state.shift, said) {
+            relist(shift, kind != ListKind::Changes, &said, &servers);
+        }
         self.tell(&mut state, kind, servers);
     }
 
     fn tell(self: &Rc<Self>, state: &mut State, kind: ListKind, servers: Vec<Server>) {
+        if let Some(shift) = &mut state.shift {
+            shift.phases(&servers);
+        }
         self.handle(state, Event::List { kind, servers });
+        if let Some(split) = state.shift.as_mut().and_then(|s| s.relisted()) {
+            self.handle(state, Event::Split(split));
+        }
         for server in state.fleet.restored() {
             self.handle(state, Event::Restored { server });
         }
@@ -368,6 +390,40 @@
         self.handle(&mut state, Event::Plan(guide));
     }
 
+    /// Has this node follow a shift; to be called before the first list comes.
+    pub fn follow_shift(&self, follower: Follower) {
+        self.state.borrow_mut().shift = Some(Box::new(follower));
+    }
+
+    /// Runs `f` on the shift, where there is one.
+    pub fn shift<T>(&self, f: impl FnOnce(&Follower) -> T) -> Option<T> {
+        self.state.borrow().shift.as_deref().map(f)
+    }
+
+    /// Looks at the shift's pools and evidence; what has changed by it. `no_planner` says that planners are followed and
+    /// none is heard.
+    pub fn look_at_shift(self: &Rc<Self>, no_planner: bool) -> Vec<Change> {
+        let mut state = self.state.borrow_mut();
+        let now = self.clock.now();
+        let Some(look) = state.shift.as_mut().map(|s| s.look(now, no_planner)) else { return Vec::new() };
+        self.split(&mut state, look)
+    }
+
+    /// An operator has spoken on the shift; `None` where there is none.
+    pub fn say_to_shift(self: &Rc<Self>, word: &ShiftWord) -> Option<Result<Vec<Change>, Refused>> {
+        let mut state = self.state.borrow_mut();
+        let now = self.clock.now();
+        let look = state.shift.as_mut()?.say(now, word);
+        Some(look.map(|look| self.split(&mut state, look)))
+    }
+
+    fn split(self: &Rc<Self>, state: &mut State, look: Look) -> Vec<Change> {
+        if let Some(split) = look.split {
+            self.handle(state, Event::Split(split));
+        }
+        look.changes
+    }
+
     /// What the module has met of each server, by name.
     pub fn observed(&self) -> Vec<(String, Observed)> {
         let state = self.state.borrow();
@@ -457,12 +513,17 @@
         let Some(live) = state.live.get_mut(&id.request) else { return };
         let Some(attempt) = live.attempts.get_mut(usize::from(id.number)).filter(|a| a.open) else { return };
         attempt.open = false;
+        let took = self.clock.now().saturating_sub(attempt.sent_at);
+        if let Some(shift) = &mut state.shift {
+            let at = (attempt.server, usize::from(id.number));
+            shift.ended(&live.request, at, (attempt.sent_at, took), ending);
+        }
         let event = Event::Outcome {
             request: id.request,
             server: attempt.server,
             attempt: id.number,
             finished: !live.owed,
-            took: self.clock.now().saturating_sub(attempt.sent_at),
+            took,
             ending,
             report: None,
         };
@@ -534,6 +595,9 @@
         let most = self.site.settings.max_attempts as usize;
         let wanted = live.owed && live.attempts.len() < most;
         if wanted {
+            if let Some(shift) = &mut state.shift {
+                shift.sent(&live.request, server, live.attempts.len());
+            }
             let attempt = Attempt { gateway: self.clone(), id, server, give_up_at: live.give_up_at, handed };
             sent.task = Some(live.exchange.clone().start(attempt));
         }
@@ -571,6 +635,27 @@
     }
 }
 
+/// The list in the shift's words. The fleet gives the servers back in the order of their entries.
+fn relist(shift: &mut Follower, whole: bool, entries: &[Entry], servers: &[Server]) {
+    let nothing = Said::default();
+    let zones = shift.course.settings.zones.clone();
+    let told = entries.iter().zip(servers).map(|(entry, server)| {
+        let said = entry.said.as_deref().unwrap_or(&nothing);
+        let address = entry.dials.iter().flatten().next().map(|a| a.ip());
+        let zone = zones.get(usize::from(server.zone)).map_or("", String::as_str);
+        let facts = Facts {
+            id: &entry.host,
+            zone,
+            kind: &said.kind,
+            version: &said.version,
+            address,
+            metadata: &said.metadata,
+        };
+        Told { facts, server: *server }
+    });
+    shift.list(whole, told);
+}
+
 /// A client's claim to one answer. Dropped before the answer, it says that the client has left.
 pub struct Claim {
     gateway: Rc<Gateway>,
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -55,6 +55,14 @@
         #[arg(long, value_name = "ADDRESS", global = true)]
         at: Option<SocketAddr>,
     },
+    /// Moves traffic from one pool of servers to another: exit code 0 is yes, 1 no, 2 no answer.
+    Shift {
+        #[command(subcommand)]
+        call: crate::shift::cli::ShiftCall,
+        /// The node's second address; else that of GW_MANAGEMENT or GW_CONFIG.
+        #[arg(long, value_name = "ADDRESS", global = true)]
+        at: Option<SocketAddr>,
+    },
     /// Checks an operator's file; errors name key and line.
     Check {
         /// The file.
@@ -91,6 +99,8 @@
     Ask(#[from] crate::ask::AskError),
     #[error("{0}")]
     Staff(#[from] StaffError),
+    #[error("{0}")]
+    Shift(#[from] crate::shift::cli::ShiftFailure),
     /// The node's own no.
     #[error("{0}")]
     No(String),
@@ -103,7 +113,9 @@
         Err(error) => {
             eprintln!("laurelroute: {error}");
             match error {
-                Failure::Staff(_) => ExitCode::from(NO_ANSWER),
+                Failure::Staff(_) | Failure::Shift(crate::shift::cli::ShiftFailure::Staff(_)) => {
+                    ExitCode::from(NO_ANSWER)
+                }
                 _ => ExitCode::FAILURE,
             }
         }
@@ -122,6 +134,7 @@
         Some(Command::Ready { at }) => call(&Call::Ready, at),
         Some(Command::Servers { change: Change::Detach { id }, at }) => call(&Call::Detach(id), at),
         Some(Command::Servers { change: Change::Attach { id }, at }) => call(&Call::Attach(id), at),
+        Some(Command::Shift { call, at }) => Ok(crate::shift::cli::run(&call, at)?),
         Some(Command::Check { file, config }) => check(&file, config.as_deref()),
     }
 }
@@ -142,5 +155,8 @@
     let methods = site.thrift.as_ref().map_or(0, |t| t.front.table.len());
     let unseen = if config.is_none() { "; class names were not checked, see --config" } else { "" };
     println!("{}: sound, {methods} Thrift methods{unseen}", file.display());
+    if let Some(shift) = &site.shift {
+        println!("{}", shift.explained());
+    }
     Ok(())
 }
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -7,12 +7,13 @@
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use laurelroute_core::fleet::{Dials, Entry};
+use laurelroute_core::fleet::{Dials, Entry, Said};
 use laurelroute_core::gateway::ListCall;
 use laurelroute_policy::interface::{Endpoint, ListKind, Phase, Server};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
+use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -64,6 +65,12 @@
     share: Option<f32>,
     #[serde(default)]
     born_ms: Option<u64>,
+    /// What it runs, and whatever else is said of it: for the pools of a shift. What is of another form says nothing, and
+    /// must not spoil the list.
+    #[serde(default)]
+    version: Value,
+    #[serde(default)]
+    metadata: Value,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize)]
@@ -74,6 +81,16 @@
     Left,
 }
 
+fn said(host: &Host) -> Said {
+    let pairs = host.metadata.as_object().into_iter().flatten();
+    let text = |(key, value): (&String, &Value)| Some((key.clone(), value.as_str()?.to_owned()));
+    Said {
+        kind: host.class.clone().unwrap_or_default(),
+        version: host.version.as_str().unwrap_or_default().to_owned(),
+        metadata: pairs.filter_map(text).collect(),
+    }
+}
+
 /// Why a watch or a call has ended.
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
@@ -117,6 +134,8 @@
     kinds: Vec<String>,
     /// Thrift is on, with this port where an entry has no address for it.
     thrift: Option<Option<u16>>,
+    /// Somebody goes by what else is said of servers.
+    shift: bool,
     rng: Pcg64Mcg,
 }
 
@@ -135,6 +154,7 @@
             zones: config.zones.clone(),
             kinds: config.kinds.clone(),
             thrift: site.thrift.as_ref().map(|t| t.port),
+            shift: site.shift.is_some(),
             rng,
             sink,
             must_subscribe: config.site.settings.must_subscribe,
@@ -276,6 +296,7 @@
         };
         let entry = |h: Host| Entry {
             dials: self.dials(&h),
+            said: self.shift.then(|| Box::new(said(&h))),
             host: h.host,
             server: Server {
                 endpoint: Endpoint { address: [0; 4], port: 0 },
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod management;
 mod plan;
 pub mod run;
+pub mod shift;
 pub mod site;
 mod source;
 mod staff;
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -99,6 +99,10 @@
             }
             (&Method::POST, Some(("detach", id))) => self.decide(id, Gateway::detach).await,
             (&Method::POST, Some(("attach", id))) => self.decide(id, Gateway::attach).await,
+            (&Method::GET, None) if path == "/_shift" => crate::shift::desk::status(&self.gateway),
+            (&Method::POST, None) if path.starts_with("/_shift/") => {
+                crate::shift::desk::say(&self.gateway, &path["/_shift/".len()..], decode)
+            }
             (_, Some(("detach" | "attach", _))) => (StatusCode::METHOD_NOT_ALLOWED, "POST".to_owned()),
             (_, None) if path == "/_ready" => (StatusCode::METHOD_NOT_ALLOWED, "GET".to_owned()),
             _ => (StatusCode::NOT_FOUND, "no such call".to_owned()),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -59,6 +59,9 @@
         /// Why not.
         error: std::io::Error,
     },
+    /// The shift that the operator's file names cannot be followed.
+    #[error("{0}")]
+    Shift(#[from] crate::shift::ShiftStartError),
     /// The system gives no runtime or signals.
     #[error("{0}")]
     System(#[from] std::io::Error),
@@ -124,6 +127,9 @@
         (!config.site.settings.must_subscribe, config.known.as_ref().is_some_and(|k| !k.hosts.is_empty()));
     let (list_calls, calls) = mpsc::unbounded_channel();
     let gateway = Gateway::new(config.site.clone(), list_calls)?;
+    if let Some(shift) = &site.shift {
+        crate::shift::start(&gateway, &config, shift)?;
+    }
     let discovery = watch::Sender::new(config.discovery);
     let management = config.management.map(listen).transpose()?;
     let ledger = Ledger::of(config.listen);
--- /dev/null
+++ b/crates/node/src/shift/table.rs
@@ -0,0 +1,290 @@
+//! `[shift]` in the operator's file.
+
+use crate::site::{Check, Classes, SiteError};
+use ipnet::IpNet;
+use laurelroute_shift::judge::{Judge, Signal};
+use laurelroute_shift::pool::{Pools, Predicate};
+use laurelroute_shift::settings::{OnAlarm, ShiftError, ShiftSettings, Split};
+use serde::Deserialize;
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use toml::Spanned;
+use wildmatch::WildMatch;
+
+/// A day.
+const MOST_SECONDS: f64 = 86_400.0;
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct ShiftTable {
+    name: Spanned<String>,
+    old: Spanned<PoolTable>,
+    new: Spanned<PoolTable>,
+    steps: Option<Spanned<Vec<f64>>>,
+    keep_back: Option<Spanned<f64>>,
+    least_seconds: Option<Spanned<f64>>,
+    watch_seconds: Option<Spanned<f64>>,
+    settle_seconds: Option<Spanned<f64>>,
+    rest_seconds: Option<Spanned<f64>>,
+    false_halts: Option<Spanned<f64>>,
+    tolerance: Option<Spanned<f64>>,
+    least_fault: Option<Spanned<f64>>,
+    box_rate: Option<Spanned<f64>>,
+    on_alarm: Option<Spanned<String>>,
+    journal: Option<PathBuf>,
+    #[serde(default, rename = "class")]
+    classes: Vec<ClassTable>,
+    #[serde(default, rename = "split")]
+    splits: Vec<SplitTable>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PoolTable {
+    #[serde(default)]
+    id: Vec<String>,
+    #[serde(default)]
+    zone: Vec<String>,
+    #[serde(default)]
+    kind: Vec<String>,
+    #[serde(default)]
+    version: Vec<String>,
+    #[serde(default)]
+    network: Vec<Spanned<String>>,
+    #[serde(default)]
+    metadata: BTreeMap<String, Vec<String>>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ClassTable {
+    name: Spanned<String>,
+    behind: Spanned<usize>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct SplitTable {
+    name: Spanned<String>,
+    groups: toml::Table,
+}
+
+/// A shift that the file names, checked but for what only the platform's configuration holds.
+#[derive(Clone, Debug)]
+pub struct Shift {
+    /// Its settings.
+    pub settings: ShiftSettings,
+    /// Where its journal is, meant from where the file is.
+    pub journal: Option<PathBuf>,
+}
+
+impl Shift {
+    /// What it will do, in some lines.
+    pub(crate) fn explained(&self) -> String {
+        let settings = &self.settings;
+        let steps: Vec<String> = settings.steps.iter().map(|s| format!("{}%", 100.0 * s)).collect();
+        let mut text = format!("shift {}: {}", settings.name, steps.join(", "));
+        if let Ok(cells) = settings.cells() {
+            let judge = Judge::new(cells, settings.bounds);
+            let needs = judge.needed(0, 0.001, settings.least_fault);
+            text += &format!(
+                "; {} cells, a sound pool is halted with a probability of {} at most; for a fault of {}% a step wants \
+                 some {needs} requests of the new pool",
+                judge.cells.len(),
+                settings.bounds.false_alarms,
+                100.0 * settings.least_fault,
+            );
+            debug_assert!(judge.duel(0, Signal::Failed).new.of == 0);
+        }
+        text
+    }
+}
+
+fn patterns(texts: &[String]) -> Vec<WildMatch> {
+    texts.iter().map(|t| WildMatch::new(t)).collect()
+}
+
+impl PoolTable {
+    fn predicate(&self, check: &Check<'_>, key: &str) -> Result<Predicate, SiteError> {
+        let network = |text: &Spanned<String>| {
+            text.get_ref().parse::<IpNet>().map_err(|_| {
+                let message =
+                    format!("`shift.{key}.network`: `{}` is no network, such as 10.2.0.0/16", text.get_ref());
+                check.at(text, message)
+            })
+        };
+        Ok(Predicate {
+            ids: patterns(&self.id),
+            zones: patterns(&self.zone),
+            kinds: patterns(&self.kind),
+            versions: patterns(&self.version),
+            networks: self.network.iter().map(network).collect::<Result<_, _>>()?,
+            metadata: self.metadata.iter().map(|(key, texts)| (key.clone(), patterns(texts))).collect(),
+        })
+    }
+}
+
+impl ShiftTable {
+    pub(crate) fn checked(self, check: &Check<'_>, classes: Classes<'_>) -> Result<Shift, SiteError> {
+        let pools = Pools {
+            old: self.old.get_ref().predicate(check, "old")?,
+            new: self.new.get_ref().predicate(check, "new")?,
+        };
+        let names = match classes {
+            Some((names, _)) => names.to_vec(),
+            // Checked alone, the classes that the file names are all that is known.
+            None => self.classes.iter().map(|c| c.name.get_ref().clone()).collect(),
+        };
+        let mut settings = ShiftSettings::new(self.name.get_ref(), pools, names, vec!["any".to_owned()]);
+        if let Some(steps) = &self.steps {
+            settings.steps = steps.get_ref().iter().map(|s| s / 100.0).collect();
+        }
+        let percent = |v: &Option<Spanned<f64>>, or: f64| v.as_ref().map_or(or, |v| v.get_ref() / 100.0);
+        settings.keep_back = percent(&self.keep_back, settings.keep_back);
+        settings.bounds.tolerance = percent(&self.tolerance, settings.bounds.tolerance);
+        settings.least_fault = percent(&self.least_fault, settings.least_fault);
+        settings.bounds.false_alarms =
+            self.false_halts.as_ref().map_or(settings.bounds.false_alarms, |v| *v.get_ref());
+        settings.box_rate = self.box_rate.as_ref().map(|v| *v.get_ref());
+        for (key, value, place) in [
+            ("least_seconds", &self.least_seconds, &mut settings.least_time),
+            ("watch_seconds", &self.watch_seconds, &mut settings.watch),
+            ("settle_seconds", &self.settle_seconds, &mut settings.settle),
+            ("rest_seconds", &self.rest_seconds, &mut settings.rest),
+        ] {
+            let Some(value) = value else { continue };
+            let seconds = *value.get_ref();
+            if !(0.0..=MOST_SECONDS).contains(&seconds) {
+                let message = format!("`shift.{key}` is {seconds}; it has to be from 0 to {MOST_SECONDS}");
+                return Err(check.at(value, message));
+            }
+            *place = (seconds * 1e9) as u64;
+        }
+        settings.on_alarm = match self.on_alarm.as_ref().map(|v| (v, v.get_ref().as_str())) {
+            None | Some((_, "undo")) => OnAlarm::Undo,
+            Some((_, "hold")) => OnAlarm::Hold,
+            Some((value, other)) => {
+                return Err(check.at(value, format!("`shift.on_alarm` is `{other}`; known are undo, hold")));
+            }
+        };
+        self.behind(check, &mut settings)?;
+        for split in &self.splits {
+            settings.splits.push(split.checked(check)?);
+        }
+        settings.validate().map_err(|e| self.blamed(check, &e))?;
+        let folder = Path::new(check.file).parent().unwrap_or(Path::new(""));
+        Ok(Shift { settings, journal: self.journal.as_ref().map(|j| folder.join(j)) })
+    }
+
+    fn behind(&self, check: &Check<'_>, settings: &mut ShiftSettings) -> Result<(), SiteError> {
+        let mut seen = Vec::new();
+        for class in &self.classes {
+            let name = class.name.get_ref();
+            let Some(at) = settings.classes.iter().position(|c| c == name) else {
+                let known = settings.classes.join(", ");
+                return Err(
+                    check.at(&class.name, format!("`shift.class` is `{name}`; the settings have {known}"))
+                );
+            };
+            if seen.contains(&at) {
+                return Err(check.at(&class.name, format!("`shift.class` has `{name}` twice")));
+            }
+            seen.push(at);
+            settings.behind[at] = *class.behind.get_ref();
+        }
+        Ok(())
+    }
+
+    /// The place of what was found wrong with the settings as a whole.
+    fn blamed(&self, check: &Check<'_>, error: &ShiftError) -> SiteError {
+        let message = format!("`shift`: {error}");
+        let at = |value: &Option<Spanned<f64>>| value.as_ref().map(|v| v.span().start);
+        let start = match error {
+            ShiftError::Everything("old") => Some(self.old.span().start),
+            ShiftError::Everything(_) | ShiftError::Same => Some(self.new.span().start),
+            ShiftError::Steps => self.steps.as_ref().map(|s| s.span().start),
+            ShiftError::Range("false_halts", _) => at(&self.false_halts),
+            ShiftError::Range("tolerance", _) => at(&self.tolerance),
+            ShiftError::Range("least_fault", _) => at(&self.least_fault),
+            ShiftError::Range("keep_back", _) => at(&self.keep_back),
+            ShiftError::Range("box_rate", _) => at(&self.box_rate),
+            ShiftError::Range(..) => self.classes.first().map(|c| c.behind.span().start),
+            ShiftError::Cells(_) => self.splits.first().map(|s| s.name.span().start),
+            ShiftError::Name => None,
+        };
+        check.error(Some(start.unwrap_or(self.name.span().start)), message)
+    }
+}
+
+impl SplitTable {
+    fn checked(&self, check: &Check<'_>) -> Result<Split, SiteError> {
+        let name = self.name.get_ref();
+        let wrong = |group: &str| {
+            check.at(
+                &self.name,
+                format!("`shift.split.groups.{group}` of `{name}` has to be a list of patterns"),
+            )
+        };
+        let mut groups = Vec::new();
+        for (group, value) in &self.groups {
+            let list = value.as_array().ok_or_else(|| wrong(group))?;
+            let texts: Option<Vec<String>> = list.iter().map(|v| v.as_str().map(str::to_owned)).collect();
+            groups.push((group.clone(), patterns(&texts.ok_or_else(|| wrong(group))?)));
+        }
+        if ["class", "zone", "repeat"].contains(&name.as_str()) {
+            return Err(check.at(&self.name, format!("`shift.split`: `{name}` is told apart already")));
+        }
+        Ok(Split { name: name.clone(), groups })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use crate::site::Site;
+
+    const SOUND: &str = r#"
+[shift]
+name = "release-42"
+old = { version = ["41"] }
+new = { version = ["42"], network = ["10.2.0.0/16"] }
+steps = [1, 10, 100]
+journal = "release-42.journal"
+
+[[shift.class]]
+name = "status"
+behind = 1
+
+[[shift.split]]
+name = "shire"
+groups = { north = ["broome-*", "derby"], south = ["albany"] }
+"#;
+
+    #[test]
+    fn a_shift_is_read_and_errors_name_key_and_line() {
+        let shift = Site::parse("deploy/site.toml", SOUND, None).unwrap().shift.unwrap();
+        assert_eq!(shift.settings.steps, [0.01, 0.1, 1.0]);
+        assert_eq!(shift.settings.behind, [1]);
+        assert_eq!(shift.settings.splits[0].group("broome-town"), 0);
+        assert_eq!(shift.settings.splits[0].group("perth"), 2);
+        assert_eq!(shift.journal.unwrap().to_str(), Some("deploy/release-42.journal"));
+        for (from, to, line, message) in [
+            ("10.2.0.0/16", "10.2.0.0/99", 5, "`shift.new.network`: `10.2.0.0/99` is no network"),
+            ("old = { version = [\"41\"] }", "old = {}", 4, "`old` names no condition"),
+            ("steps = [1, 10, 100]", "steps = [10, 1, 100]", 6, "`steps` have to rise"),
+            ("steps = [1, 10, 100]", "steps = [1, 10]", 6, "`steps` have to rise"),
+            ("steps = [1, 10, 100]", "keep_back = 60", 6, "`keep_back` has to be above 0 and below 50"),
+            ("steps = [1, 10, 100]", "on_alarm = \"sleep\"", 6, "`shift.on_alarm` is `sleep`"),
+            ("steps = [1, 10, 100]", "watch_seconds = -1", 6, "`shift.watch_seconds` is -1"),
+            ("name = \"release-42\"", "name = \"a/b\"", 3, "`name` has to have 1 to 64"),
+            ("\"shire\"", "\"zone\"", 14, "`zone` is told apart already"),
+            ("[\"albany\"]", "\"albany\"", 14, "has to be a list of patterns"),
+            ("behind = 1", "behind = 99", 11, "`behind` has to be 32 steps at most"),
+        ] {
+            let text = SOUND.replacen(from, to, 1);
+            assert_ne!(text, SOUND, "{from}");
+            let error = Site::parse("f", &text, None).unwrap_err();
+            assert_eq!(error.line, Some(line), "{error}");
+            assert!(error.message.contains(message), "{error}");
+        }
+    }
+}
--- a/crates/node/src/site.rs
+++ b/crates/node/src/site.rs
@@ -3,6 +3,7 @@
 //! Every error names the file, the line and the key. Nothing in it is on unless it is named there.
 
 use crate::levels::{ForwardTable, LevelTables, Levels, PeersTable, PlanTable};
+use crate::shift::table::{Shift, ShiftTable};
 use laurelroute_policy::interface::{Effect, Settings};
 use laurelroute_thrift::codec::decoder::Accept;
 use laurelroute_thrift::codec::{application, Form, Limits, FORMS};
@@ -54,6 +55,7 @@
     peers: Option<Spanned<PeersTable>>,
     forward: Option<Spanned<ForwardTable>>,
     plan: Option<Spanned<PlanTable>>,
+    shift: Option<Spanned<ShiftTable>>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -135,6 +137,8 @@
     pub thrift: Option<Thrift>,
     /// Two levels: who this peer is, and what it does as forwarder or planner.
     pub levels: Levels,
+    /// A shift from one pool of servers to another.
+    pub shift: Option<Shift>,
 }
 
 /// The classes that methods can name, with their effects; `None` where only the file itself is checked.
@@ -166,7 +170,8 @@
         let thrift = table.thrift.map(|t| check.thrift(t, classes)).transpose()?;
         let tables = LevelTables { peers: table.peers, forward: table.forward, plan: table.plan };
         let levels = tables.checked(&check, classes)?;
-        Ok(Site { max_connections, thrift, levels })
+        let shift = table.shift.map(|t| t.into_inner().checked(&check, classes)).transpose()?;
+        Ok(Site { max_connections, thrift, levels, shift })
     }
 }
 
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -30,5 +30,5 @@
     if let (Some(port), Some(Some(http)), [_, None]) = (port, dials.first().copied(), &dials[..]) {
         dials[1] = Some(SocketAddr::new(http.ip(), port));
     }
-    Entry { host: member.name, dials, server: member.server }
+    Entry { host: member.name, dials, server: member.server, said: None }
 }
--- a/crates/node/src/staff.rs
+++ b/crates/node/src/staff.rs
@@ -8,6 +8,7 @@
 use hyper::header::HOST;
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
+use laurelroute_shift::course::Word;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -15,11 +16,11 @@
 
 /// A node answers within 1 s, whatever its load.
 const PATIENCE: Duration = Duration::from_secs(3);
-/// What an answer says at most.
-const TEXT: usize = 4096;
+/// What an answer says at most: the status of a shift has some 64 rows and changes.
+const TEXT: usize = 256 * 1024;
 
 /// A call.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub(crate) enum Call {
     /// Whether the process takes clients.
     Ready,
@@ -27,6 +28,10 @@
     Detach(String),
     /// Uses it again.
     Attach(String),
+    /// What is to be said of the shift.
+    ShiftStatus,
+    /// An operator's word on the shift.
+    ShiftWord(Word),
 }
 
 impl Call {
@@ -34,6 +39,8 @@
         match self {
             Call::Ready => (Method::GET, "/_ready".to_owned()),
             Call::Detach(id) => (Method::POST, format!("/_servers/detach/{}", encode(id))),
+            Call::ShiftStatus => (Method::GET, "/_shift".to_owned()),
+            Call::ShiftWord(word) => (Method::POST, crate::shift::desk::path(word)),
             Call::Attach(id) => (Method::POST, format!("/_servers/attach/{}", encode(id))),
         }
     }
--- /dev/null
+++ b/crates/shift/src/capacity.rs
@@ -0,0 +1,185 @@
+//! What share the new pool can carry now, and what the old one could take back.
+//!
+//! Solved as a small linear program: the share of each class up to what the step wants, and the work that each pool's zones
+//! do for each other, so that no zone of either pool gets more than it can carry. A closed form (the same part of every
+//! share) is enough for one zone; with several, a pool that is uneven over the zones needs the flows between them, and
+//! with shares by class the cheapest to cut depends on all zones at once.
+
+use good_lp::{constraint, microlp, variable, variables, Expression, Solution, SolverModel, Variable};
+
+/// Zones that are solved for; more are summed up in the last.
+pub const MOST_ZONES: usize = 12;
+/// Part of its warm capacity that a pool is given.
+const HEADROOM: f64 = 0.95;
+/// A cold box is given this part of what it can take now: all nodes hear of it at once, and each sees its own part only.
+const COLD_HEADROOM: f64 = 0.8;
+/// What a unit of work in another zone costs against a unit of share.
+const CROSS_PRICE: f64 = 0.02;
+/// What a unit of work that nobody can carry costs.
+const LOST_PRICE: f64 = 100.0;
+
+/// What a pool can do in a zone, in units of work a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Strength {
+    /// Its warm boxes.
+    pub warm: f64,
+    /// What its cold boxes can take at present.
+    pub cold: f64,
+}
+
+impl Strength {
+    fn given(&self) -> f64 {
+        HEADROOM * self.warm + COLD_HEADROOM * self.cold
+    }
+}
+
+/// One zone.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Zone {
+    /// Work that comes in, by class, in units a second.
+    pub load: Vec<f64>,
+    /// The pool that traffic leaves.
+    pub old: Strength,
+    /// The pool that traffic goes to.
+    pub new: Strength,
+}
+
+/// What is possible.
+#[derive(Clone, Debug, Default, PartialEq, serde::Serialize)]
+pub struct Room {
+    /// The share of each class that the new pool can carry, at most what was wanted.
+    pub shares: Vec<f64>,
+    /// The part of all work that the old pool cannot take back at once: an undo leaves so much with the new one.
+    pub stays: f64,
+    /// Work that neither can carry within its share, as a part of all.
+    pub lost: f64,
+}
+
+impl Room {
+    /// Whether all that was wanted fits.
+    pub fn fits(&self, wanted: &[f64]) -> bool {
+        self.shares.iter().zip(wanted).all(|(s, w)| *s >= w - 1e-6)
+    }
+}
+
+fn folded(zones: &[Zone], classes: usize) -> Vec<Zone> {
+    let mut kept: Vec<Zone> = Vec::new();
+    for zone in zones {
+        if kept.len() < MOST_ZONES {
+            let mut load = zone.load.clone();
+            load.resize(classes, 0.0);
+            kept.push(Zone { load, ..zone.clone() });
+        } else if let Some(last) = kept.last_mut() {
+            for (sum, load) in last.load.iter_mut().zip(&zone.load) {
+                *sum += load;
+            }
+            for (sum, more) in [(&mut last.old, zone.old), (&mut last.new, zone.new)] {
+                sum.warm += more.warm;
+                sum.cold += more.cold;
+            }
+        }
+    }
+    kept
+}
+
+/// Solves for the shares, each at most what is wanted of its class.
+pub fn solve(zones: &[Zone], wanted: &[f64]) -> Room {
+    let zones = folded(zones, wanted.len());
+    let load: f64 = zones.iter().flat_map(|z| &z.load).sum();
+    let old: f64 = zones.iter().map(|z| z.old.given()).sum();
+    let stays = if load > 0.0 { (1.0 - old / load).clamp(0.0, 1.0) } else { 0.0 };
+    let strong = zones.iter().map(|z| z.new.given()).sum::<f64>() > 0.0;
+    if load <= 0.0 || !strong {
+        let shares = wanted.iter().map(|w| if strong { *w } else { 0.0 }).collect();
+        return Room { shares, stays: if strong { stays } else { 0.0 }, lost: 0.0 };
+    }
+    if plain(&zones, wanted) {
+        return Room { shares: wanted.to_vec(), stays, lost: 0.0 };
+    }
+    match program(&zones, wanted, load) {
+        Some((shares, lost)) => Room { shares, stays, lost: lost / load },
+        // The program always has a solution (all work lost); where the solver stops short, nothing moves.
+        None => Room { shares: vec![0.0; wanted.len()], stays, lost: 0.0 },
+    }
+}
+
+/// Every zone carries its own: nothing is to be solved.
+fn plain(zones: &[Zone], wanted: &[f64]) -> bool {
+    zones.iter().all(|z| {
+        let moved: f64 = z.load.iter().zip(wanted).map(|(l, w)| l * w).sum();
+        let all: f64 = z.load.iter().sum();
+        moved <= z.new.given() && all - moved <= z.old.given()
+    })
+}
+
+fn program(zones: &[Zone], wanted: &[f64], load: f64) -> Option<(Vec<f64>, f64)> {
+    let mut vars = variables!();
+    let shares: Vec<Variable> = wanted.iter().map(|w| vars.add(variable().min(0.0).max(*w))).collect();
+    let n = zones.len();
+    let flows = |vars: &mut good_lp::ProblemVariables| -> Vec<Vec<Variable>> {
+        (0..n).map(|_| (0..n).map(|_| vars.add(variable().min(0.0))).collect()).collect()
+    };
+    let to = [flows(&mut vars), flows(&mut vars)];
+    let lost: Vec<Variable> = (0..n).map(|_| vars.add(variable().min(0.0))).collect();
+    // All in parts of the whole load, so that the solver's tolerances mean the same at every size.
+    let of = |z: usize, c: usize| zones[z].load[c] / load;
+    let mut aim = Expression::default();
+    for (c, share) in shares.iter().enumerate() {
+        let part: f64 = (0..n).map(|z| of(z, c)).sum();
+        aim += (part + 1e-4) * *share;
+    }
+    for flows in &to {
+        for (z, row) in flows.iter().enumerate() {
+            let elsewhere = row.iter().enumerate().filter(|(y, _)| *y != z);
+            elsewhere.for_each(|(_, flow)| aim -= CROSS_PRICE * *flow);
+        }
+    }
+    lost.iter().for_each(|l| aim -= LOST_PRICE * *l);
+    let mut model = vars.maximise(aim).using(microlp);
+    for z in 0..n {
+        let moved: Expression = shares.iter().enumerate().map(|(c, s)| of(z, c) * *s).sum();
+        let all: f64 = (0..shares.len()).map(|c| of(z, c)).sum();
+        let [old, new] = [&to[0][z], &to[1][z]].map(|row| row.iter().sum::<Expression>());
+        model = model.with(constraint!(new == moved.clone()));
+        model = model.with(constraint!(old + lost[z] + moved == all));
+        let got = |flows: &Vec<Vec<Variable>>| flows.iter().map(|row| row[z]).sum::<Expression>();
+        let most = [zones[z].old.given() / load, zones[z].new.given() / load];
+        model = model.with(constraint!(got(&to[0]) <= most[0]));
+        model = model.with(constraint!(got(&to[1]) <= most[1]));
+    }
+    let solution = model.solve().ok()?;
+    let shares = shares.iter().zip(wanted).map(|(s, w)| solution.value(*s).clamp(0.0, *w)).collect();
+    Some((shares, lost.iter().map(|l| solution.value(*l).max(0.0)).sum::<f64>() * load))
+}
+
+/// What a unit of size has been seen to carry, where operators do not say: the most work a second that the old pool has
+/// done for each unit while nearly all of its answers were in time. It fades, so that a burst long ago promises nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Carried {
+    most: f64,
+}
+
+/// Each look at a lower rate takes this part of what was seen before.
+const FORGET: f64 = 0.00005;
+/// Part of answers that may be late while the old pool counts as carrying its load.
+const LATE_ENOUGH: f64 = 0.05;
+
+impl Carried {
+    /// The old pool does so much work a second with so many units of size, of which this part comes late.
+    pub fn met(&mut self, work: f64, size: f64, late: f64) {
+        if size <= 0.0 || !work.is_finite() {
+            return;
+        }
+        let each = work / size;
+        if each > self.most && late <= LATE_ENOUGH {
+            self.most = each;
+        } else {
+            self.most -= self.most * FORGET;
+        }
+    }
+
+    /// Work a second for each unit of size; nothing before anything was seen.
+    pub fn each(&self) -> f64 {
+        self.most
+    }
+}
--- /dev/null
+++ b/crates/shift/src/cells.rs
@@ -0,0 +1,159 @@
+//! What is judged apart: cells of class, zone, first try or repeat, and groups of tenants, and their sums.
+//!
+//! A fault in one shire of 27 is lost in an average, and a cell of all dimensions may be too thin to show a fault that all
+//! of a class has. So an outcome counts in several cells at once: all, each dimension alone, each class by each other
+//! dimension, and all dimensions together. Each such *level* has an equal part of the false-alarm rate, and so has each
+//! cell of a level: no sum hides its worst cell, since that one is judged by itself as well.
+
+/// One dimension: its name and the names of its values.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Dimension {
+    /// `class`, `zone`, `repeat`, or a split of the operator's.
+    pub name: String,
+    /// Its values, at least one.
+    pub values: Vec<String>,
+}
+
+/// Cells at most: each takes some 600 bytes.
+pub const MOST_CELLS: usize = 4096;
+/// Dimensions at most.
+pub const MOST_DIMENSIONS: usize = 6;
+
+/// Why there are no such cells.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum CellsError {
+    /// A dimension without a value.
+    #[error("the dimension `{0}` has no values")]
+    Empty(String),
+    /// Too many dimensions.
+    #[error("{0} dimensions; at most {MOST_DIMENSIONS}")]
+    Dimensions(usize),
+    /// Too many cells.
+    #[error("{0} cells; at most {MOST_CELLS}: name fewer splits or larger groups")]
+    Cells(usize),
+}
+
+/// The cells of a shift. Dimension 0 is the class.
+#[derive(Clone, Debug)]
+pub struct Cells {
+    dimensions: Vec<Dimension>,
+    levels: Vec<Level>,
+    count: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Level {
+    /// The dimensions that it tells apart.
+    by: Vec<usize>,
+    first: usize,
+    cells: usize,
+}
+
+impl Cells {
+    /// The cells of these dimensions, of which the first is the class.
+    pub fn new(dimensions: Vec<Dimension>) -> Result<Cells, CellsError> {
+        if let Some(empty) = dimensions.iter().find(|d| d.values.is_empty()) {
+            return Err(CellsError::Empty(empty.name.clone()));
+        }
+        if dimensions.len() > MOST_DIMENSIONS {
+            return Err(CellsError::Dimensions(dimensions.len()));
+        }
+        let several = |d: &usize| dimensions[*d].values.len() > 1;
+        let open: Vec<usize> = (0..dimensions.len()).filter(several).collect();
+        let mut sets: Vec<Vec<usize>> = vec![Vec::new()];
+        sets.extend(open.iter().map(|&d| vec![d]));
+        sets.extend(open.iter().filter(|&&d| d > 0 && open.contains(&0)).map(|&d| vec![0, d]));
+        sets.push(open);
+        let mut seen: Vec<Vec<usize>> = Vec::new();
+        sets.retain(|s| {
+            let new = !seen.contains(s);
+            seen.push(s.clone());
+            new
+        });
+        let mut levels = Vec::new();
+        let mut count = 0usize;
+        for by in sets {
+            let cells = by.iter().fold(1usize, |n, &d| n.saturating_mul(dimensions[d].values.len()));
+            levels.push(Level { by, first: count, cells });
+            count = count.saturating_add(cells);
+        }
+        if count > MOST_CELLS {
+            return Err(CellsError::Cells(count));
+        }
+        Ok(Cells { dimensions, levels, count })
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Never: there is always the cell of all.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Levels, from the cell of all to the finest.
+    pub fn levels(&self) -> usize {
+        self.levels.len()
+    }
+
+    /// The cells that an outcome counts in, one a level, by its value in each dimension. A value that a dimension does
+    /// not have counts as its last.
+    pub fn of<'a>(&'a self, values: &'a [usize]) -> impl Iterator<Item = usize> + 'a {
+        self.levels.iter().map(move |level| {
+            let within = level.by.iter().fold(0, |at, &d| {
+                let most = self.dimensions[d].values.len();
+                at * most + values.get(d).copied().unwrap_or(most - 1).min(most - 1)
+            });
+            level.first + within
+        })
+    }
+
+    fn level(&self, cell: usize) -> &Level {
+        let at = self.levels.partition_point(|l| l.first <= cell).saturating_sub(1);
+        &self.levels[at]
+    }
+
+    /// The part of the false-alarm rate that a cell has; over all cells these add up to 1.
+    pub fn weight(&self, cell: usize) -> f64 {
+        1.0 / (self.levels.len() as f64 * self.level(cell).cells as f64)
+    }
+
+    /// Whether a step waits for evidence here: in the cell of all and in those of a class. Finer ones may be too thin for
+    /// ever, and are named.
+    pub fn owed(&self, cell: usize) -> bool {
+        self.level(cell).by.iter().all(|&d| d == 0)
+    }
+
+    /// The class of a cell that tells classes apart.
+    pub fn class(&self, cell: usize) -> Option<usize> {
+        let level = self.level(cell);
+        let at = level.by.iter().position(|&d| d == 0)?;
+        let behind: usize = level.by[at + 1..].iter().map(|&d| self.dimensions[d].values.len()).product();
+        Some((cell - level.first) / behind % self.dimensions[0].values.len())
+    }
+
+    /// Its name: `all`, or `class=acknowledge shire=kununurra`.
+    pub fn name(&self, cell: usize) -> String {
+        let level = self.level(cell);
+        let mut rest = cell - level.first;
+        let mut parts = Vec::new();
+        for &d in level.by.iter().rev() {
+            let dimension = &self.dimensions[d];
+            parts.push(format!("{}={}", dimension.name, dimension.values[rest % dimension.values.len()]));
+            rest /= dimension.values.len();
+        }
+        parts.reverse();
+        if parts.is_empty() {
+            "all".to_owned()
+        } else {
+            parts.join(" ")
+        }
+    }
+
+    /// A cell by its name.
+    pub fn named(&self, name: &str) -> Option<usize> {
+        (0..self.count).find(|&c| self.name(c) == name)
+    }
+}
--- /dev/null
+++ b/crates/shift/src/course.rs
@@ -0,0 +1,701 @@
+//! The shift as a state machine: what climbs a step, and what holds, halts, undoes and ends it.
+//!
+//! Time alone moves nothing. A step is left upwards when each class has shown as much as [`ShiftSettings::least_fault`]
+//! asks, no cell is in doubt, and the new pool can carry the next share; it is left downwards as soon as one cell alarms.
+
+use crate::capacity::{self, Room, Zone};
+use crate::cells::CellsError;
+use crate::judge::{Alarm, Blame, Judge, Outcome, Signal, Signals, Usual};
+use crate::pool::Pool;
+use crate::settings::{OnAlarm, ShiftSettings};
+use crate::Nanos;
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// Changes of state that are remembered.
+const MOST_CHANGES: usize = 64;
+/// A cell is in doubt, and no step is climbed, with this part of the evidence that alarms.
+const DOUBT: f64 = 0.5;
+/// Without a planner, a forwarder undoes on its own evidence with so many times of what alarms.
+const BEYOND_DOUBT: f64 = 2.0;
+/// A share shrinks within a step only when less than this part of it can be carried: a ramp must not flap.
+const SHRINK: f64 = 0.9;
+/// Shares nearer than this are equal.
+const NEAR: f64 = 1e-6;
+
+/// Why a shift stands still.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Hold {
+    /// An operator's word.
+    Operator,
+    /// Cells are worse in the new pool.
+    Alarm,
+    /// A depot is cut off: what is worse now may be the network's doing.
+    CutOff,
+    /// The old pool is gone: nothing is left to compare with or to go back to.
+    OldGone,
+    /// The journal ends in the middle of a record.
+    HalfWritten,
+}
+
+/// Where a shift is.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case", tag = "state")]
+pub enum State {
+    /// Nobody has said `start`.
+    Ready,
+    /// Started; the new pool has no box yet.
+    Waiting,
+    /// On a rung, and judged.
+    Step {
+        /// From 0.
+        rung: usize,
+    },
+    /// Standing still on a rung; what alarms there is taken back all the same.
+    Held {
+        /// The rung.
+        rung: usize,
+        /// Why.
+        why: Hold,
+    },
+    /// Going back, as far as the old pool can carry.
+    Undoing,
+    /// All is back.
+    Undone,
+    /// All is with the new pool, and nothing is compared any longer. An operator can still undo it.
+    Finished,
+    /// Nobody moves anything: pools are no longer told apart.
+    Abandoned,
+}
+
+impl State {
+    /// Whether requests are told apart by pool.
+    pub fn on(&self) -> bool {
+        !matches!(self, State::Ready | State::Abandoned)
+    }
+}
+
+/// What operators can say.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Verb {
+    /// Begin, or begin again after an undo.
+    Start,
+    /// Stand still.
+    Hold,
+    /// Go on where it was held, or climb a rung whatever the evidence.
+    Advance,
+    /// Take all back.
+    Undo,
+    /// All to the new pool.
+    Finish,
+    /// Forget the shift.
+    Abandon,
+}
+
+/// An operator's word.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Word {
+    /// What.
+    pub verb: Verb,
+    /// Who.
+    pub who: String,
+    /// Why.
+    pub why: String,
+    /// Whatever speaks against it.
+    pub insist: bool,
+}
+
+/// Why a word is not followed.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// It means nothing in this state.
+    #[error("the shift is {0}: `{1}` changes nothing there")]
+    Senseless(String, String),
+    /// It was undone a short time ago.
+    #[error("it was undone {0} s ago and rests for {1} s: insist to begin again")]
+    Resting(u64, u64),
+    /// Nobody is there to go to, or to go back to.
+    #[error("the {0} pool has no box")]
+    Empty(&'static str),
+}
+
+/// A change of state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// When.
+    pub at: Nanos,
+    /// The state from then on.
+    pub state: State,
+    /// The rung from then on.
+    pub rung: usize,
+    /// Who: an operator, or `laurelroute`.
+    pub who: String,
+    /// Why.
+    pub why: String,
+    /// The shares from then on, by class.
+    pub shares: Vec<f64>,
+    /// The cell that has alarmed, with its name.
+    pub alarm: Option<(String, Alarm)>,
+}
+
+/// What is seen of the pools beside the endings.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Sight {
+    /// Work and strength, by zone.
+    pub zones: Vec<Zone>,
+    /// Boxes that take work.
+    pub old: usize,
+    /// See there.
+    pub new: usize,
+    /// A depot is cut off.
+    pub cut_off: bool,
+    /// This node follows planners and hears of none.
+    pub no_planner: bool,
+}
+
+/// How an attempt ended, for the shift.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Served.
+    Served,
+    /// An error, a reset, no connection, or a spoilt answer.
+    Failed,
+    /// No answer in time.
+    TimedOut,
+    /// Turned away unseen.
+    Full,
+    /// Not sent to the pool, as it would have been late there.
+    Spilled,
+    /// Called off, or its client has left: says nothing.
+    CalledOff,
+}
+
+/// An attempt that has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Met<'a> {
+    /// The box's pool when it was sent.
+    pub pool: Pool,
+    /// The box is of both pools: it serves as an old one, and is no evidence.
+    pub twice: bool,
+    /// The box, by a number that the caller keeps.
+    pub server: u32,
+    /// The request's class.
+    pub class: usize,
+    /// The box's zone.
+    pub zone: usize,
+    /// It repeats another attempt, or its client says that it asks again.
+    pub again: bool,
+    /// The group of its tenant in each split.
+    pub groups: &'a [usize],
+    /// How it ended.
+    pub end: End,
+    /// Time until its answer, or until it ended.
+    pub took: Nanos,
+    /// The class's aim.
+    pub aim: Nanos,
+    /// The box was cold when it was sent.
+    pub cold: bool,
+}
+
+/// One shift under way. See the module's documentation.
+#[derive(Clone, Debug)]
+pub struct Course {
+    /// What it was told.
+    pub settings: ShiftSettings,
+    /// Its evidence.
+    pub judge: Judge,
+    state: State,
+    rung: usize,
+    shares: Vec<f64>,
+    room: Room,
+    entered: Nanos,
+    cause_left: Option<Nanos>,
+    undone_at: Option<Nanos>,
+    usual: Vec<Usual>,
+    changes: VecDeque<Change>,
+    changed: u64,
+    sight: Sight,
+}
+
+impl Course {
+    /// A shift that nobody has started.
+    pub fn new(settings: ShiftSettings) -> Result<Course, CellsError> {
+        let judge = Judge::new(settings.cells()?, settings.bounds);
+        let classes = settings.classes.len();
+        Ok(Course {
+            judge,
+            state: State::Ready,
+            rung: 0,
+            shares: vec![0.0; classes],
+            room: Room::default(),
+            entered: 0,
+            cause_left: None,
+            undone_at: None,
+            usual: vec![Usual::default(); classes],
+            changes: VecDeque::new(),
+            changed: 0,
+            sight: Sight::default(),
+            settings,
+        })
+    }
+
+    /// Where it is.
+    pub fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// The rung that it is on, was on last, or goes to next.
+    pub fn rung(&self) -> usize {
+        self.rung
+    }
+
+    /// The share of each class that goes to the new pool now.
+    pub fn shares(&self) -> &[f64] {
+        &self.shares
+    }
+
+    /// What the pools could carry when it was last looked at.
+    pub fn room(&self) -> &Room {
+        &self.room
+    }
+
+    /// What was seen of the pools then.
+    pub fn sight(&self) -> &Sight {
+        &self.sight
+    }
+
+    /// When it came to its state.
+    pub fn since(&self) -> Nanos {
+        self.entered
+    }
+
+    /// The last changes, the oldest first.
+    pub fn changes(&self) -> impl Iterator<Item = &Change> {
+        self.changes.iter()
+    }
+
+    /// How many changes there were since this course was made, those forgotten among them.
+    pub fn changed(&self) -> u64 {
+        self.changed
+    }
+
+    /// Counts an attempt that has ended.
+    pub fn met(&mut self, met: &Met<'_>) {
+        if !self.state.on() || met.twice || met.pool == Pool::Outside || met.end == End::CalledOff {
+            return;
+        }
+        let Some(usual) = self.usual.get_mut(met.class) else { return };
+        let mut bad = Signals::default();
+        match met.end {
+            End::Failed => bad = bad.with(Signal::Failed),
+            End::TimedOut => bad = bad.with(Signal::Late).with(Signal::Slow),
+            End::Full | End::Spilled => bad = bad.with(Signal::Refused),
+            End::Served => {
+                if met.took > met.aim {
+                    bad = bad.with(Signal::Late);
+                }
+                if usual.slow(met.took) {
+                    bad = bad.with(Signal::Slow);
+                }
+                if met.pool == Pool::Old {
+                    usual.met(met.took);
+                }
+            }
+            End::CalledOff => {}
+        }
+        let mut judged = match met.end {
+            // What never ran has no time; what failed has none that says anything.
+            End::Full | End::Spilled => Signals::default().with(Signal::Refused),
+            End::Failed => Signals::ALL.without(Signal::Late).without(Signal::Slow),
+            _ => Signals::ALL,
+        };
+        if met.cold {
+            judged = judged.without(Signal::Late).without(Signal::Slow).without(Signal::Refused);
+        }
+        let mut values = [0usize; crate::cells::MOST_DIMENSIONS];
+        values[..3].copy_from_slice(&[met.class, met.zone, usize::from(met.again)]);
+        let groups = met.groups.len().min(values.len() - 3);
+        values[3..3 + groups].copy_from_slice(&met.groups[..groups]);
+        let values = &values[..3 + groups];
+        self.judge.count(&Outcome { pool: met.pool, server: met.server, values, bad, judged });
+    }
+
+    fn change(&mut self, now: Nanos, state: State, who: &str, why: String, alarm: Option<Alarm>) -> Change {
+        if state != self.state {
+            self.entered = now;
+            self.cause_left = None;
+        }
+        self.state = state;
+        let alarm = alarm.map(|a| (self.judge.cells.name(a.cell), a));
+        let (shares, rung) = (self.shares.clone(), self.rung);
+        let change =
+            Change { at: now, state: self.state.clone(), rung, who: who.to_owned(), why, shares, alarm };
+        self.changes.push_back(change.clone());
+        self.changed += 1;
+        if self.changes.len() > MOST_CHANGES {
+            self.changes.pop_front();
+        }
+        change
+    }
+
+    /// An operator has spoken.
+    pub fn say(&mut self, now: Nanos, word: &Word) -> Result<Change, Refused> {
+        let senseless = |c: &Course| {
+            let (state, verb) = (c.state_name(), format!("{:?}", word.verb).to_lowercase());
+            Err(Refused::Senseless(state.to_owned(), verb))
+        };
+        let last = self.settings.rungs() - 1;
+        let who = word.who.as_str();
+        let why = word.why.clone();
+        match (word.verb, self.state.clone()) {
+            (Verb::Start, State::Ready | State::Abandoned | State::Undone) => {
+                let age = self.undone_at.map(|at| now.saturating_sub(at));
+                if let Some(age) = age.filter(|a| *a < self.settings.rest && !word.insist) {
+                    return Err(Refused::Resting(age / 1_000_000_000, self.settings.rest / 1_000_000_000));
+                }
+                self.judge = Judge::new(self.judge.cells.clone(), self.settings.bounds);
+                self.rung = 0;
+                self.shares.fill(0.0);
+                Ok(self.change(now, State::Waiting, who, why, None))
+            }
+            (Verb::Hold, State::Step { rung }) => {
+                Ok(self.change(now, State::Held { rung, why: Hold::Operator }, who, why, None))
+            }
+            // A hold of its own would end by itself; an operator's does not.
+            (Verb::Hold, State::Held { rung, why: held }) if held != Hold::Operator => {
+                Ok(self.change(now, State::Held { rung, why: Hold::Operator }, who, why, None))
+            }
+            (Verb::Advance, State::Held { .. } | State::Step { .. }) => {
+                self.judge.weigh();
+                let doubtful = !self.judge.alarms().is_empty();
+                self.judge.excuse();
+                if matches!(self.state, State::Step { .. }) {
+                    if self.rung == last {
+                        return senseless(self);
+                    }
+                    self.climb(self.rung + 1);
+                }
+                let said = if doubtful { format!("{why} (on evidence against it)") } else { why };
+                Ok(self.change(now, State::Step { rung: self.rung }, who, said, None))
+            }
+            (Verb::Undo, State::Waiting | State::Step { .. } | State::Held { .. } | State::Finished) => {
+                if self.sight.old == 0 && !word.insist {
+                    return Err(Refused::Empty("old"));
+                }
+                Ok(self.undo(now, who, why, None))
+            }
+            (Verb::Finish, State::Waiting | State::Step { .. } | State::Held { .. }) => {
+                if self.sight.new == 0 {
+                    return Err(Refused::Empty("new"));
+                }
+                self.judge.excuse();
+                self.climb(last);
+                self.shares = self.settings.shares(last);
+                Ok(self.change(now, State::Finished, who, why, None))
+            }
+            (Verb::Abandon, state) if state != State::Abandoned => {
+                self.shares.fill(0.0);
+                Ok(self.change(now, State::Abandoned, who, why, None))
+            }
+            _ => senseless(self),
+        }
+    }
+
+    /// While the shift goes on, a part of each class stays with the old pool: without it nothing tells a fault of the new
+    /// one from what strikes all.
+    pub(crate) fn kept_back(&self, mut shares: Vec<f64>) -> Vec<f64> {
+        let most = 1.0 - self.settings.keep_back;
+        shares.iter_mut().for_each(|s| *s = s.min(most));
+        shares
+    }
+
+    fn climb(&mut self, rung: usize) {
+        self.rung = rung;
+        self.judge.step();
+    }
+
+    fn undo(&mut self, now: Nanos, who: &str, why: String, alarm: Option<Alarm>) -> Change {
+        let stays = self.room.stays;
+        self.shares.iter_mut().for_each(|s| *s = s.min(stays));
+        self.undone_at = Some(now);
+        let state = if stays > NEAR { State::Undoing } else { State::Undone };
+        self.change(now, state, who, why, alarm)
+    }
+
+    /// Looks at the pools and at the evidence; what has changed by it.
+    pub fn tick(&mut self, now: Nanos, sight: Sight) -> Vec<Change> {
+        self.judge.weigh();
+        self.sight = sight;
+        let wanted = match self.state {
+            State::Step { .. } | State::Held { .. } => self.kept_back(self.settings.shares(self.rung)),
+            State::Finished => self.settings.shares(self.rung),
+            _ => vec![0.0; self.shares.len()],
+        };
+        self.room = capacity::solve(&self.sight.zones, &wanted);
+        let mut changes = Vec::new();
+        match self.state.clone() {
+            State::Ready | State::Abandoned | State::Undone => {}
+            State::Waiting if self.sight.new > 0 && self.sight.old > 0 => {
+                self.climb(0);
+                let why = format!("{} boxes of the new pool take work", self.sight.new);
+                changes.push(self.change(now, State::Step { rung: 0 }, SELF, why, None));
+            }
+            State::Waiting => {}
+            State::Undoing => changes.extend(self.back(now)),
+            State::Finished => self.follow_room(&wanted),
+            State::Step { .. } | State::Held { .. } => changes.extend(self.judged(now, &wanted)),
+        }
+        changes
+    }
+
+    /// Half-way back: as the old pool's strength returns, so does its share.
+    fn back(&mut self, now: Nanos) -> Option<Change> {
+        let stays = self.room.stays;
+        self.shares.iter_mut().for_each(|s| *s = s.min(stays));
+        (stays <= NEAR).then(|| {
+            self.undone_at = Some(now);
+            self.change(now, State::Undone, SELF, "the old pool carries all again".to_owned(), None)
+        })
+    }
+
+    fn judged(&mut self, now: Nanos, wanted: &[f64]) -> Option<Change> {
+        if self.sight.new == 0 {
+            return Some(self.undo(now, SELF, "the new pool has no box left".to_owned(), None));
+        }
+        if let Some(change) = self.alarmed(now) {
+            return Some(change);
+        }
+        self.follow_room(wanted);
+        let cause = if self.sight.old == 0 {
+            Some((Hold::OldGone, "the old pool has no box left"))
+        } else if self.sight.cut_off {
+            Some((Hold::CutOff, "a depot is cut off"))
+        } else {
+            None
+        };
+        match (self.state.clone(), cause) {
+            (State::Step { rung }, Some((why, text))) => {
+                Some(self.change(now, State::Held { rung, why }, SELF, text.to_owned(), None))
+            }
+            (State::Held { why: Hold::CutOff | Hold::OldGone, .. }, None) => {
+                let since = *self.cause_left.get_or_insert(now);
+                let settled = now.saturating_sub(since) >= self.settings.settle;
+                settled.then(|| {
+                    let why = "what it was held for is over".to_owned();
+                    self.judge.step();
+                    self.change(now, State::Step { rung: self.rung }, SELF, why, None)
+                })
+            }
+            (State::Held { .. }, Some(_)) => {
+                self.cause_left = None;
+                None
+            }
+            (State::Step { .. }, None) => self.next(now, wanted),
+            _ => None,
+        }
+    }
+
+    /// What alarms is taken back, held or not. While a depot is cut off, or without a planner, only what is beyond doubt.
+    fn alarmed(&mut self, now: Nanos) -> Option<Change> {
+        let strict = if self.sight.no_planner || self.sight.cut_off { BEYOND_DOUBT } else { 1.0 };
+        let held = matches!(self.state, State::Held { why: Hold::Alarm, .. });
+        let alarm = self.judge.alarms().into_iter().find(|a| a.evidence >= strict * a.bound)?;
+        if held || self.sight.old == 0 {
+            return None;
+        }
+        let why = self.describe(&alarm);
+        if self.settings.on_alarm == OnAlarm::Hold {
+            let state = State::Held { rung: self.rung, why: Hold::Alarm };
+            return Some(self.change(now, state, SELF, why, Some(alarm)));
+        }
+        Some(self.undo(now, SELF, why, Some(alarm)))
+    }
+
+    fn describe(&self, alarm: &Alarm) -> String {
+        let whose = match &alarm.blame {
+            Blame::Release => "the release, on its boxes alike".to_owned(),
+            Blame::Boxes(boxes) => format!("{} of its boxes alone", boxes.len()),
+            Blame::Unclear => "too few boxes to tell whose".to_owned(),
+        };
+        let (old, new) = (alarm.old, alarm.new);
+        format!(
+            "{:?} in {}: {} of {} in the new pool against {} of {}; {whose}",
+            alarm.signal,
+            self.judge.cells.name(alarm.cell),
+            new.bad,
+            new.of,
+            old.bad,
+            old.of
+        )
+    }
+
+    /// Shares follow what the new pool can carry, up to the rung's: a cold pool warms along its ramp.
+    fn follow_room(&mut self, wanted: &[f64]) {
+        for (class, share) in self.shares.iter_mut().enumerate() {
+            let fits = self.room.shares.get(class).copied().unwrap_or(0.0);
+            // What the old pool cannot carry stays with the new one in any case.
+            let fits = fits.max(self.room.stays.min(*share)).min(wanted[class]);
+            if fits > *share || fits < SHRINK * *share || wanted[class] < *share {
+                *share = fits;
+            }
+        }
+    }
+
+    /// The next rung, if nothing speaks against it.
+    fn next(&mut self, now: Nanos, wanted: &[f64]) -> Option<Change> {
+        if self.standing(now, wanted).is_some() {
+            return None;
+        }
+        if self.rung + 1 == self.settings.rungs() {
+            return Some(self.change(
+                now,
+                State::Finished,
+                SELF,
+                "all rungs have shown enough".to_owned(),
+                None,
+            ));
+        }
+        let seen = self.judge.duel(0, Signal::Failed).step;
+        self.climb(self.rung + 1);
+        let why = format!("{} of {} failed on the rung before, no cell in doubt", seen.bad, seen.of);
+        Some(self.change(now, State::Step { rung: self.rung }, SELF, why, None))
+    }
+
+    /// Why the next rung is not climbed now.
+    fn standing(&self, now: Nanos, wanted: &[f64]) -> Option<Standing> {
+        if self.sight.no_planner {
+            return Some(Standing::NoPlanner);
+        }
+        let age = now.saturating_sub(self.entered);
+        let last = self.rung + 1 == self.settings.rungs();
+        let least = if last { self.settings.watch } else { self.settings.least_time };
+        if age < least {
+            return Some(Standing::Young(least - age));
+        }
+        let short = self.shares.iter().zip(wanted).position(|(s, w)| *s < w - NEAR);
+        if let Some(class) = short {
+            return Some(Standing::Small { class, share: self.shares[class], wanted: wanted[class] });
+        }
+        let doubtful = (0..self.judge.cells.len()).find(|&c| self.judge.doubt(c) >= DOUBT);
+        if let Some(cell) = doubtful {
+            return Some(Standing::Doubt { cell, part: self.judge.doubt(cell) });
+        }
+        self.lacking().map(|(cell, has, needs)| Standing::Thin { cell, has, needs })
+    }
+
+    /// The first cell that a step waits for, what it has and what it needs.
+    fn lacking(&self) -> Option<(usize, u64, u64)> {
+        let cells = &self.judge.cells;
+        let moved =
+            |c: &usize| cells.class(*c).is_none_or(|class| self.shares.get(class).is_some_and(|s| *s > 0.0));
+        (0..cells.len()).filter(|&c| cells.owed(c)).filter(moved).find_map(|cell| {
+            [Signal::Failed, Signal::Late].into_iter().find_map(|signal| {
+                let duel = self.judge.duel(cell, signal);
+                // A class that nobody asks for is not waited for.
+                let asked = duel.old.of + duel.new.of > 0 || cell == 0;
+                let (rate, fault) = (duel.old.rate(), self.settings.least_fault);
+                let shown = self.judge.shows(cell, rate, fault, (duel.step_old, duel.step.of));
+                let needs = self.judge.needed(cell, rate, fault).max(duel.step.of + 1);
+                (asked && !shown).then_some((cell, duel.step.of, needs))
+            })
+        })
+    }
+
+    /// Why it stands where it stands, in words.
+    pub fn why_still(&self, now: Nanos) -> String {
+        let last = self.changes.back();
+        match &self.state {
+            State::Ready => "nobody has said start".to_owned(),
+            State::Waiting => format!(
+                "the pools have {} old and {} new boxes that take work",
+                self.sight.old, self.sight.new
+            ),
+            State::Step { .. } => {
+                let standing = self.standing(now, &self.kept_back(self.settings.shares(self.rung)));
+                standing.map_or_else(|| "about to climb".to_owned(), |s| s.say(self))
+            }
+            State::Undoing => {
+                format!("the old pool cannot carry {:.0}% of the work yet", 100.0 * self.room.stays)
+            }
+            _ => last.map_or_else(String::new, |c| c.why.clone()),
+        }
+    }
+
+    /// The state in one word.
+    pub fn state_name(&self) -> &'static str {
+        match self.state {
+            State::Ready => "not started",
+            State::Waiting => "waiting",
+            State::Step { .. } => "stepping",
+            State::Held { .. } => "held",
+            State::Undoing => "going back",
+            State::Undone => "undone",
+            State::Finished => "finished",
+            State::Abandoned => "abandoned",
+        }
+    }
+
+    /// Goes on from what a journal holds. The step's evidence is gathered anew.
+    pub(crate) fn resume(&mut self, change: Change, whole: bool) {
+        self.rung = change.rung.min(self.settings.rungs() - 1);
+        self.shares = change.shares.clone();
+        self.shares.resize(self.settings.classes.len(), 0.0);
+        self.entered = change.at;
+        if matches!(change.state, State::Undone | State::Undoing) {
+            self.undone_at = Some(change.at);
+        }
+        let moving = matches!(change.state, State::Step { .. } | State::Waiting | State::Finished);
+        self.state = match change.state.clone() {
+            _ if !whole && moving => State::Held { rung: self.rung, why: Hold::HalfWritten },
+            State::Step { .. } => State::Step { rung: self.rung },
+            State::Held { why, .. } => State::Held { rung: self.rung, why },
+            other => other,
+        };
+        self.changes.push_back(change);
+    }
+
+    /// An old change of a journal, for those who ask what was.
+    pub(crate) fn remember(&mut self, change: Change) {
+        self.changes.push_back(change);
+        if self.changes.len() > MOST_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+}
+
+/// Who changes a state where no operator does.
+const SELF: &str = "laurelroute";
+
+/// What the next rung waits for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Standing {
+    NoPlanner,
+    Young(Nanos),
+    Small { class: usize, share: f64, wanted: f64 },
+    Doubt { cell: usize, part: f64 },
+    Thin { cell: usize, has: u64, needs: u64 },
+}
+
+impl Standing {
+    fn say(&self, course: &Course) -> String {
+        let cells = &course.judge.cells;
+        match *self {
+            Standing::NoPlanner => "no planner is heard: the share is kept".to_owned(),
+            Standing::Young(left) => format!("{:.1} s more on this rung", left as f64 / 1e9),
+            Standing::Small { class, share, wanted } => format!(
+                "the new pool carries {:.1}% of {} now, {:.0}% is wanted",
+                100.0 * share,
+                course.settings.classes[class],
+                100.0 * wanted
+            ),
+            Standing::Doubt { cell, part } => {
+                format!("{} is in doubt ({:.0}% of what alarms)", cells.name(cell), 100.0 * part)
+            }
+            Standing::Thin { cell, has, needs } => {
+                format!("{} has shown {has} of {needs} requests on this rung", cells.name(cell))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/shift/src/explain.rs
@@ -0,0 +1,169 @@
+//! A shift in words for people, and as data for their tools.
+
+use crate::course::{Change, Course, State};
+use crate::judge::{Signal, Tally, SIGNALS};
+use crate::Nanos;
+use serde::{Deserialize, Serialize};
+use std::fmt::Write;
+
+/// Cells that a status names, the most doubtful first.
+pub const MOST_ROWS: usize = 64;
+
+/// One comparison.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// The cell's name.
+    pub cell: String,
+    /// What is compared.
+    pub signal: Signal,
+    /// Old pool.
+    pub old: Tally,
+    /// New pool.
+    pub new: Tally,
+    /// Evidence against the new pool as a part of what alarms; below 0 it speaks for it.
+    pub doubt: f64,
+    /// The least fault that would have been seen by now; `None` where none would.
+    pub least_fault: Option<f64>,
+}
+
+/// A shift's status.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// The shift.
+    pub name: String,
+    /// Its state in a word.
+    pub state: String,
+    /// Since so many seconds.
+    pub seconds: f64,
+    /// The rung, from 1, and how many there are.
+    pub rung: (usize, usize),
+    /// Classes with the share that goes to the new pool now, and that of the rung.
+    pub shares: Vec<(String, f64, f64)>,
+    /// Boxes that take work, old and new.
+    pub boxes: (usize, usize),
+    /// Why it stands where it stands.
+    pub why: String,
+    /// The part of the work that the old pool could not take back.
+    pub stays: f64,
+    /// Comparisons, the most doubtful first.
+    pub rows: Vec<Row>,
+    /// Cells too thin to judge on this rung.
+    pub thin: Vec<String>,
+    /// The last changes of state.
+    pub changes: Vec<Change>,
+}
+
+/// What is to be said of a shift now.
+pub fn status(course: &Course, now: Nanos) -> Status {
+    let wanted = match course.state() {
+        State::Step { .. } | State::Held { .. } => course.kept_back(course.settings.shares(course.rung())),
+        State::Finished => course.settings.shares(course.rung()),
+        _ => vec![0.0; course.shares().len()],
+    };
+    let names = course.settings.classes.iter().cloned();
+    let shares = names.zip(course.shares()).zip(wanted).map(|((n, s), w)| (n, *s, w)).collect();
+    Status {
+        name: course.settings.name.clone(),
+        state: course.state_name().to_owned(),
+        seconds: now.saturating_sub(course.since()) as f64 / 1e9,
+        rung: (course.rung() + 1, course.settings.rungs()),
+        shares,
+        boxes: (course.sight().old, course.sight().new),
+        why: course.why_still(now),
+        stays: course.room().stays,
+        rows: rows(course),
+        thin: course.judge.thin().take(MOST_ROWS).map(|c| course.judge.cells.name(c)).collect(),
+        changes: course.changes().cloned().collect(),
+    }
+}
+
+fn rows(course: &Course) -> Vec<Row> {
+    let judge = &course.judge;
+    let mut rows: Vec<Row> = Vec::new();
+    for cell in 0..judge.cells.len() {
+        for signal in SIGNALS {
+            let duel = judge.duel(cell, signal);
+            if duel.new.of == 0 {
+                continue;
+            }
+            let least_fault = judge.least_fault(cell, duel.old.rate(), (duel.old.of, duel.new.of));
+            let doubt = duel.evidence() / judge.bound(cell);
+            let (cell, old, new) = (judge.cells.name(cell), duel.old, duel.new);
+            rows.push(Row { cell, signal, old, new, doubt, least_fault });
+        }
+    }
+    rows.sort_by(|a, b| b.doubt.total_cmp(&a.doubt));
+    rows.truncate(MOST_ROWS);
+    rows
+}
+
+impl Status {
+    /// A status for a terminal of 80 columns, or for a file: no colour, nothing that only a terminal knows.
+    pub fn plain(&self, rows: usize) -> String {
+        let mut text = String::new();
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "shift {}: {} for {:.0} s, rung {} of {}",
+            self.name, self.state, self.seconds, self.rung.0, self.rung.1
+        );
+        let shares = self.shares.iter().map(|(name, now, wanted)| {
+            let aim = if (now - wanted).abs() > 1e-6 {
+                format!(" of {:.0}%", 100.0 * wanted)
+            } else {
+                String::new()
+            };
+            format!("{name} {:.1}%{aim}", 100.0 * now)
+        });
+        let _ = writeln!(text, "to the new pool: {}", shares.collect::<Vec<_>>().join(", "));
+        let _ = writeln!(text, "boxes that take work: {} old, {} new", self.boxes.0, self.boxes.1);
+        let _ = writeln!(text, "why: {}", self.why);
+        if self.stays > 0.0 {
+            let _ = writeln!(text, "an undo would leave {:.0}% with the new pool", 100.0 * self.stays);
+        }
+        if !self.rows.is_empty() {
+            let _ =
+                writeln!(text, "{:<34} {:<8} {:>12} {:>12} {:>7}", "cell", "signal", "old", "new", "doubt");
+        }
+        for row in self.rows.iter().take(rows) {
+            let part = |t: Tally| format!("{}/{}", t.bad, t.of);
+            let cell: String = row.cell.chars().take(34).collect();
+            let signal = format!("{:?}", row.signal).to_lowercase();
+            let _ = writeln!(
+                text,
+                "{cell:<34} {signal:<8} {:>12} {:>12} {:>6.0}%",
+                part(row.old),
+                part(row.new),
+                100.0 * row.doubt.max(-9.99)
+            );
+        }
+        if !self.thin.is_empty() {
+            let names = self.thin.iter().take(4).cloned().collect::<Vec<_>>().join("; ");
+            let more = if self.thin.len() > 4 {
+                format!(" and {} more", self.thin.len() - 4)
+            } else {
+                String::new()
+            };
+            let _ = writeln!(text, "too thin to judge on this rung: {names}{more}");
+        }
+        text
+    }
+
+    /// The last changes, a line each.
+    pub fn history(&self) -> String {
+        let mut text = String::new();
+        for change in &self.changes {
+            let state = serde_json::to_string(&change.state).unwrap_or_default();
+            let shares: Vec<String> = change.shares.iter().map(|s| format!("{:.1}%", 100.0 * s)).collect();
+            let _ = writeln!(
+                text,
+                "{:>10.1} s  {state} [{}] by {}: {}",
+                change.at as f64 / 1e9,
+                shares.join(" "),
+                change.who,
+                change.why
+            );
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/shift/src/follow.rs
@@ -0,0 +1,392 @@
+//! Between a shift and the decision module of one node: what the list says becomes pools, what attempts come to becomes
+//! evidence, and shares become the module's [`Split`].
+
+use crate::capacity::{Carried, Strength, Zone};
+use crate::course::{Change, Course, End, Met, Refused, Sight, Word};
+use crate::place;
+use crate::pool::{Facts, Found, Pool, Roster};
+use crate::Nanos;
+use laurelroute_policy::interface::{Ending, Endpoint, Phase, Request, Server, Settings, Split};
+use std::collections::BTreeMap;
+
+/// How often a shift is looked at.
+pub const LOOK: Nanos = 250_000_000;
+/// Rates are averaged over this many looks.
+const AVERAGE: f64 = 8.0;
+/// A zone counts as cut off with so many attempts on the old pool's boxes there in the last looks, of which this part met
+/// nobody: what only the new pool's boxes do there is theirs.
+const CUT_LEAST: f64 = 5.0;
+const CUT_PART: f64 = 0.8;
+/// An idle pool of unknown strength is taken to carry this much for each unit of size.
+const UNKNOWN: f64 = 1e9;
+
+/// One entry of the list.
+#[derive(Clone, Copy, Debug)]
+pub struct Told<'a> {
+    /// What the predicates go by.
+    pub facts: Facts<'a>,
+    /// What the module is told of it.
+    pub server: Server,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Member {
+    number: u32,
+    found: Found,
+    server: Server,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Flow {
+    /// Requests since the last look, and a second on average.
+    counted: f64,
+    rate: f64,
+}
+
+impl Flow {
+    fn look(&mut self) {
+        let now = std::mem::take(&mut self.counted) * 1e9 / LOOK as f64;
+        self.rate += (now - self.rate) / AVERAGE;
+    }
+}
+
+/// What a look has brought.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Look {
+    /// Changes of state, in order.
+    pub changes: Vec<Change>,
+    /// What the module is to be told, where that differs from what it was told last.
+    pub split: Option<Option<Split>>,
+}
+
+/// One node's side of a shift.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    /// The shift.
+    pub course: Course,
+    /// Which box is of which pool.
+    pub roster: Roster,
+    names: BTreeMap<String, Endpoint>,
+    members: BTreeMap<Endpoint, Member>,
+    next: u32,
+    groups: Vec<Vec<usize>>,
+    home: usize,
+    zones: usize,
+    sizes_known: bool,
+    cold: (f64, Nanos),
+    aims: Vec<Nanos>,
+    nodes: f64,
+    salt: u64,
+    load: Vec<Flow>,
+    took: Vec<f64>,
+    served: [Flow; 2],
+    late: [Flow; 2],
+    /// Attempts on the old pool by zone, and those that met nobody.
+    tried: Vec<[Flow; 2]>,
+    carried: Carried,
+    /// The old pool's size when the shift was started.
+    whole: f64,
+    told: Option<Split>,
+}
+
+impl Follower {
+    /// A follower with nobody listed. `tenants` are their names in the order of the settings.
+    pub fn new(course: Course, settings: &Settings, tenants: &[String]) -> Follower {
+        let splits = &course.settings.splits;
+        let groups = |name: &str| splits.iter().map(|s| s.group(name)).collect::<Vec<_>>();
+        // A tenant that nobody has named is of no group.
+        let known = tenants.iter().map(|t| groups(t));
+        let unknown = splits.iter().map(|s| s.groups.len()).collect();
+        let zones = course.settings.zones.len();
+        Follower {
+            groups: known.chain([unknown]).collect(),
+            names: BTreeMap::new(),
+            members: BTreeMap::new(),
+            next: 0,
+            home: usize::from(settings.zone),
+            zones,
+            sizes_known: settings.sizes_known,
+            cold: (settings.cold_from, settings.ramp),
+            aims: settings.classes.iter().map(|c| c.aim).collect(),
+            nodes: f64::from(settings.group_size),
+            salt: course.settings.salt(),
+            load: vec![Flow::default(); settings.classes.len()],
+            took: settings.classes.iter().map(|c| c.aim as f64 / 3.0).collect(),
+            served: [Flow::default(); 2],
+            late: [Flow::default(); 2],
+            tried: vec![[Flow::default(); 2]; zones],
+            carried: Carried::default(),
+            whole: 0.0,
+            told: None,
+            roster: Roster::default(),
+            course,
+        }
+    }
+
+    /// The list has spoken; a whole one names all that there are.
+    pub fn list<'a>(&mut self, whole: bool, told: impl Iterator<Item = Told<'a>>) {
+        let mut seen = Vec::new();
+        for told in told {
+            let id = told.facts.id;
+            seen.push(told.server.endpoint);
+            if told.server.phase == Phase::Gone {
+                self.forget(id);
+                continue;
+            }
+            let found = self.roster.enter(&self.course.settings.pools, &told.facts);
+            let next = self.next;
+            let member = self.members.entry(told.server.endpoint).or_insert_with(|| {
+                self.next += 1;
+                Member { number: next, found, server: told.server }
+            });
+            (member.found, member.server) = (found, told.server);
+            self.names.insert(id.to_owned(), told.server.endpoint);
+        }
+        if whole {
+            let absent = |(_, e): &(&String, &Endpoint)| !seen.contains(e);
+            let gone: Vec<String> = self.names.iter().filter(absent).map(|(n, _)| n.clone()).collect();
+            gone.iter().for_each(|id| self.forget(id));
+        }
+    }
+
+    /// What counts of servers has changed without news of what they are, as when operators take one out.
+    pub fn phases(&mut self, servers: &[Server]) {
+        for server in servers {
+            if let Some(member) = self.members.get_mut(&server.endpoint) {
+                member.server = *server;
+            }
+        }
+    }
+
+    fn forget(&mut self, id: &str) {
+        self.roster.leave(id);
+        if let Some(endpoint) = self.names.remove(id) {
+            self.members.remove(&endpoint);
+        }
+    }
+
+    /// The name of a box by its number in alarms, while it is listed.
+    pub fn name(&self, number: u32) -> Option<&str> {
+        let of = |e: &Endpoint| self.members.get(e).is_some_and(|m| m.number == number);
+        self.names.iter().find(|(_, e)| of(e)).map(|(name, _)| name.as_str())
+    }
+
+    /// A request's place on the hash: its session's, or one of its own.
+    pub fn place(&self, request: &Request) -> u32 {
+        let key =
+            if request.key == 0 { u64::from(request.id) ^ self.salt.rotate_left(32) } else { request.key };
+        place::of_key(self.salt, key)
+    }
+
+    fn groups(&self, tenant: u32) -> &[usize] {
+        let at = (tenant as usize).min(self.groups.len() - 1);
+        &self.groups[at]
+    }
+
+    fn warmth(&self, now: Nanos, server: &Server) -> f64 {
+        let (from, ramp) = self.cold;
+        if server.started_at == 0 {
+            return 1.0;
+        }
+        let age = now.saturating_sub(server.started_at) as f64 / ramp as f64;
+        (from + (1.0 - from) * age).min(1.0)
+    }
+
+    fn size(&self, server: &Server) -> f64 {
+        if self.sizes_known && server.size > 0.0 {
+            f64::from(server.size)
+        } else {
+            1.0
+        }
+    }
+
+    /// A request has come in.
+    pub fn came(&mut self, request: &Request) {
+        if let Some(flow) = self.load.get_mut(usize::from(request.class)) {
+            flow.counted += 1.0;
+        }
+    }
+
+    /// An attempt goes out, the first of its request being number 0. Where that was meant for the new pool and goes to the
+    /// old one, the new one has turned it away, as it were.
+    pub fn sent(&mut self, request: &Request, server: Endpoint, number: usize) {
+        let class = usize::from(request.class);
+        let share = self.course.shares().get(class).copied().unwrap_or(0.0);
+        let old = self.members.get(&server).is_some_and(|m| m.found.pool == Pool::Old);
+        if number > 0 || !old || !place::within(request.place, share) {
+            return;
+        }
+        // Nobody is to blame for it in particular, and a pool that is cold has to give back what it cannot take.
+        let new = self.members.values().filter(|m| m.found.pool == Pool::New);
+        let ready = new.filter(|m| m.server.phase == Phase::Ready);
+        let cold = ready.clone().any(|m| m.server.started_at > 0);
+        if ready.count() == 0 || cold {
+            return;
+        }
+        let groups = self.groups(request.tenant).to_vec();
+        let met = Met {
+            pool: Pool::New,
+            twice: false,
+            server: u32::MAX,
+            class,
+            zone: self.home,
+            again: request.is_retry,
+            groups: &groups,
+            end: End::Spilled,
+            took: 0,
+            aim: 0,
+            cold: false,
+        };
+        self.course.met(&met);
+    }
+
+    /// An attempt has ended: the number-th of its request, sent then.
+    pub fn ended(
+        &mut self,
+        request: &Request,
+        (server, number): (Endpoint, usize),
+        (sent_at, took): (Nanos, Nanos),
+        ending: Ending,
+    ) {
+        let Some(member) = self.members.get(&server).copied() else { return };
+        let end = match ending {
+            Ending::Ok => End::Served,
+            Ending::Error | Ending::Reset | Ending::ConnectFailed => End::Failed,
+            Ending::TimedOut => End::TimedOut,
+            Ending::Full => End::Full,
+            Ending::Cancelled | Ending::NotSent => End::CalledOff,
+        };
+        let (class, zone) = (usize::from(request.class), usize::from(member.server.zone));
+        let aim = self.aims.get(class).copied().unwrap_or(0);
+        self.tally(member.found.pool, class, zone, end, took, aim);
+        let cold = self.warmth(sent_at, &member.server) < 1.0;
+        let again = number > 0 || request.is_retry;
+        let at = (request.tenant as usize).min(self.groups.len() - 1);
+        let Found { pool, twice } = member.found;
+        let groups = &self.groups[at];
+        let server = member.number;
+        self.course.met(&Met { pool, twice, server, class, zone, again, groups, end, took, aim, cold });
+    }
+
+    fn tally(&mut self, pool: Pool, class: usize, zone: usize, end: End, took: Nanos, aim: Nanos) {
+        if pool == Pool::Old {
+            if let Some([all, nobody]) = self.tried.get_mut(zone) {
+                all.counted += 1.0;
+                nobody.counted += f64::from(u8::from(matches!(end, End::TimedOut | End::Failed)));
+            }
+        }
+        let side = match (pool, end) {
+            (Pool::Outside, _) | (_, End::Full | End::Failed | End::Spilled | End::CalledOff) => return,
+            (Pool::Old, _) => 0,
+            (Pool::New, _) => 1,
+        };
+        if let Some(mean) = self.took.get_mut(class) {
+            *mean += (took as f64 - *mean) * 0.01;
+        }
+        self.served[side].counted += self.work(class);
+        self.late[side].counted += self.work(class) * f64::from(u8::from(took > aim));
+    }
+
+    /// What a request of a class is to a box, 1 being usual: its answer time stands in for its work.
+    fn work(&self, class: usize) -> f64 {
+        let mean = self.took.iter().sum::<f64>() / self.took.len().max(1) as f64;
+        self.took.get(class).map_or(1.0, |t| t / mean.max(1.0)).clamp(0.05, 20.0)
+    }
+
+    /// An operator has spoken.
+    pub fn say(&mut self, now: Nanos, word: &Word) -> Result<Look, Refused> {
+        let change = self.course.say(now, word)?;
+        Ok(Look { changes: vec![change], split: self.split() })
+    }
+
+    /// Looks at pools and evidence; every [`LOOK`]. `no_planner` says that planners are followed and none is heard.
+    pub fn look(&mut self, now: Nanos, no_planner: bool) -> Look {
+        let flows = self.load.iter_mut().chain(&mut self.served).chain(&mut self.late);
+        flows.chain(self.tried.iter_mut().flatten()).for_each(Flow::look);
+        let sight = Sight { no_planner, ..self.sight(now) };
+        let changes = self.course.tick(now, sight);
+        Look { changes, split: self.split() }
+    }
+
+    fn sight(&mut self, now: Nanos) -> Sight {
+        let mut zones = vec![Zone::default(); self.zones.max(1)];
+        let mut sizes = [0.0; 2];
+        let mut counts = [0; 2];
+        let ready = self.members.values().filter(|m| m.server.phase == Phase::Ready);
+        for member in ready {
+            let Some(zone) = zones.get_mut(usize::from(member.server.zone)) else { continue };
+            let (side, strength) = match member.found.pool {
+                Pool::Old => (0, &mut zone.old),
+                Pool::New => (1, &mut zone.new),
+                Pool::Outside => continue,
+            };
+            let (size, warmth) = (self.size(&member.server), self.warmth(now, &member.server));
+            counts[side] += 1;
+            sizes[side] += size * warmth;
+            if warmth < 1.0 {
+                strength.cold += size * warmth;
+            } else {
+                strength.warm += size;
+            }
+        }
+        for ((served, late), size) in self.served.iter().zip(&self.late).zip(sizes) {
+            self.carried.met(served.rate, size, late.rate / served.rate.max(1e-9));
+        }
+        if !self.course.state().on() {
+            self.whole = sizes[0];
+        }
+        let rates: Vec<f64> = self.load.iter().enumerate().map(|(c, f)| f.rate * self.work(c)).collect();
+        let load: f64 = rates.iter().sum();
+        let each = match self.course.settings.box_rate {
+            Some(rate) => rate / self.nodes,
+            None if self.carried.each() > 0.0 => self.carried.each(),
+            None => UNKNOWN,
+        };
+        // A pool that carried all at the start can take all back, as far as it is still whole.
+        let held = if self.whole > 0.0 { load / self.whole / 0.9 } else { 0.0 };
+        let scale = |s: Strength, by: f64| Strength { warm: s.warm * by, cold: s.cold * by };
+        for zone in &mut zones {
+            zone.old = scale(zone.old, each.max(held));
+            zone.new = scale(zone.new, each);
+            zone.load = vec![0.0; rates.len()];
+        }
+        let home = self.home.min(zones.len() - 1);
+        zones[home].load = rates;
+        let cut = |[all, nobody]: &[Flow; 2]| {
+            all.rate * AVERAGE * LOOK as f64 / 1e9 >= CUT_LEAST && nobody.rate >= CUT_PART * all.rate
+        };
+        Sight {
+            zones,
+            old: counts[0],
+            new: counts[1],
+            cut_off: self.tried.iter().any(cut),
+            no_planner: false,
+        }
+    }
+
+    /// What the module is to be told, if it has not been.
+    fn split(&mut self) -> Option<Option<Split>> {
+        let split = self.course.state().on().then(|| Split {
+            shares: self.course.shares().to_vec(),
+            pools: self
+                .members
+                .iter()
+                .filter(|(_, m)| m.found.pool != Pool::Outside)
+                .map(|(e, m)| (*e, m.found.pool == Pool::New))
+                .collect(),
+        });
+        (split != self.told).then(|| {
+            self.told = split.clone();
+            split
+        })
+    }
+
+    /// The list has changed: what the module is to be told of pools before it sends anything.
+    pub fn relisted(&mut self) -> Option<Option<Split>> {
+        // The module takes a server that it is told of for one of no pool.
+        self.told.is_some().then(|| {
+            self.told = None;
+            self.split().unwrap_or(None)
+        })
+    }
+}
--- /dev/null
+++ b/crates/shift/src/journal.rs
@@ -0,0 +1,149 @@
+//! What of a shift outlives the process: its changes of state and its evidence, a line each.
+//!
+//! A line is the CRC-32 of the rest in eight hexadecimal digits, a space, and a record as JSON. The first names the format
+//! and the shift. A line that is cut short at the end was being written when the process ended: what stood before it
+//! holds, the shift is held, and that is said. A broken line anywhere else makes all that follows it unsound.
+
+use crate::course::{Change, Course, State};
+use crate::judge::{Duel, SIGNALS};
+use serde::{Deserialize, Serialize};
+
+/// The format's number.
+const FORMAT: u32 = 1;
+/// A journal above this is written anew from what it comes to.
+pub const COMPACT_AT: usize = 1 << 20;
+/// A journal above this is not read.
+pub const MOST_BYTES: usize = 64 << 20;
+
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum Record {
+    Journal { format: u32, shift: String, classes: Vec<String>, cells: usize },
+    Change(Change),
+    Evidence(Vec<(usize, [Duel; SIGNALS.len()])>),
+}
+
+/// Why a journal is not gone on from.
+#[derive(Debug, PartialEq, Eq, thiserror::Error)]
+pub enum JournalError {
+    /// Not a journal, or of a later version.
+    #[error("its first line is not that of a shift's journal in format {FORMAT}")]
+    Foreign,
+    /// Of another shift.
+    #[error("it is the journal of the shift `{0}`")]
+    Other(String),
+    /// The file has changed what is told apart.
+    #[error("it was written for other classes or cells; remove it, or give the shift another name")]
+    Changed,
+    /// Broken in the middle.
+    #[error("line {0} is damaged and others follow it")]
+    Damaged(usize),
+    /// Too large to be one.
+    #[error("it has more than {MOST_BYTES} bytes")]
+    Large,
+}
+
+/// What was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Read {
+    /// Sound lines.
+    pub lines: usize,
+    /// Bytes of them: what follows is to be cut off before anything is added.
+    pub sound: usize,
+    /// Nothing was cut short.
+    pub whole: bool,
+}
+
+fn line(record: &Record) -> String {
+    // A record holds numbers, text and lists alone: there is always JSON for it.
+    let json = serde_json::to_string(record).unwrap_or_default();
+    format!("{:08x} {json}\n", crc32fast::hash(json.as_bytes()))
+}
+
+fn record(line: &[u8]) -> Option<Record> {
+    let text = std::str::from_utf8(line).ok()?;
+    let (crc, json) = text.split_once(' ')?;
+    let sound = u32::from_str_radix(crc, 16).ok()? == crc32fast::hash(json.as_bytes());
+    sound.then(|| serde_json::from_str(json).ok())?
+}
+
+fn head(course: &Course) -> Record {
+    Record::Journal {
+        format: FORMAT,
+        shift: course.settings.name.clone(),
+        classes: course.settings.classes.clone(),
+        cells: course.judge.cells.len(),
+    }
+}
+
+/// The first line.
+pub fn begin(course: &Course) -> String {
+    line(&head(course))
+}
+
+/// A change's line.
+pub fn change(change: &Change) -> String {
+    line(&Record::Change(change.clone()))
+}
+
+/// The evidence as it stands.
+pub fn evidence(course: &Course) -> String {
+    line(&Record::Evidence(course.judge.kept()))
+}
+
+/// A whole journal that comes to the same as all that was written.
+pub fn compacted(course: &Course) -> String {
+    let changes: String = course.changes().map(change).collect();
+    begin(course) + &changes + &evidence(course)
+}
+
+/// Has a shift that was not started go on where its journal ends. An empty one changes nothing.
+pub fn replay(bytes: &[u8], course: &mut Course) -> Result<Read, JournalError> {
+    if bytes.len() > MOST_BYTES {
+        return Err(JournalError::Large);
+    }
+    let mut read = Read { lines: 0, sound: 0, whole: true };
+    let mut changes: Vec<Change> = Vec::new();
+    let mut kept = None;
+    for (number, text) in bytes.split_inclusive(|b| *b == b'\n').enumerate() {
+        let complete = text.ends_with(b"\n");
+        let found = record(text.trim_ascii_end()).filter(|_| complete);
+        let Some(found) = found else {
+            if read.sound + text.len() < bytes.len() {
+                return Err(JournalError::Damaged(number + 1));
+            }
+            read.whole = false;
+            break;
+        };
+        match (number, found) {
+            (0, Record::Journal { format: FORMAT, shift, classes, cells }) => {
+                if shift != course.settings.name {
+                    return Err(JournalError::Other(shift));
+                }
+                if classes != course.settings.classes || cells != course.judge.cells.len() {
+                    return Err(JournalError::Changed);
+                }
+            }
+            (0, _) | (_, Record::Journal { .. }) => return Err(JournalError::Foreign),
+            (_, Record::Change(change)) => {
+                if change.state == State::Waiting {
+                    // A start, or a start anew: what was seen before it does not count.
+                    kept = None;
+                }
+                changes.push(change);
+            }
+            (_, Record::Evidence(evidence)) => kept = Some(evidence),
+        }
+        read.lines += 1;
+        read.sound += text.len();
+    }
+    if kept.is_some_and(|k| !course.judge.restore(k)) {
+        return Err(JournalError::Changed);
+    }
+    course.judge.step();
+    if let Some(last) = changes.pop() {
+        changes.into_iter().for_each(|c| course.remember(c));
+        course.resume(last, read.whole);
+    }
+    Ok(read)
+}
--- /dev/null
+++ b/crates/shift/src/judge.rs
@@ -0,0 +1,569 @@
+//! Old against new, cell by cell, by a test that may be looked at as often as one likes.
+//!
+//! For each cell and each [`Signal`] there is an *e-process* for the hypothesis that in the new pool a request ends badly
+//! no more often than in the old one over the same time, by more than a tolerance. Outcomes come in batches of `m` from
+//! the old pool and `n` from the new one. With a guess `a` of the old pool's rate, made from what came before, and
+//! `b = a + d (1 - a)`, a batch multiplies the e-process by
+//!
+//! ```text
+//!   product over old outcomes of p(a) / p(c)  x  product over new outcomes of p(b) / p(c),    c = (m a + n b) / (m + n)
+//! ```
+//!
+//! where `p(q)` is `q` for a bad outcome and `1 - q` for a good one. Whatever the true rate, if it is the same in both
+//! pools (or lower in the new one) the expectation of this is at most 1: by the concavity of the logarithm its mean
+//! logarithm is at most that of 1 (Turner, Ly, Grünwald: Generic E-variables for exact sequential k-sample tests, 2021).
+//! The rate may differ from batch to batch, so what strikes both pools alike shows nothing. The tolerance `t` makes each
+//! good outcome of the old pool count as bad with probability `t`, in expectation rather than by a draw. The mean over a
+//! grid of `d` is an e-process again, and by Ville's inequality it ever reaches `1 / rate` with probability `rate` at
+//! most. A cell's part of the rate is its [`Cells::weight`] over the number of signals, so that the rate holds for all
+//! cells, signals and looks together, however they depend on each other.
+//!
+//! Assumed: which outcomes fall into one batch does not depend on how they ended. An attempt that hangs is counted when it
+//! ends, in a later batch than one that fails at once; under the hypothesis that is so in both pools.
+//!
+//! Weighed against: mixture SPRT on the difference of means (wants the variance, and a common rate over time), CUSUM
+//! (bounds the time between false alarms, not their number), Mann-Whitney on windows as Kayenta does (may not be looked at
+//! twice without its false alarms adding up).
+
+use crate::cells::Cells;
+use crate::pool::Pool;
+use std::collections::BTreeMap;
+
+/// What may be wrong with an outcome.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Signal {
+    /// An error, a reset, a refused connection or a spoilt answer.
+    Failed,
+    /// No answer in time, or one after the class's aim.
+    Late,
+    /// Answered after what nine in ten of the old pool's take in this class.
+    Slow,
+    /// Turned away as full, or kept from the pool because it would have been late there.
+    Refused,
+}
+
+/// All signals, in their order.
+pub const SIGNALS: [Signal; 4] = [Signal::Failed, Signal::Late, Signal::Slow, Signal::Refused];
+
+/// A set of signals.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Signals(u8);
+
+impl Signals {
+    /// All of them.
+    pub const ALL: Signals = Signals(0b1111);
+
+    /// With one more.
+    pub fn with(self, signal: Signal) -> Signals {
+        Signals(self.0 | 1 << signal as u8)
+    }
+
+    /// Without one.
+    pub fn without(self, signal: Signal) -> Signals {
+        Signals(self.0 & !(1 << signal as u8))
+    }
+
+    /// Whether it is in the set.
+    pub fn has(self, signal: Signal) -> bool {
+        self.0 & (1 << signal as u8) != 0
+    }
+}
+
+/// Excess rates that are looked for.
+const GRID: [f64; 7] = [0.005, 0.015, 0.05, 0.15, 0.4, 0.7, 0.95];
+/// The guess of the old pool's rate goes by about so many of its outcomes.
+const GUESS_OVER: f64 = 8000.0;
+/// No rate is taken to be nearer to 0 or 1 than this: one surprise must not decide alone.
+const EDGE: f64 = 1e-4;
+/// A cell is weighed again once it has shown this part more.
+const BATCHES: u64 = 32;
+/// Boxes that are told apart; those beyond count in the cells all the same.
+const MOST_BOXES: usize = 4096;
+/// A fault is of boxes where so few of them, as a part, hold so much of what is over the old pool's rate.
+const FEW_BOXES: f64 = 0.1;
+const MOST_OF_IT: f64 = 0.85;
+
+/// How the judge is set.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Most probability that a sound new pool is ever halted in the whole of a shift.
+    pub false_alarms: f64,
+    /// What the new pool's rate may be above the old one's.
+    pub tolerance: f64,
+    /// Outcomes of the new pool below which a cell is called thin.
+    pub thin: u64,
+}
+
+/// How many, and how many of them bad.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Tally {
+    /// How many.
+    pub of: u64,
+    /// Bad ones.
+    pub bad: u64,
+}
+
+impl Tally {
+    fn count(&mut self, bad: bool) {
+        self.of += 1;
+        self.bad += u64::from(bad);
+    }
+
+    fn add(&mut self, other: Tally) {
+        self.of += other.of;
+        self.bad += other.bad;
+    }
+
+    /// Bad ones as a part of all; nothing of nothing.
+    pub fn rate(&self) -> f64 {
+        self.bad as f64 / self.of.max(1) as f64
+    }
+}
+
+/// One cell and signal: what came, and the e-process.
+#[derive(Clone, Debug, serde::Serialize, serde::Deserialize)]
+pub struct Duel {
+    /// All of the old pool's since the start of the shift.
+    pub old: Tally,
+    /// All of the new pool's.
+    pub new: Tally,
+    /// The new pool's in this step.
+    pub step: Tally,
+    /// How many of the old pool's were there to compare in this step.
+    pub step_old: u64,
+    waiting: [Tally; 2],
+    guess: (f64, f64),
+    log_e: [f64; GRID.len()],
+    /// The mean of the grid, as a logarithm.
+    mean: f64,
+    /// What an operator's word has excused.
+    excused: f64,
+}
+
+impl Default for Duel {
+    fn default() -> Self {
+        Duel {
+            old: Tally::default(),
+            new: Tally::default(),
+            step: Tally::default(),
+            step_old: 0,
+            waiting: [Tally::default(); 2],
+            guess: (1.0, 0.5 * EDGE),
+            log_e: [0.0; GRID.len()],
+            mean: 0.0,
+            excused: 0.0,
+        }
+    }
+}
+
+fn edged(rate: f64) -> f64 {
+    rate.clamp(EDGE, 1.0 - EDGE)
+}
+
+/// The mean of exponentials, as its logarithm.
+fn log_mean(logs: &[f64]) -> f64 {
+    let most = logs.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+    let sum: f64 = logs.iter().map(|l| (l - most).exp()).sum();
+    most + (sum / logs.len() as f64).ln()
+}
+
+impl Duel {
+    fn guessed(&self) -> f64 {
+        edged(self.guess.1 / self.guess.0)
+    }
+
+    /// Weighs what waits, once there is enough of both. How much is enough follows from counts alone, never from how
+    /// requests ended, and keeps the number of times that a cell is weighed to some hundreds.
+    fn weigh(&mut self, tolerance: f64) {
+        let [old, new] = self.waiting;
+        let few = self.new.of / BATCHES;
+        if new.of > few && old.of > 0 {
+            self.waiting = [Tally::default(); 2];
+            self.grow([old, new], tolerance);
+            self.new.add(new);
+            self.step.add(new);
+            self.step_old += old.of;
+        } else if new.of == 0 && old.of > 0 {
+            // What has come of the old pool alone still says what is usual there.
+            self.waiting[0] = Tally::default();
+        } else {
+            return;
+        }
+        self.old.add(old);
+        self.guess.0 += old.of as f64;
+        self.guess.1 += old.bad as f64;
+        if self.guess.0 > GUESS_OVER {
+            let by = GUESS_OVER / 2.0 / self.guess.0;
+            self.guess = (self.guess.0 * by, self.guess.1 * by);
+        }
+    }
+
+    fn grow(&mut self, [old, new]: [Tally; 2], tolerance: f64) {
+        let base = self.guessed() * (1.0 - tolerance) + tolerance;
+        for (log, more) in self.log_e.iter_mut().zip(GRID) {
+            let (a, b) = (base, edged(base + more * (1.0 - base)));
+            let (m, n) = (old.of as f64, new.of as f64);
+            let c = edged((m * a + n * b) / (m + n));
+            let good_old = (1.0 - tolerance) * (1.0 - a) / (1.0 - c) + tolerance * a / c;
+            *log += old.bad as f64 * (a / c).ln()
+                + (old.of - old.bad) as f64 * good_old.ln()
+                + new.bad as f64 * (b / c).ln()
+                + (new.of - new.bad) as f64 * ((1.0 - b) / (1.0 - c)).ln();
+        }
+        self.mean = log_mean(&self.log_e);
+    }
+
+    /// The e-process, as its logarithm, since an operator's word.
+    pub fn evidence(&self) -> f64 {
+        self.mean - self.excused
+    }
+}
+
+/// What an attempt came to.
+#[derive(Clone, Copy, Debug)]
+pub struct Outcome<'a> {
+    /// Its pool, when it was sent.
+    pub pool: Pool,
+    /// Its box, by a number that the caller keeps.
+    pub server: u32,
+    /// Its value in each dimension.
+    pub values: &'a [usize],
+    /// What was wrong.
+    pub bad: Signals,
+    /// What can be judged by it: a cold box is slow, late and full because it is cold.
+    pub judged: Signals,
+}
+
+/// Whose fault it looks like.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Blame {
+    /// The new pool's boxes alike.
+    Release,
+    /// These boxes, by the caller's numbers; the others are as the old pool.
+    Boxes(Vec<u32>),
+    /// Too few boxes or outcomes to tell.
+    Unclear,
+}
+
+/// A cell that is worse in the new pool, beyond the bound.
+#[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub struct Alarm {
+    /// The cell.
+    pub cell: usize,
+    /// What is worse.
+    pub signal: Signal,
+    /// Old pool.
+    pub old: Tally,
+    /// New pool.
+    pub new: Tally,
+    /// The evidence over the bound, as logarithms.
+    pub evidence: f64,
+    /// See there.
+    pub bound: f64,
+    /// Whose fault it looks like.
+    pub blame: Blame,
+}
+
+/// Judges all cells of a shift.
+#[derive(Clone, Debug)]
+pub struct Judge {
+    /// The cells.
+    pub cells: Cells,
+    bounds: Bounds,
+    duels: Vec<[Duel; SIGNALS.len()]>,
+    boxes: BTreeMap<(u32, usize), [Tally; SIGNALS.len()]>,
+    /// The most evidence of each cell's signals, as a part of its bound.
+    doubts: Vec<f64>,
+    /// Cells with something that waits.
+    dirty: Vec<usize>,
+    marked: Vec<bool>,
+}
+
+impl Judge {
+    /// A judge that has seen nothing.
+    pub fn new(cells: Cells, bounds: Bounds) -> Judge {
+        let count = cells.len();
+        Judge {
+            cells,
+            bounds,
+            duels: vec![Default::default(); count],
+            boxes: BTreeMap::new(),
+            doubts: vec![0.0; count],
+            dirty: Vec::new(),
+            marked: vec![false; count],
+        }
+    }
+
+    /// Counts an outcome. Nothing is weighed before [`Judge::weigh`]: this is on the path of every request.
+    pub fn count(&mut self, outcome: &Outcome<'_>) {
+        let side = match outcome.pool {
+            Pool::Old => 0,
+            Pool::New => 1,
+            Pool::Outside => return,
+        };
+        let Judge { cells, duels, dirty, marked, .. } = self;
+        for cell in cells.of(outcome.values) {
+            if !std::mem::replace(&mut marked[cell], true) {
+                dirty.push(cell);
+            }
+            for signal in SIGNALS.into_iter().filter(|s| outcome.judged.has(*s)) {
+                let duel = &mut duels[cell][signal as usize];
+                duel.waiting[side].count(outcome.bad.has(signal));
+            }
+        }
+        let class = outcome.values.first().copied().unwrap_or(0);
+        let at = (outcome.server, class);
+        if side == 1 && (self.boxes.len() < MOST_BOXES || self.boxes.contains_key(&at)) {
+            let tallies = self.boxes.entry(at).or_default();
+            for signal in SIGNALS.into_iter().filter(|s| outcome.judged.has(*s)) {
+                tallies[signal as usize].count(outcome.bad.has(signal));
+            }
+        }
+    }
+
+    /// Weighs what has come since the last time.
+    pub fn weigh(&mut self) {
+        for cell in std::mem::take(&mut self.dirty) {
+            self.marked[cell] = false;
+            for duel in &mut self.duels[cell] {
+                duel.weigh(self.bounds.tolerance);
+                if duel.waiting[1].of > 0 && !std::mem::replace(&mut self.marked[cell], true) {
+                    self.dirty.push(cell);
+                }
+            }
+            self.doubts[cell] = self.doubted(cell);
+        }
+    }
+
+    fn doubted(&self, cell: usize) -> f64 {
+        let most = self.duels[cell].iter().map(Duel::evidence).fold(f64::NEG_INFINITY, f64::max);
+        most / self.bound(cell)
+    }
+
+    /// The evidence against a cell as a part of what alarms, of the signal that has most.
+    pub fn doubt(&self, cell: usize) -> f64 {
+        self.doubts[cell]
+    }
+
+    /// The evidence at which a cell alarms, as a logarithm.
+    pub fn bound(&self, cell: usize) -> f64 {
+        -(self.bounds.false_alarms * self.cells.weight(cell) / SIGNALS.len() as f64).ln()
+    }
+
+    /// One cell's comparison for a signal.
+    pub fn duel(&self, cell: usize, signal: Signal) -> &Duel {
+        &self.duels[cell][signal as usize]
+    }
+
+    /// The cells that are worse beyond their bound, the surest first.
+    pub fn alarms(&self) -> Vec<Alarm> {
+        let mut alarms = Vec::new();
+        for cell in (0..self.cells.len()).filter(|&c| self.doubts[c] >= 1.0) {
+            let bound = self.bound(cell);
+            for signal in SIGNALS {
+                let duel = self.duel(cell, signal);
+                if duel.evidence() >= bound {
+                    let (old, new, evidence) = (duel.old, duel.new, duel.evidence());
+                    let blame = self.blame(cell, signal);
+                    alarms.push(Alarm { cell, signal, old, new, evidence, bound, blame });
+                }
+            }
+        }
+        alarms.sort_by(|a, b| (b.evidence - b.bound).total_cmp(&(a.evidence - a.bound)));
+        alarms
+    }
+
+    /// An operator goes on in spite of what was seen: from here on as much again has to be seen.
+    pub fn excuse(&mut self) {
+        for duel in self.duels.iter_mut().flatten() {
+            duel.excused += duel.evidence().max(0.0);
+        }
+        self.doubts = (0..self.cells.len()).map(|c| self.doubted(c)).collect();
+    }
+
+    /// A new step begins.
+    pub fn step(&mut self) {
+        for duel in self.duels.iter_mut().flatten() {
+            (duel.step, duel.step_old) = (Tally::default(), 0);
+        }
+    }
+
+    /// The cells with fewer outcomes of the new pool in this step than makes sense to judge, of those seen at all.
+    pub fn thin(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.cells.len()).filter(|&c| {
+            let [failed, ..] = &self.duels[c];
+            failed.old.of + failed.new.of > 0 && failed.step.of < self.bounds.thin
+        })
+    }
+
+    /// Whether boxes or the release are at fault, by the tallies of single boxes.
+    fn blame(&self, cell: usize, signal: Signal) -> Blame {
+        let class = self.cells.class(cell);
+        let mut boxes: BTreeMap<u32, Tally> = BTreeMap::new();
+        for ((server, of), tallies) in &self.boxes {
+            if class.is_none_or(|c| c == *of) {
+                boxes.entry(*server).or_default().add(tallies[signal as usize]);
+            }
+        }
+        let usual = self.duel(cell, signal).old.rate() + self.bounds.tolerance;
+        let over = |t: &Tally| t.bad as f64 - usual * t.of as f64;
+        let all: f64 = boxes.values().map(over).sum();
+        let few = ((FEW_BOXES * boxes.len() as f64).ceil() as usize).min(boxes.len() / 3);
+        if few == 0 || all <= 0.0 {
+            return Blame::Unclear;
+        }
+        let mut worst: Vec<(u32, Tally)> = boxes.into_iter().collect();
+        worst.sort_by(|a, b| over(&b.1).total_cmp(&over(&a.1)));
+        let mut held = 0.0;
+        for k in 0..few {
+            held += over(&worst[k].1);
+            let rest = worst[k + 1..].iter().fold(Tally::default(), |mut sum, (_, t)| {
+                sum.add(*t);
+                sum
+            });
+            let chance = 3.0 * (usual * rest.of as f64).sqrt() + 1.0;
+            if held >= MOST_OF_IT * all && over(&rest) <= chance {
+                return Blame::Boxes(worst[..=k].iter().map(|(server, _)| *server).collect());
+            }
+        }
+        Blame::Release
+    }
+
+    /// The evidence that is expected of `m` outcomes of the old pool and `n` of the new one, with the best step of the grid,
+    /// less what it costs to look for all of them.
+    fn expected(&self, rate: f64, fault: f64, (m, n): (f64, f64)) -> f64 {
+        let usual = edged(rate * (1.0 - self.bounds.tolerance) + self.bounds.tolerance);
+        let found = edged(rate + fault * (1.0 - rate));
+        let grown = GRID.iter().map(|d| {
+            let b = edged(usual + d * (1.0 - usual));
+            let c = edged((m * usual + n * b) / (m + n));
+            let coin = |q: f64, p: f64| q * (p / c).ln() + (1.0 - q) * ((1.0 - p) / (1.0 - c)).ln();
+            m * coin(usual, usual) + n * coin(found, b)
+        });
+        grown.fold(f64::NEG_INFINITY, f64::max) - (GRID.len() as f64).ln()
+    }
+
+    /// Whether so many outcomes of the old and the new pool are expected to put a fault of this size beyond a cell's bound,
+    /// where the old pool fails at `rate`.
+    pub fn shows(&self, cell: usize, rate: f64, fault: f64, (old, new): (u64, u64)) -> bool {
+        old > 0 && new > 0 && self.expected(rate, fault, (old as f64, new as f64)) >= self.bound(cell)
+    }
+
+    /// Outcomes of the new pool after which that is so, where the old one answers eight times as many.
+    pub fn needed(&self, cell: usize, rate: f64, fault: f64) -> u64 {
+        let (mut low, mut high) = (0u64, 1u64);
+        while !self.shows(cell, rate, fault, (8 * high, high)) {
+            if high > 1 << 40 {
+                return u64::MAX;
+            }
+            (low, high) = (high, 2 * high);
+        }
+        while high - low > 1 {
+            let middle = low + (high - low) / 2;
+            let shown = self.shows(cell, rate, fault, (8 * middle, middle));
+            (low, high) = if shown { (low, middle) } else { (middle, high) };
+        }
+        high
+    }
+
+    /// The least fault that is expected to be seen in a cell by so many outcomes of the old and the new pool; `None` where
+    /// not even one of all is.
+    pub fn least_fault(&self, cell: usize, rate: f64, outcomes: (u64, u64)) -> Option<f64> {
+        if !self.shows(cell, rate, 1.0, outcomes) {
+            return None;
+        }
+        let (mut low, mut high) = (0.0, 1.0);
+        for _ in 0..30 {
+            let middle = (low + high) / 2.0;
+            if self.shows(cell, rate, middle, outcomes) {
+                high = middle;
+            } else {
+                low = middle;
+            }
+        }
+        Some(high)
+    }
+
+    /// What other nodes have counted and not weighed is added here: the sum over all forwarders is judged as one.
+    pub fn merge(&mut self, cell: usize, signal: Signal, old: Tally, new: Tally) {
+        let Some(duels) = self.duels.get_mut(cell) else { return };
+        let duel = &mut duels[signal as usize];
+        duel.waiting[0].add(old);
+        duel.waiting[1].add(new);
+        if !std::mem::replace(&mut self.marked[cell], true) {
+            self.dirty.push(cell);
+        }
+    }
+
+    /// What waits to be weighed, by cell and signal, taken out: a forwarder hands it to its planner.
+    pub fn take_waiting(&mut self) -> Vec<(usize, Signal, Tally, Tally)> {
+        let mut taken = Vec::new();
+        for cell in std::mem::take(&mut self.dirty) {
+            self.marked[cell] = false;
+            for signal in SIGNALS {
+                let [old, new] = std::mem::take(&mut self.duels[cell][signal as usize].waiting);
+                if old.of + new.of > 0 {
+                    taken.push((cell, signal, old, new));
+                }
+            }
+        }
+        taken
+    }
+
+    /// All comparisons, for the journal.
+    pub fn kept(&self) -> Vec<(usize, [Duel; SIGNALS.len()])> {
+        let seen = |d: &[Duel; SIGNALS.len()]| d[0].old.of + d[0].new.of > 0;
+        self.duels.iter().enumerate().filter(|(_, d)| seen(d)).map(|(c, d)| (c, d.clone())).collect()
+    }
+
+    /// Takes over comparisons from a journal; false where they are of other cells or make no sense.
+    pub fn restore(&mut self, kept: Vec<(usize, [Duel; SIGNALS.len()])>) -> bool {
+        let sound = |d: &Duel| {
+            let tallies = [d.old, d.new, d.step];
+            tallies.iter().all(|t| t.bad <= t.of)
+                && d.log_e.iter().all(|l| l.is_finite())
+                && d.mean.is_finite()
+                && d.guess.0 >= 1.0
+        };
+        if kept.iter().any(|(c, d)| *c >= self.duels.len() || !d.iter().all(sound)) {
+            return false;
+        }
+        for (cell, duels) in kept {
+            self.duels[cell] = duels;
+            self.doubts[cell] = self.doubted(cell);
+        }
+        true
+    }
+}
+
+/// What is slow in a class: the time that nine in ten of the old pool's answers keep, followed by a step up or down at each
+/// (Robbins, Monro: A stochastic approximation method, 1951). It is read before it is told of an answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usual {
+    at: f64,
+    seen: u32,
+}
+
+/// The part of answers that are not slow, the step as a part of the time, and answers before anything is called slow.
+const KEPT: f64 = 0.9;
+const STEP: f64 = 0.05;
+const FIRST: u32 = 50;
+
+impl Usual {
+    /// Whether an answer that took so long is slow.
+    pub fn slow(&self, took: u64) -> bool {
+        self.seen >= FIRST && took as f64 > self.at
+    }
+
+    /// The old pool has answered.
+    pub fn met(&mut self, took: u64) {
+        self.seen = self.seen.saturating_add(1);
+        if self.seen == 1 {
+            self.at = took as f64;
+        }
+        let step = STEP * self.at.max(1.0) * (10.0 / f64::from(self.seen)).clamp(0.2, 1.0);
+        self.at += if took as f64 > self.at { step * KEPT } else { -step * (1.0 - KEPT) };
+    }
+}
--- /dev/null
+++ b/crates/shift/src/settings.rs
@@ -0,0 +1,200 @@
+//! A shift as the operator's file words it, checked by itself. Where a value stands in the file is the caller's to say.
+
+use crate::cells::{Cells, CellsError, Dimension};
+use crate::judge::Bounds;
+use crate::pool::Pools;
+use crate::Nanos;
+use wildmatch::WildMatch;
+
+/// The shares that a shift goes through where the file names none.
+pub const STEPS: [f64; 5] = [0.01, 0.05, 0.20, 0.50, 1.0];
+/// Steps at most.
+pub const MOST_STEPS: usize = 32;
+
+/// Tenants told apart by patterns of their names; the first group that matches counts, `other` for the rest.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Split {
+    /// Its name, such as `shire`.
+    pub name: String,
+    /// Groups by name.
+    pub groups: Vec<(String, Vec<WildMatch>)>,
+}
+
+impl Split {
+    /// The place of a tenant's group; that of `other` where none matches.
+    pub fn group(&self, tenant: &str) -> usize {
+        let at = self.groups.iter().position(|(_, patterns)| patterns.iter().any(|p| p.matches(tenant)));
+        at.unwrap_or(self.groups.len())
+    }
+
+    fn dimension(&self) -> Dimension {
+        let names = self.groups.iter().map(|(name, _)| name.clone());
+        Dimension { name: self.name.clone(), values: names.chain(["other".to_owned()]).collect() }
+    }
+}
+
+/// What happens on an alarm.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnAlarm {
+    /// Halt, and take everything back.
+    Undo,
+    /// Halt, and wait for an operator.
+    Hold,
+}
+
+/// A shift.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShiftSettings {
+    /// Its name: journals and words are of this shift alone.
+    pub name: String,
+    /// Its pools.
+    pub pools: Pools,
+    /// Shares in their order, from above 0 to 1.
+    pub steps: Vec<f64>,
+    /// Steps by which a class comes later than the first, by its place in the settings.
+    pub behind: Vec<usize>,
+    /// Names of the classes.
+    pub classes: Vec<String>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// What tells tenants apart.
+    pub splits: Vec<Split>,
+    /// How the judge is set.
+    pub bounds: Bounds,
+    /// The least fault of a class that a step is to show before the next one.
+    pub least_fault: f64,
+    /// A step lasts so long at least.
+    pub least_time: Nanos,
+    /// The last one does, with all but what is kept back: some faults need their time to show.
+    pub watch: Nanos,
+    /// The part of each class that stays with the old pool until the shift is finished, for comparison.
+    pub keep_back: f64,
+    /// A hold of its own ends when its cause has been away for so long.
+    pub settle: Nanos,
+    /// After an undo a start within this time has to be insisted on.
+    pub rest: Nanos,
+    /// Requests a second that a usual box can do; `None` where nobody knows.
+    pub box_rate: Option<f64>,
+    /// See there.
+    pub on_alarm: OnAlarm,
+}
+
+/// What is wrong with a shift.
+#[derive(Clone, Debug, PartialEq, thiserror::Error)]
+pub enum ShiftError {
+    /// No name, or one that is no file's.
+    #[error("`name` has to have 1 to 64 letters, digits, dots, dashes or underscores")]
+    Name,
+    /// A predicate that every box fulfils.
+    #[error("`{0}` names no condition, so that all boxes would be in it")]
+    Everything(&'static str),
+    /// Both predicates are the same.
+    #[error("`old` and `new` name the same boxes")]
+    Same,
+    /// The steps make no sense.
+    #[error("`steps` have to rise from above 0 to 100 percent, {MOST_STEPS} at most")]
+    Steps,
+    /// A number out of its range.
+    #[error("`{0}` has to be {1}")]
+    Range(&'static str, &'static str),
+    /// Cells cannot be made.
+    #[error("cells: {0}")]
+    Cells(#[from] CellsError),
+}
+
+impl ShiftSettings {
+    /// Standard settings for these pools.
+    pub fn new(name: &str, pools: Pools, classes: Vec<String>, zones: Vec<String>) -> ShiftSettings {
+        ShiftSettings {
+            name: name.to_owned(),
+            pools,
+            steps: STEPS.to_vec(),
+            behind: vec![0; classes.len()],
+            classes,
+            zones,
+            splits: Vec::new(),
+            bounds: Bounds { false_alarms: 0.01, tolerance: 0.002, thin: 30 },
+            least_fault: 0.05,
+            least_time: 2_000_000_000,
+            watch: 900_000_000_000,
+            keep_back: 0.02,
+            settle: 5_000_000_000,
+            rest: 600_000_000_000,
+            box_rate: None,
+            on_alarm: OnAlarm::Undo,
+        }
+    }
+
+    /// Refuses what cannot be acted on.
+    pub fn validate(&self) -> Result<(), ShiftError> {
+        let letter = |c: char| c.is_ascii_alphanumeric() || "._-".contains(c);
+        if self.name.is_empty() || self.name.len() > 64 || !self.name.chars().all(letter) {
+            return Err(ShiftError::Name);
+        }
+        for (key, predicate) in [("old", &self.pools.old), ("new", &self.pools.new)] {
+            if predicate.is_empty() {
+                return Err(ShiftError::Everything(key));
+            }
+        }
+        if self.pools.old == self.pools.new {
+            return Err(ShiftError::Same);
+        }
+        let rising = self.steps.windows(2).all(|w| w[0] < w[1]);
+        let ends = self.steps.first().is_some_and(|s| *s > 0.0) && self.steps.last() == Some(&1.0);
+        if !rising || !ends || self.steps.len() > MOST_STEPS {
+            return Err(ShiftError::Steps);
+        }
+        let within = |value: f64, low: f64, high: f64| value > low && value < high;
+        if !within(self.bounds.false_alarms, 0.0, 0.5) {
+            return Err(ShiftError::Range("false_halts", "above 0 and below 0.5"));
+        }
+        if !(0.0..0.5).contains(&self.bounds.tolerance) {
+            return Err(ShiftError::Range("tolerance", "from 0 to below 0.5"));
+        }
+        if !within(self.least_fault, self.bounds.tolerance, 1.0) {
+            return Err(ShiftError::Range("least_fault", "above `tolerance` and below 1"));
+        }
+        if !within(self.keep_back, 0.0, 0.5) {
+            return Err(ShiftError::Range("keep_back", "above 0 and below 50 percent"));
+        }
+        if self.box_rate.is_some_and(|r| !(r.is_finite() && r > 0.0)) {
+            return Err(ShiftError::Range("box_rate", "above 0"));
+        }
+        if self.behind.iter().any(|b| *b > MOST_STEPS) {
+            return Err(ShiftError::Range("behind", "32 steps at most"));
+        }
+        self.cells().map(drop).map_err(ShiftError::Cells)
+    }
+
+    /// What is judged apart.
+    pub fn cells(&self) -> Result<Cells, CellsError> {
+        let named = |name: &str, values: Vec<String>| Dimension { name: name.to_owned(), values };
+        let mut dimensions = vec![
+            named("class", self.classes.clone()),
+            named("zone", self.zones.clone()),
+            named("repeat", vec!["first".to_owned(), "again".to_owned()]),
+        ];
+        dimensions.extend(self.splits.iter().map(Split::dimension));
+        Cells::new(dimensions)
+    }
+
+    /// Rungs that the shift climbs: its steps, and those by which the last class is behind.
+    pub fn rungs(&self) -> usize {
+        self.steps.len() + self.behind.iter().copied().max().unwrap_or(0)
+    }
+
+    /// The share of each class at a rung.
+    pub fn shares(&self, rung: usize) -> Vec<f64> {
+        let share = |behind: &usize| match rung.checked_sub(*behind) {
+            Some(step) => self.steps[step.min(self.steps.len() - 1)],
+            None => 0.0,
+        };
+        self.behind.iter().map(share).collect()
+    }
+
+    /// The salt of its hash.
+    pub fn salt(&self) -> u64 {
+        let crc = u64::from(crc32fast::hash(self.name.as_bytes()));
+        crc << 32 | crc
+    }
+}
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod draw;
 pub mod faults;
 pub mod rules;
+pub mod shift;
 pub mod world;
 
 /// A point in time or a duration, in nanoseconds.
