--- a/crates/shift/src/course.rs
+++ b/crates/shift/src/course.rs
@@ -20,6 +20,8 @@
 const BEYOND_DOUBT: f64 = 2.0;
 /// A share shrinks within a step only when less than this part of it can be carried: a ramp must not flap.
 const SHRINK: f64 = 0.9;
+/// No step is climbed while more than this part of what was meant for the new pool on the rung goes to the old one.
+const MOST_GIVEN_BACK: f64 = 0.2;
 /// Shares nearer than this are equal.
 const NEAR: f64 = 1e-6;
 
@@ -166,8 +168,6 @@
     TimedOut,
     /// Turned away unseen.
     Full,
-    /// Not sent to the pool, as it would have been late there.
-    Spilled,
     /// Called off, or its client has left: says nothing.
     CalledOff,
 }
@@ -217,6 +217,8 @@
     changes: VecDeque<Change>,
     changed: u64,
     sight: Sight,
+    /// Requests meant for the new pool on this rung, and those of them that had to go to the old one.
+    given_back: (u64, u64),
 }
 
 impl Course {
@@ -237,6 +239,7 @@
             changes: VecDeque::new(),
             changed: 0,
             sight: Sight::default(),
+            given_back: (0, 0),
             settings,
         })
     }
@@ -291,7 +294,7 @@
         match met.end {
             End::Failed => bad = bad.with(Signal::Failed),
             End::TimedOut => bad = bad.with(Signal::Late).with(Signal::Slow),
-            End::Full | End::Spilled => bad = bad.with(Signal::Refused),
+            End::Full => bad = bad.with(Signal::Refused),
             End::Served => {
                 if met.took > met.aim {
                     bad = bad.with(Signal::Late);
@@ -307,7 +310,7 @@
         }
         let mut judged = match met.end {
             // What never ran has no time; what failed has none that says anything.
-            End::Full | End::Spilled => Signals::default().with(Signal::Refused),
+            End::Full => Signals::default().with(Signal::Refused),
             End::Failed => Signals::ALL.without(Signal::Late).without(Signal::Slow),
             _ => Signals::ALL,
         };
@@ -322,6 +325,13 @@
         self.judge.count(&Outcome { pool: met.pool, server: met.server, values, bad, judged });
     }
 
+    /// A request that was meant for the new pool goes there, or to the old one: the new one has nobody to take it, or would
+    /// be late. That is no evidence of a fault, which shows in what was sent there, but nothing climbs on it.
+    pub fn meant_for_new(&mut self, given_back: bool) {
+        self.given_back.0 += 1;
+        self.given_back.1 += u64::from(given_back);
+    }
+
     fn change(&mut self, now: Nanos, state: State, who: &str, why: String, alarm: Option<Alarm>) -> Change {
         if state != self.state {
             self.entered = now;
@@ -412,6 +422,7 @@
     }
 
     fn climb(&mut self, rung: usize) {
+        self.given_back = (0, 0);
         self.rung = rung;
         self.judge.step();
     }
@@ -578,6 +589,10 @@
         if let Some(class) = short {
             return Some(Standing::Small { class, share: self.shares[class], wanted: wanted[class] });
         }
+        let (meant, back) = self.given_back;
+        if back as f64 > MOST_GIVEN_BACK * meant as f64 {
+            return Some(Standing::GivesBack { back, meant });
+        }
         let doubtful = (0..self.judge.cells.len()).find(|&c| self.judge.doubt(c) >= DOUBT);
         if let Some(cell) = doubtful {
             return Some(Standing::Doubt { cell, part: self.judge.doubt(cell) });
@@ -675,6 +690,7 @@
     Young(Nanos),
     Small { class: usize, share: f64, wanted: f64 },
     Doubt { cell: usize, part: f64 },
+    GivesBack { back: u64, meant: u64 },
     Thin { cell: usize, has: u64, needs: u64 },
 }
 
@@ -693,6 +709,9 @@
             Standing::Doubt { cell, part } => {
                 format!("{} is in doubt ({:.0}% of what alarms)", cells.name(cell), 100.0 * part)
             }
+            Standing::GivesBack { back, meant } => {
+                format!("{back} of {meant} requests meant for the new pool went to the old one")
+            }
             Standing::Thin { cell, has, needs } => {
                 format!("{} has shown {has} of {needs} requests on this rung", cells.name(cell))
             }
--- a/crates/shift/src/follow.rs
+++ b/crates/shift/src/follow.rs
@@ -178,11 +178,6 @@
         place::of_key(self.salt, key)
     }
 
-    fn groups(&self, tenant: u32) -> &[usize] {
-        let at = (tenant as usize).min(self.groups.len() - 1);
-        &self.groups[at]
-    }
-
     fn warmth(&self, now: Nanos, server: &Server) -> f64 {
         let (from, ramp) = self.cold;
         if server.started_at == 0 {
@@ -207,37 +202,13 @@
         }
     }
 
-    /// An attempt goes out, the first of its request being number 0. Where that was meant for the new pool and goes to the
-    /// old one, the new one has turned it away, as it were.
+    /// An attempt goes out, the first of its request being number 0: whether what is meant for the new pool goes there.
     pub fn sent(&mut self, request: &Request, server: Endpoint, number: usize) {
-        let class = usize::from(request.class);
-        let share = self.course.shares().get(class).copied().unwrap_or(0.0);
-        let old = self.members.get(&server).is_some_and(|m| m.found.pool == Pool::Old);
-        if number > 0 || !old || !place::within(request.place, share) {
-            return;
+        let share = self.course.shares().get(usize::from(request.class)).copied().unwrap_or(0.0);
+        if number == 0 && place::within(request.place, share) {
+            let old = self.members.get(&server).is_some_and(|m| m.found.pool == Pool::Old);
+            self.course.meant_for_new(old);
         }
-        // Nobody is to blame for it in particular, and a pool that is cold has to give back what it cannot take.
-        let new = self.members.values().filter(|m| m.found.pool == Pool::New);
-        let ready = new.filter(|m| m.server.phase == Phase::Ready);
-        let cold = ready.clone().any(|m| m.server.started_at > 0);
-        if ready.count() == 0 || cold {
-            return;
-        }
-        let groups = self.groups(request.tenant).to_vec();
-        let met = Met {
-            pool: Pool::New,
-            twice: false,
-            server: u32::MAX,
-            class,
-            zone: self.home,
-            again: request.is_retry,
-            groups: &groups,
-            end: End::Spilled,
-            took: 0,
-            aim: 0,
-            cold: false,
-        };
-        self.course.met(&met);
     }
 
     /// An attempt has ended: the number-th of its request, sent then.
@@ -276,7 +247,7 @@
             }
         }
         let side = match (pool, end) {
-            (Pool::Outside, _) | (_, End::Full | End::Failed | End::Spilled | End::CalledOff) => return,
+            (Pool::Outside, _) | (_, End::Full | End::Failed | End::CalledOff) => return,
             (Pool::Old, _) => 0,
             (Pool::New, _) => 1,
         };
--- a/crates/shift/src/judge.rs
+++ b/crates/shift/src/judge.rs
@@ -39,7 +39,7 @@
     Late,
     /// Answered after what nine in ten of the old pool's take in this class.
     Slow,
-    /// Turned away as full, or kept from the pool because it would have been late there.
+    /// Turned away as full.
     Refused,
 }
 
