--- a/crates/shift/src/follow.rs
+++ b/crates/shift/src/follow.rs
@@ -17,6 +17,9 @@
 /// nobody: what only the new pool's boxes do there is theirs.
 const CUT_LEAST: f64 = 5.0;
 const CUT_PART: f64 = 0.8;
+/// Boxes are given so much more than they have been seen to carry in time: a node that has been restarted in a shift has seen
+/// its boxes carry a part only, and would never see more.
+const EXPLORED: f64 = 1.25;
 /// An idle pool of unknown strength is taken to carry this much for each unit of size.
 const UNKNOWN: f64 = 1e9;
 
@@ -79,9 +82,9 @@
     salt: u64,
     load: Vec<Flow>,
     took: Vec<f64>,
-    /// What the old pool has answered, in work, and too late.
-    served: Flow,
-    late: Flow,
+    /// What the old and the new pool have answered, in work, and too late.
+    served: [Flow; 2],
+    late: [Flow; 2],
     /// Attempts on the old pool by zone, and those that met nobody.
     tried: Vec<[Flow; 2]>,
     carried: Carried,
@@ -113,8 +116,8 @@
             salt: course.settings.salt(),
             load: vec![Flow::default(); settings.classes.len()],
             took: settings.classes.iter().map(|c| c.aim as f64 / 3.0).collect(),
-            served: Flow::default(),
-            late: Flow::default(),
+            served: [Flow::default(); 2],
+            late: [Flow::default(); 2],
             tried: vec![[Flow::default(); 2]; zones],
             carried: Carried::default(),
             whole: 0.0,
@@ -247,16 +250,16 @@
                 nobody.counted += f64::from(u8::from(matches!(end, End::TimedOut | End::Failed)));
             }
         }
-        if matches!(end, End::Full | End::Failed | End::CalledOff) {
-            return;
-        }
+        let side = match (pool, end) {
+            (Pool::Outside, _) | (_, End::Full | End::Failed | End::CalledOff) => return,
+            (Pool::Old, _) => 0,
+            (Pool::New, _) => 1,
+        };
         if let Some(mean) = self.took.get_mut(class) {
             *mean += (took as f64 - *mean) * 0.01;
         }
-        if pool == Pool::Old {
-            self.served.counted += self.work(class);
-            self.late.counted += self.work(class) * f64::from(u8::from(took > aim));
-        }
+        self.served[side].counted += self.work(class);
+        self.late[side].counted += self.work(class) * f64::from(u8::from(took > aim));
     }
 
     /// What a request of a class is to a box, 1 being usual: its answer time stands in for its work.
@@ -273,7 +276,7 @@
 
     /// Looks at pools and evidence; every [`LOOK`]. `no_planner` says that planners are followed and none is heard.
     pub fn look(&mut self, now: Nanos, no_planner: bool) -> Look {
-        let flows = self.load.iter_mut().chain([&mut self.served, &mut self.late]);
+        let flows = self.load.iter_mut().chain(&mut self.served).chain(&mut self.late);
         flows.chain(self.tried.iter_mut().flatten()).for_each(Flow::look);
         let sight = Sight { no_planner, ..self.sight(now) };
         let changes = self.course.tick(now, sight);
@@ -301,17 +304,21 @@
                 strength.warm += size;
             }
         }
-        // The old pool alone: what a small new one does for a moment would have its share climb by chance.
-        let (served, late) = (self.served.rate, self.late.rate);
-        self.carried.met(served, sizes[0], late / served.max(1e-9));
-        if !self.course.state().on() {
+        // What a small new pool does for a moment would have its share climb by chance: it tells nothing.
+        let comparable = 2 * counts[1] >= counts[0];
+        for (side, size) in sizes.into_iter().enumerate().filter(|(side, _)| *side == 0 || comparable) {
+            let (served, late) = (self.served[side].rate, self.late[side].rate);
+            self.carried.met(served, size, late / served.max(1e-9));
+        }
+        // After a restart the old pool is taken for whole as it is found.
+        if !self.course.state().on() || self.whole == 0.0 {
             self.whole = sizes[0];
         }
         let rates: Vec<f64> = self.load.iter().enumerate().map(|(c, f)| f.rate * self.work(c)).collect();
         let load: f64 = rates.iter().sum();
         let each = match self.course.settings.box_rate {
             Some(rate) => rate / self.nodes,
-            None if self.carried.each() > 0.0 => self.carried.each(),
+            None if self.carried.each() > 0.0 => EXPLORED * self.carried.each(),
             None => UNKNOWN,
         };
         // A pool that carried all at the start can take all back, as far as it is still whole.
