--- a/crates/node/src/shift/mod.rs
+++ b/crates/node/src/shift/mod.rs
@@ -12,7 +12,7 @@
 use laurelroute_shift::follow::{Follower, LOOK};
 use laurelroute_shift::journal::{self, JournalError};
 use std::fs::{File, OpenOptions};
-use std::io::{self, Read, Write};
+use std::io::{self, Read, Write as _};
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -78,29 +78,50 @@
     Ok(file)
 }
 
-/// The lines for a journal, written by a thread of its own: a disk that hangs must not hold up requests.
-fn write_to(path: PathBuf, mut file: File) -> mpsc::Sender<String> {
-    let (lines, mut waiting) = mpsc::channel::<String>(MOST_WAITING);
+/// What a journal is given.
+#[derive(Debug)]
+enum Write {
+    /// Lines more.
+    Add(String),
+    /// All that it is to hold, in place of what it holds.
+    Anew(String),
+}
+
+/// Where a journal's lines go: a thread of its own, as a disk that hangs must not hold up requests.
+fn write_to(path: PathBuf, mut file: File) -> mpsc::Sender<Write> {
+    let (lines, mut waiting) = mpsc::channel::<Write>(MOST_WAITING);
     std::thread::spawn(move || {
-        let mut written = 0;
-        while let Some(line) = waiting.blocking_recv() {
-            let kept = file.write_all(line.as_bytes()).and_then(|()| file.sync_data());
-            if let Err(error) = kept {
+        while let Some(write) = waiting.blocking_recv() {
+            if let Err(error) = keep(&path, &mut file, &write) {
                 tracing::warn!("{}: {error}; the shift is not kept", path.display());
             }
-            written += line.len();
-            if written > journal::COMPACT_AT {
-                tracing::info!("{}: {written} bytes since the start", path.display());
-                written = 0;
-            }
         }
     });
     lines
 }
 
-async fn look(gateway: Rc<Gateway>, lines: Option<mpsc::Sender<String>>) {
+fn keep(path: &Path, file: &mut File, write: &Write) -> io::Result<()> {
+    match write {
+        Write::Add(lines) => {
+            file.write_all(lines.as_bytes())?;
+            file.sync_data()
+        }
+        Write::Anew(text) => {
+            // Renamed into place: a process that ends meanwhile leaves the one or the other.
+            let draft = path.with_extension("new");
+            let mut new = File::create(&draft)?;
+            new.write_all(text.as_bytes())?;
+            new.sync_data()?;
+            std::fs::rename(&draft, path)?;
+            *file = OpenOptions::new().append(true).open(path)?;
+            Ok(())
+        }
+    }
+}
+
+async fn look(gateway: Rc<Gateway>, lines: Option<mpsc::Sender<Write>>) {
     let mut looks = 0;
-    let mut told = 0;
+    let (mut told, mut written) = (0, 0);
     loop {
         tokio::time::sleep(Duration::from_nanos(LOOK)).await;
         looks += 1;
@@ -115,7 +136,17 @@
         if (looks % KEEP == 0 && lines.capacity() > MOST_WAITING / 2) || !new.is_empty() {
             text += &gateway.shift(|f| journal::evidence(&f.course)).unwrap_or_default();
         }
-        if !text.is_empty() && lines.try_send(text).is_err() {
+        if text.is_empty() {
+            continue;
+        }
+        written += text.len();
+        let write = if written > journal::COMPACT_AT {
+            written = 0;
+            Write::Anew(gateway.shift(|f| journal::compacted(&f.course)).unwrap_or_default())
+        } else {
+            Write::Add(text)
+        };
+        if lines.try_send(write).is_err() {
             tracing::warn!("the shift's journal does not take any more: the disk does not answer");
         }
     }
@@ -149,3 +180,42 @@
         change.state
     );
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use laurelroute_shift::course::{State, Verb, Word};
+    use laurelroute_shift::pool::{Pools, Predicate};
+    use laurelroute_shift::settings::ShiftSettings;
+    use wildmatch::WildMatch;
+
+    fn course() -> Course {
+        let ids = |id| Predicate { ids: vec![WildMatch::new(id)], ..Predicate::default() };
+        let pools = Pools { old: ids("old"), new: ids("new") };
+        Course::new(ShiftSettings::new("x", pools, vec!["status".into()], vec!["a".into()])).unwrap()
+    }
+
+    #[test]
+    fn a_journal_written_anew_is_short_and_goes_on() {
+        let folder = std::env::temp_dir().join(format!("laurelroute-journal-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let path = folder.join("j");
+        let mut course = course();
+        let mut file = open(&path, &mut course).unwrap();
+        let word = |verb| Word { verb, who: "kim".into(), why: "x".into(), insist: false };
+        let started = course.say(1, &word(Verb::Start)).unwrap();
+        for _ in 0..100 {
+            keep(&path, &mut file, &Write::Add(journal::evidence(&course))).unwrap();
+        }
+        let long = std::fs::metadata(&path).unwrap().len();
+        keep(&path, &mut file, &Write::Anew(journal::compacted(&course))).unwrap();
+        assert!(std::fs::metadata(&path).unwrap().len() < long, "it is no shorter");
+        let ended = course.say(2, &word(Verb::Abandon)).unwrap();
+        keep(&path, &mut file, &Write::Add(journal::change(&ended))).unwrap();
+        let mut again = self::course();
+        open(&path, &mut again).unwrap();
+        assert_eq!(again.state(), &State::Abandoned);
+        assert_eq!(again.changes().next(), Some(&started));
+        std::fs::remove_dir_all(&folder).unwrap();
+    }
+}
