Work out cold intervals and the part's rate only where needed, one warmth, one place on the hash

The warmth of a server stood in the module and in the follower, the test of a place against a share in the module and in crates/shift, and the loop over seeds in two measurements of the rig: one each now. Behaviour is as it was.

--- a/crates/node/src/shift/table.rs
+++ b/crates/node/src/shift/table.rs
@@ -2,7 +2,7 @@
 
 use crate::site::{Check, Classes, SiteError};
 use ipnet::IpNet;
-use laurelroute_shift::judge::{Judge, Signal};
+use laurelroute_shift::judge::Judge;
 use laurelroute_shift::pool::{Pools, Predicate};
 use laurelroute_shift::settings::{OnAlarm, ShiftError, ShiftSettings, Split};
 use serde::Deserialize;
@@ -94,7 +94,6 @@
                 settings.bounds.false_alarms,
                 100.0 * settings.least_fault,
             );
-            debug_assert!(judge.duel(0, Signal::Failed).new.of == 0);
         }
         text
     }
--- a/crates/part/src/lib.rs
+++ b/crates/part/src/lib.rs
@@ -40,14 +40,14 @@
         (count as f64 * COVER / nodes).max(self.least)
     }
 
-    /// Requests come at `rate` a second, and news is believed for `memory` nanoseconds; true where the part has changed.
+    /// Requests come at `rate` a second, asked for when the part is looked at, and news is believed for `memory` nanoseconds; true where the part has changed.
     /// Heavy nodes rank more servers than light ones, or theirs would be the hot spots.
-    pub fn follow(&mut self, now: u64, rate: f64, memory: f64) -> bool {
+    pub fn follow(&mut self, now: u64, rate: impl FnOnce() -> f64, memory: f64) -> bool {
         if now < self.next {
             return false;
         }
         self.next = now + (memory / 2.0) as u64;
-        let wanted = (rate * memory / 1e9 / NEWS).clamp(LEAST, MOST);
+        let wanted = (rate() * memory / 1e9 / NEWS).clamp(LEAST, MOST);
         let differs = wanted > self.least * STEP || wanted * STEP < self.least;
         if differs {
             self.least = wanted;
@@ -64,11 +64,11 @@
     fn a_part_follows_the_rate_and_the_draw_leaves_some_out() {
         let mut part = Part::NEW;
         assert_eq!(part.size(40, 60.0), LEAST);
-        assert!(!part.follow(0, 15.0, 3e9), "45 requests are news of three servers");
-        assert!(!part.follow(1, 1000.0, 3e9), "not looked at again at once");
-        assert!(part.follow(1_500_000_000, 48.0, 3e9));
+        assert!(!part.follow(0, || 15.0, 3e9), "45 requests are news of three servers");
+        assert!(!part.follow(1, || 1000.0, 3e9), "not looked at again at once");
+        assert!(part.follow(1_500_000_000, || 48.0, 3e9));
         assert_eq!(part.size(40, 60.0), 9.0);
-        assert!(part.follow(3_000_000_000, 1000.0, 3e9));
+        assert!(part.follow(3_000_000_000, || 1000.0, 3e9));
         assert_eq!(part.size(40, 60.0), MOST);
         assert_eq!(part.size(155, 24.0), 155.0 * COVER / 24.0, "where cover asks for more it decides");
         assert_eq!([3, 6, 8, 9, 50].map(half_drawn), [2, 2, 2, 3, 3]);
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -554,7 +554,8 @@
         let weight = self.weight(&pending.request);
         let mut drawn = [usize::MAX; DRAWN + 1];
         let mut have = 0;
-        for (from, to, want) in [(0, top, half_drawn(count)), (top, count, half_drawn(count))] {
+        let half = half_drawn(count);
+        for (from, to, want) in [(0, top, half), (top, count, half)] {
             let (mut tries, goal) = (0, have + want.min(to - from));
             while have < goal && tries < 4 * want {
                 let place = from + self.draw(to - from);
@@ -629,12 +630,7 @@
     // ---- Cold servers ----
 
     fn cold_share(&self, now: Nanos, i: usize) -> f64 {
-        let started = self.nodes[i].server.started_at;
-        let age = now.saturating_sub(started) as f64 / self.settings.ramp as f64;
-        if started == 0 {
-            return 1.0;
-        }
-        (self.settings.cold_from + (1.0 - self.settings.cold_from) * age).min(1.0)
+        self.nodes[i].server.warmth(now, self.settings.cold_from, self.settings.ramp)
     }
 
     /// Time between two sends to a cold server: its ramp share of what this node sends a like warm server.
@@ -679,7 +675,7 @@
     fn admit(&mut self, now: Nanos, request: Request, sink: &mut Vec<Action>) {
         let ramp = self.settings.ramp as f64;
         self.arrivals.count(now, ramp);
-        if self.part.follow(now, self.arrivals.since_start(now, ramp), self.memory) {
+        if self.part.follow(now, || self.arrivals.since_start(now, ramp), self.memory) {
             (0..self.ready.len()).for_each(|zone| self.regroup(now, zone));
         }
         let most = 1.0 + RETRY_SHARE * self.arrivals.read(now, ramp) * ramp / 1e9;
@@ -775,8 +771,8 @@
         let credit = self.increment(now);
         let weight = self.pending.get(&id).map_or(1.0, |p| self.weight(&p.request));
         let cold = self.cold_share(now, i) < 1.0;
-        let next = now.saturating_add(self.cold_interval(now, i) as Nanos);
-        self.nodes[i].cold_next = if cold { next } else { 0 };
+        let wait = cold.then(|| self.cold_interval(now, i) as Nanos);
+        self.nodes[i].cold_next = wait.map_or(0, |wait| now.saturating_add(wait));
         let node = &mut self.nodes[i];
         if node.out == 0 {
             node.silent_since = now;
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -60,6 +60,15 @@
 }
 
 impl Server {
+    /// The part of its capacity that a server has reached, which starts at `from` and is whole after `ramp`.
+    pub fn warmth(&self, now: Nanos, from: f64, ramp: Nanos) -> f64 {
+        if self.started_at == 0 {
+            return 1.0;
+        }
+        let age = now.saturating_sub(self.started_at) as f64 / ramp as f64;
+        (from + (1.0 - from) * age).min(1.0)
+    }
+
     /// A ready, long-started server of size 1 in zone 0.
     pub fn warm(endpoint: Endpoint) -> Self {
         Server { endpoint, zone: 0, kind: 0, cell: 0, phase: Phase::Ready, size: 1.0, started_at: 0 }
@@ -305,6 +314,11 @@
 }
 
 impl Request {
+    /// Whether its place is within a share from 0 to 1: never at 0, always at 1.
+    pub fn within(&self, share: f64) -> bool {
+        f64::from(self.place) < share * 2f64.powi(32)
+    }
+
     /// A first try of class 0 without tenant or key.
     pub fn new(id: RequestId, give_up_at: Nanos) -> Self {
         Request {
--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -19,7 +19,7 @@
     /// The pool that a request is meant for; a repeat goes to the old one: failures do not hurry the shift.
     fn lane(&self, pending: &Pending) -> Option<u8> {
         let share = self.split.as_ref()?.shares.get(usize::from(pending.request.class));
-        let within = f64::from(pending.request.place) < share.unwrap_or(&0.0) * 2f64.powi(32);
+        let within = pending.request.within(*share.unwrap_or(&0.0));
         Some(if within && pending.attempts.is_empty() { NEW } else { OLD })
     }
 
--- a/crates/rig/src/levels.rs
+++ b/crates/rig/src/levels.rs
@@ -1,14 +1,13 @@
 //! `rig faults` and `rig outage`: the promises of two levels, by many seeds.
 
 use crate::report::{table, Failure, Outcome};
+use crate::seeds::all;
 use crate::{Common, AS_PROGRAM};
 use laurelroute_simulation::boxes::Cold;
 use laurelroute_simulation::faults::{drawn, HEALED};
 use laurelroute_simulation::world::{Mode, Setup, World, BEGIN};
 use laurelroute_simulation::{MS, S};
 use laurelroute_testkit::outage::{self, Size};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 use std::time::Duration;
 
 /// How boxes start cold in all simulated worlds.
@@ -44,28 +43,9 @@
 
 /// Many seeds on all cores.
 pub fn faults(common: &Common, seeds: u64) -> Result<(), Failure> {
-    let next = AtomicU64::new(0);
-    let seen = Mutex::new((Vec::<String>::new(), Vec::<(u64, u64)>::new()));
-    let workers = std::thread::available_parallelism().map_or(1, |n| n.get());
-    std::thread::scope(|scope| {
-        for _ in 0..workers {
-            scope.spawn(|| loop {
-                let k = next.fetch_add(1, Ordering::SeqCst);
-                if k >= seeds {
-                    return;
-                }
-                let seed = common.seed + k;
-                let (broken, took) = one(seed);
-                let mut seen = seen.lock().unwrap_or_else(|e| e.into_inner());
-                seen.0.extend(broken);
-                seen.1.push((took, seed));
-                if (k + 1).is_multiple_of(1_000) {
-                    println!("{} of {seeds} seeds ...", k + 1);
-                }
-            });
-        }
-    });
-    let (broken, mut took) = seen.into_inner().unwrap_or_else(|e| e.into_inner());
+    let seen = all(seeds, |k| (one(common.seed + k), common.seed + k));
+    let broken: Vec<&String> = seen.iter().filter_map(|((broken, _), _)| broken.as_ref()).collect();
+    let mut took: Vec<(u64, u64)> = seen.iter().map(|((_, took), seed)| (*took, *seed)).collect();
     took.sort_unstable();
     let at =
         |part: f64| took.get(((took.len() as f64 * part) as usize).min(took.len() - 1)).map_or(0, |t| t.0);
@@ -85,7 +65,7 @@
     outcome.put("agree_ms_slowest", slowest.0 as f64);
     outcome.close("faults", common)?;
     if let Some(first) = broken.first() {
-        return Err(Failure(first.clone()));
+        return Err(Failure(first.to_string()));
     }
     if slowest.0 > AGREE_MS {
         return Err(Failure(format!("seed {} took {} ms to agree", slowest.1, slowest.0)));
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -10,6 +10,7 @@
 mod passthrough;
 mod report;
 mod scale;
+mod seeds;
 mod shift;
 mod site;
 mod thrift;
--- a/crates/rig/src/shift.rs
+++ b/crates/rig/src/shift.rs
@@ -4,6 +4,7 @@
 use crate::cost::{plan, FEW, MANY};
 use crate::load::{self, Until};
 use crate::report::{table, Failure, Outcome};
+use crate::seeds::all;
 use crate::site::{can_count, Site, Used};
 use crate::Common;
 use laurelroute_shift::course::State;
@@ -11,14 +12,12 @@
 use laurelroute_simulation::shift::course::{play, New, Played};
 use laurelroute_simulation::shift::rivals::{self, Rival, CANARY, CLOCK};
 use laurelroute_simulation::shift::world::{self, Point, World};
-use laurelroute_simulation::shift::{Fault, Kind, Where, CLASSES};
+use laurelroute_simulation::shift::{Fault, Kind, Where};
 use laurelroute_simulation::S;
 use laurelroute_testkit::program::Wishes;
 use laurelroute_thrift::codec::Form;
 use plotters::prelude::*;
 use std::path::Path;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 
 /// The stated probability that a sound pool is halted.
 const FALSE_HALTS: f64 = 0.01;
@@ -39,31 +38,6 @@
     pub cost: bool,
 }
 
-/// Plays seeds on all cores; what is kept of each, in the order of seeds.
-fn all<T: Send>(seeds: u64, one: impl Fn(u64) -> T + Sync) -> Vec<T> {
-    let (next, done) = (AtomicU64::new(0), Mutex::new(Vec::new()));
-    let workers = std::thread::available_parallelism().map_or(1, |n| n.get());
-    std::thread::scope(|scope| {
-        for _ in 0..workers {
-            scope.spawn(|| loop {
-                let k = next.fetch_add(1, Ordering::SeqCst);
-                if k >= seeds {
-                    return;
-                }
-                let kept = one(k);
-                let mut done = done.lock().unwrap_or_else(|e| e.into_inner());
-                done.push((k, kept));
-                if seeds >= 1000 && (done.len() as u64).is_multiple_of(seeds / 10) {
-                    println!("  {} of {seeds}", done.len());
-                }
-            });
-        }
-    });
-    let mut done = done.into_inner().unwrap_or_else(|e| e.into_inner());
-    done.sort_by_key(|(k, _)| *k);
-    done.into_iter().map(|(_, kept)| kept).collect()
-}
-
 fn drawn(seed: u64) -> Fault {
     Fault::drawn(&mut Draw::new(seed, 99), 40)
 }
@@ -255,14 +229,12 @@
             .build_cartesian_2d(0.0..end, 0.0..1.05f64)?;
         chart.configure_mesh().x_desc("s").y_desc("part").draw()?;
         type Of = fn(&Point) -> f64;
-        let class = CLASSES.len() - 1;
         let lines: [(&str, RGBColor, Of); 4] = [
             ("share of acknowledge", BLUE, |p| p.shares.last().copied().unwrap_or(0.0)),
             ("warmth of the coldest new box", RGBColor(230, 140, 0), |p| p.warmth),
             ("answered in aim", RGBColor(0, 140, 60), |p| f64::from(p.in_aim) / f64::from(p.came.max(1))),
             ("most doubt (1 halts)", RED, |p| p.doubt.clamp(0.0, 1.05)),
         ];
-        debug_assert_eq!(class, 2);
         for (label, colour, of) in lines {
             let line = points.iter().map(|p| (seconds(p), of(p).min(1.05)));
             chart
--- a/crates/shift/src/follow.rs
+++ b/crates/shift/src/follow.rs
@@ -184,11 +184,7 @@
 
     fn warmth(&self, now: Nanos, server: &Server) -> f64 {
         let (from, ramp) = self.cold;
-        if server.started_at == 0 {
-            return 1.0;
-        }
-        let age = now.saturating_sub(server.started_at) as f64 / ramp as f64;
-        (from + (1.0 - from) * age).min(1.0)
+        server.warmth(now, from, ramp)
     }
 
     fn size(&self, server: &Server) -> f64 {
@@ -209,7 +205,7 @@
     /// An attempt goes out, the first of its request being number 0: whether what is meant for the new pool goes there.
     pub fn sent(&mut self, request: &Request, server: Endpoint, number: usize) {
         let share = self.course.shares().get(usize::from(request.class)).copied().unwrap_or(0.0);
-        if number == 0 && place::within(request.place, share) {
+        if number == 0 && request.within(share) {
             let old = self.members.get(&server).is_some_and(|m| m.found.pool == Pool::Old);
             self.course.meant_for_new(old);
         }
--- a/crates/shift/src/place.rs
+++ b/crates/shift/src/place.rs
@@ -1,5 +1,5 @@
 //! Where a request stands on the hash. Its place is the same at every node and every share, and it goes to the new pool
-//! where its place is below the share: what has moved stays moved as the share grows, and an undo takes each session
+//! where its place is below the share (`Request::within` of the decision module): what has moved stays moved as the share grows, and an undo takes each session
 //! back once.
 
 /// A place on the hash, from 0 to `u32::MAX`.
@@ -13,8 +13,3 @@
     mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
     ((mixed ^ (mixed >> 31)) >> 32) as Place
 }
-
-/// Whether a place is within a share from 0 to 1: never at 0, always at 1.
-pub fn within(place: Place, share: f64) -> bool {
-    f64::from(place) < share * (f64::from(Place::MAX) + 1.0)
-}
--- a/crates/shift/tests/judge.rs
+++ b/crates/shift/tests/judge.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use laurelroute_policy::interface::Request;
 use laurelroute_shift::capacity::{solve, Strength, Zone};
 use laurelroute_shift::cells::{Cells, Dimension, MOST_CELLS};
 use laurelroute_shift::judge::{Blame, Bounds, Judge, Outcome, Signal, Signals};
@@ -13,6 +14,10 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
 
+fn within(place: u32, share: f64) -> bool {
+    Request { place, ..Request::default() }.within(share)
+}
+
 fn judge(false_alarms: f64) -> Judge {
     let values = |n: usize| (0..n).map(|k| k.to_string()).collect();
     let dimension = |name: &str, n| Dimension { name: name.into(), values: values(n) };
@@ -184,8 +189,8 @@
     fn what_has_moved_stays_moved_as_the_share_grows(key: u64, salt: u64, a in 0.0..=1.0f64, b in 0.0..=1.0f64) {
         let at = place::of_key(salt, key);
         let (low, high) = (a.min(b), a.max(b));
-        prop_assert!(!place::within(at, low) || place::within(at, high));
-        prop_assert!(!place::within(at, 0.0) && place::within(at, 1.0));
+        prop_assert!(!within(at, low) || within(at, high));
+        prop_assert!(!within(at, 0.0) && within(at, 1.0));
     }
 
     #[test]
@@ -209,6 +214,6 @@
 
 #[test]
 fn sessions_are_spread_evenly() {
-    let within = (0..20_000u64).filter(|&k| place::within(place::of_key(7, k), 0.05)).count();
+    let within = (0..20_000u64).filter(|&k| within(place::of_key(7, k), 0.05)).count();
     assert!((900..1100).contains(&within), "{within} of 20,000 at 5%");
 }
--- a/crates/simulation/src/shift/course.rs
+++ b/crates/simulation/src/shift/course.rs
@@ -3,7 +3,7 @@
 //! Of the old pool's requests only some are drawn, eight for each of the new one's: more say next to nothing further, and
 //! which ones are drawn does not depend on how they end.
 
-use super::{class, settings, Asked, Fault, Kind, Where, CLASSES, SHIRES, ZONES};
+use super::{settings, Asked, Fault, Kind, Where, CLASSES, SHIRES, ZONES};
 use crate::draw::Draw;
 use crate::{Nanos, MS, S};
 use laurelroute_shift::capacity::{Strength, Zone};
@@ -329,8 +329,3 @@
 fn whole(draw: &mut Draw, mean: f64) -> usize {
     mean as usize + usize::from(draw.chance(mean.fract()))
 }
-
-/// A class drawn by its part, for models with single arrivals.
-pub fn any_class(draw: &mut Draw) -> usize {
-    class(draw)
-}
--- a/crates/simulation/src/shift/world.rs
+++ b/crates/simulation/src/shift/world.rs
@@ -1,7 +1,7 @@
 //! Pools in a world with clients, boxes with queues and cold starts, and the decision module that runs in service: whether
 //! a cold pool is pushed over, and what a shift does to clients.
 
-use super::{class, settings, Asked, Fault, Kind, SHIRES, ZONES};
+use super::{class, settings, Asked, Fault, Kind, SHIRES};
 use crate::boxes::{Cold, SimBox, Taken};
 use crate::draw::Draw;
 use crate::{Nanos, MS, S};
@@ -421,6 +421,3 @@
         }
     }
 }
-
-/// Zones that the world has; all of its boxes stand in the first.
-pub const USED_ZONES: usize = if ZONES > 1 { 1 } else { ZONES };
