Answer new clients while one process of a takeover is stopped

Seen: 4 boxes, a node under load of 8 kept clients, a second process, one of the two stopped for 3 s (rig silence, a new client each 50 ms with 300 ms of patience).

Cause: Elder::hear closed the gate on Ready and opened it only when the link closed, which a stopped heir does not do; Legacy::claim waited 1.5 s for an elder that says nothing. Ruled out: the kernel's queue (both hold the same listening socket, and an elder whose gate is open serves it alone).

Change: both say that they are there; an elder accepts again beside an heir that has been silent for 150 ms of the elder's own running time, and takes back clients that it has put down and the heir has not picked up. The heir's descriptors are a lease from an answered beat. An heir waits 0.12 s for an offer; without one it listens itself once it has a list, has the kernel bring all new connections there, and takes the offer when it comes. Programs without beats are met as before.

--- a/crates/handover/src/message.rs
+++ b/crates/handover/src/message.rs
@@ -14,7 +14,7 @@
 const ROWS: usize = 128;
 const MOST_SERVERS: usize = 20_000;
 /// Descriptors that come with one packet at most.
-pub const MOST_DESCRIPTORS: usize = 4;
+pub const MOST_DESCRIPTORS: usize = 8;
 
 /// One of the sockets on which clients connect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -24,6 +24,9 @@
     Http,
     /// Thrift.
     Thrift,
+    /// Not one of them: where the elder puts down clients at rest for the heir. Both hold its end that is read from, so
+    /// that each client goes to exactly one of them. Offered only to an heir that beats.
+    Rest,
 }
 
 /// What a process has learnt, as it is told ([`Learnt`]).
@@ -77,6 +80,9 @@
     Take {
         /// [`VERSION`].
         version: u32,
+        /// It says that it is there while it lives ([`Message::Beat`]). Older programs do not.
+        #[serde(default)]
+        beats: bool,
     },
     /// The elder's listening sockets, as the packet's descriptors in this order, and the descriptors that the heir may
     /// hold for now.
@@ -87,13 +93,26 @@
         doors: Vec<Door>,
         /// Descriptors for the heir.
         part: usize,
+        /// The elder expects beats and gives them. Older programs do not.
+        #[serde(default)]
+        beats: bool,
     },
     /// The heir takes clients.
     Ready,
-    /// The elder holds less: the heir may hold so many.
+    /// The heir is there.
+    Beat {
+        /// Counted from 1.
+        number: u64,
+        /// Descriptors that it holds.
+        held: usize,
+    },
+    /// The elder is there, and the heir may hold so many.
     Part {
         /// Descriptors for the heir.
         part: usize,
+        /// The last of the heir's beats that the elder has heard.
+        #[serde(default)]
+        beat: u64,
     },
     /// What the elder has learnt, in as many packets as its servers take.
     Learnt(Lesson),
--- a/crates/handover/src/share.rs
+++ b/crates/handover/src/share.rs
@@ -15,3 +15,21 @@
 pub fn yielded(part: usize, held: usize) -> usize {
     part.min(held + SLACK)
 }
+
+/// An heir may have opened this many since its last beat.
+const SINCE_BEAT: usize = 32;
+
+/// The elder's part while it accepts beside an heir that is silent: all that the heir cannot be holding.
+pub fn covering(total: usize, part: usize, heir_held: usize) -> usize {
+    part.max(total.saturating_sub((heir_held + SINCE_BEAT).max(LEAST)))
+}
+
+/// An heir's part when it can no longer count on what it was told: what it holds, and the least to serve with.
+pub fn doubted(part: usize, held: usize) -> usize {
+    part.min((held + SLACK).max(LEAST))
+}
+
+/// An heir's part beside an elder that says nothing and holds so many descriptors; where that is not known, the least.
+pub fn beside(total: usize, elder_held: Option<usize>) -> usize {
+    elder_held.map_or(LEAST.min(total), |held| total - serving(total, held))
+}
--- a/crates/handover/tests/states.rs
+++ b/crates/handover/tests/states.rs
@@ -3,7 +3,7 @@
 use laurelroute_handover::bans::{Bans, Word, MOST};
 use laurelroute_handover::message::{Door, Message, MOST_PACKET, VERSION};
 use laurelroute_handover::share::LEAST;
-use laurelroute_handover::states::{Effect, Elder, Heir};
+use laurelroute_handover::states::{Effect, Elder, Heir, BEAT, LEASE, PATIENCE};
 use laurelroute_policy::interface::{Endpoint, Phase, Server};
 use proptest::prelude::*;
 
@@ -68,8 +68,10 @@
 fn packets_come_back_as_they_went() {
     let word = Word { host: "s-\"1\"".into(), out: true, at: u64::MAX, since: 1 };
     let messages = [
-        Message::Take { version: VERSION },
-        Message::Offer { version: VERSION, doors: vec![Door::Http, Door::Thrift], part: 7 },
+        Message::Take { version: VERSION, beats: true },
+        Message::Offer { version: VERSION, doors: vec![Door::Http, Door::Rest], part: 7, beats: true },
+        Message::Beat { number: 9, held: 60 },
+        Message::Part { part: 7, beat: 9 },
         Message::Ready,
         Message::Bans { mark: 3, words: vec![word] },
         Message::Client { door: Door::Http },
@@ -86,15 +88,15 @@
 fn an_elder_yields_only_to_an_heir_that_is_ready_and_takes_over_again() {
     let mut elder = Elder::new(400);
     assert_eq!(elder.hear(Message::Ready, 100), vec![]);
-    assert_eq!(elder.hear(Message::Take { version: VERSION + 1 }, 100), vec![Effect::Foreign]);
+    assert_eq!(elder.hear(Message::Take { version: VERSION + 1, beats: true }, 100), vec![Effect::Foreign]);
     assert_eq!(
-        elder.hear(Message::Take { version: VERSION }, 100),
+        elder.hear(Message::Take { version: VERSION, beats: true }, 100),
         vec![Effect::Hold(200), Effect::Offer(200)]
     );
-    assert!(!elder.yielded() && elder.tick(10).is_empty());
+    assert!(!elder.yielded() && elder.tick(0, 10).is_empty());
     assert_eq!(elder.hear(Message::Ready, 100), vec![Effect::Accept(false)]);
     assert!(elder.yielded());
-    assert_eq!(elder.lost(), vec![Effect::Hold(400), Effect::Accept(true)]);
+    assert_eq!(elder.lost(), vec![Effect::Hold(400), Effect::Accept(true), Effect::Reclaim]);
     assert!(!elder.yielded());
 }
 
@@ -103,18 +105,18 @@
 fn parts_never_exceed_the_whole() {
     proptest!(|(total in 128usize..4096, held in prop::collection::vec(0usize..4096, 1..20))| {
         let mut elder = Elder::new(total);
-        let mut effects = elder.hear(Message::Take { version: VERSION }, held[0]);
+        let mut effects = elder.hear(Message::Take { version: VERSION, beats: true }, held[0]);
         let Some(Effect::Offer(part)) = effects.pop() else { panic!("no offer") };
         let Some(Effect::Hold(mut own)) = effects.pop() else { panic!("no part") };
-        let (mut heir, effects) = Heir::new(total, part);
+        let (mut heir, effects) = Heir::new(total, part, false, 0);
         let Some(Effect::Hold(mut other)) = effects.into_iter().next() else { panic!("no part") };
         prop_assert!(other >= LEAST);
         elder.hear(Message::Ready, held[0]);
         for held in held {
-            for effect in elder.tick(held) {
+            for effect in elder.tick(0, held) {
                 match effect {
                     Effect::Hold(part) => own = part,
-                    Effect::Say(message) => for effect in heir.hear(message) {
+                    Effect::Say(message) => for effect in heir.hear(message, 0, 0) {
                         if let Effect::Hold(part) = effect { other = part }
                     },
                     _ => {}
@@ -126,6 +128,127 @@
     });
 }
 
+const MS: u64 = 1_000_000;
+
+/// An elder whose heir serves, and that heir, both at `now`.
+fn pair(total: usize, held: usize, now: u64) -> (Elder, Heir) {
+    let mut elder = Elder::new(total);
+    let effects = elder.hear(Message::Take { version: VERSION, beats: true }, held);
+    let Some(Effect::Offer(part)) = effects.last() else { panic!("no offer") };
+    let (heir, _) = Heir::new(total, *part, true, now);
+    elder.tick(now, held);
+    elder.hear(Message::Ready, held);
+    (elder, heir)
+}
+
+fn accepts(effects: &[Effect]) -> Option<bool> {
+    effects.iter().rev().find_map(|e| if let Effect::Accept(open) = e { Some(*open) } else { None })
+}
+
+#[test]
+fn an_elder_accepts_beside_an_heir_that_is_silent_and_only_until_it_speaks() {
+    let (mut elder, mut heir) = pair(400, 100, 0);
+    let mut now = 0;
+    for _ in 0..50 {
+        now += 5 * MS;
+        assert_eq!(accepts(&elder.tick(now, 100)), None);
+        if now % BEAT == 0 {
+            let Some(Effect::Say(beat)) = heir.tick(now, 60).pop() else { panic!("no beat") };
+            assert!(matches!(elder.hear(beat, 100)[..], [Effect::Say(Message::Part { .. })]));
+        }
+    }
+    let silent_from = now;
+    while accepts(&elder.tick(now, 10)).is_none() {
+        now += 5 * MS;
+        assert!(now - silent_from <= PATIENCE + 5 * MS);
+    }
+    assert!(elder.covering() && elder.yielded());
+    assert_eq!(accepts(&elder.hear(Message::Beat { number: 99, held: 60 }, 10)), Some(false));
+    assert!(!elder.covering());
+}
+
+/// It was itself stopped: what the heir has said meanwhile is read before anybody is taken to be silent.
+#[test]
+fn an_elder_that_was_stopped_does_not_take_its_heir_for_stopped() {
+    let (mut elder, _) = pair(400, 100, 0);
+    assert_eq!(accepts(&elder.tick(3_000 * MS, 100)), None);
+    assert_eq!(accepts(&elder.tick(6_000 * MS, 100)), None);
+}
+
+/// An older program as heir says nothing, and none is expected of it.
+#[test]
+fn an_heir_that_never_beats_is_not_waited_for() {
+    let mut elder = Elder::new(400);
+    elder.hear(Message::Take { version: VERSION, beats: false }, 100);
+    elder.hear(Message::Ready, 100);
+    for k in 0..1_000 {
+        assert_eq!(accepts(&elder.tick(k * 5 * MS, 100)), None);
+    }
+}
+
+/// Pauses and losses in either direction, drawn: what both may hold never exceeds the whole, but for the moment in which an
+/// heir that has just woken hears the first word.
+#[test]
+fn parts_never_exceed_the_whole_through_pauses() {
+    // A step is 5 ms: who is paused, and which way the link carries.
+    let step = (0u8..3, 0u8..4, 1u8..60);
+    proptest!(|(total in 200usize..2048, held in 0usize..400, steps in prop::collection::vec(step, 1..30))| {
+        let (mut elder, mut heir) = pair(total, held, 0);
+        let mut own = laurelroute_handover::share::serving(total, held);
+        let mut other = total - own;
+        let held = held.min(total / 2);
+        let (mut to_heir, mut to_elder, mut now) = (Vec::new(), Vec::new(), 0u64);
+        let mut beat = 0;
+        for (paused, link, long) in steps {
+            for _ in 0..long {
+                now += 5 * MS;
+                if paused != 1 {
+                    // What is taken in at once is what the heir has in hand; it opens nothing while it is silent.
+                    let heard = if link & 1 == 0 { std::mem::take(&mut to_elder) } else { Vec::new() };
+                    let mut effects: Vec<_> = heard.into_iter().flat_map(|m| elder.hear(m, held)).collect();
+                    effects.extend(elder.tick(now, held));
+                    for effect in effects {
+                        match effect {
+                            Effect::Hold(part) => own = part,
+                            Effect::Say(message) => to_heir.push(message),
+                            _ => {}
+                        }
+                    }
+                }
+                if paused != 2 {
+                    let heard = if link & 2 == 0 { std::mem::take(&mut to_heir) } else { Vec::new() };
+                    let mut effects: Vec<_> = heard.into_iter().flat_map(|m| heir.hear(m, now, 48)).collect();
+                    // A timer that fell due in a pause fires at its end.
+                    if now - beat >= BEAT {
+                        beat = now;
+                        effects.extend(heir.tick(now, 48));
+                    }
+                    for effect in effects {
+                        match effect {
+                            Effect::Hold(part) => other = part,
+                            Effect::Say(message) => to_elder.push(message),
+                            _ => {}
+                        }
+                    }
+                    prop_assert!(own + other <= total, "{own} + {other} > {total} at {} ms", now / MS);
+                }
+            }
+        }
+    });
+}
+
+/// What was said before a pause of the heir no longer counts after it.
+#[test]
+fn an_heir_that_was_stopped_gives_up_its_part_until_it_is_told_anew() {
+    let (_, mut heir) = pair(400, 50, 0);
+    heir.tick(BEAT, 50);
+    assert_eq!(heir.hear(Message::Part { part: 300, beat: 1 }, BEAT + MS, 50), vec![Effect::Hold(300)]);
+    let woken = BEAT + MS + LEASE + BEAT + MS;
+    assert_eq!(heir.hear(Message::Part { part: 350, beat: 1 }, woken, 60), vec![Effect::Hold(68)]);
+    heir.tick(woken, 60);
+    assert_eq!(heir.hear(Message::Part { part: 310, beat: 2 }, woken + MS, 60), vec![Effect::Hold(310)]);
+}
+
 /// Two processes take calls at the same time; whatever is told in whatever order and however often, they agree.
 #[test]
 fn two_processes_agree_on_bans() {
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -4,7 +4,7 @@
 //! finds there, as one, in place of what was there. Should one overwrite a word that the other has just written, the word
 //! is told to it all the same, and it writes again before it says that it has noted it (`crates/handover/tests/ledger.rs`).
 
-use crate::succession::place;
+use crate::upgrade::link::place;
 use laurelroute_core::gateway::Gateway;
 use laurelroute_handover::bans::{Bans, Word};
 use laurelroute_handover::ledger::{decode, encode, LedgerError, MOST_FILE};
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,4 +15,4 @@
 pub mod site;
 mod source;
 mod staff;
-mod succession;
+mod upgrade;
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -1,7 +1,7 @@
 //! The second address, where operators call: whether this process takes clients, and servers taken out and put back.
 
 use crate::ledger::Ledger;
-use crate::succession::Succession;
+use crate::upgrade::succession::Succession;
 use http_body_util::Full;
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{HeaderValue, ALLOW, CONNECTION};
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -7,7 +7,8 @@
 use crate::levels::LevelError;
 use crate::management::Desk;
 use crate::site::{Site, SiteError};
-use crate::succession::{Legacy, Succession};
+use crate::upgrade::claim::Claim;
+use crate::upgrade::succession::{Entrance, Succession, Take};
 use crate::{plan, source};
 use laurelroute_core::accept::{accept, MakeRoom};
 use laurelroute_core::gateway::Gateway;
@@ -24,7 +25,7 @@
 use tokio::task::{spawn_local, LocalSet};
 
 /// Connections that the kernel may hold for us while we are busy; it cuts this down to what it allows.
-const BACKLOG: u32 = 4096;
+pub(crate) const BACKLOG: u32 = 4096;
 /// From the start, a node with no word from discovery serves by the list in its configuration after this ...
 const READY_KNOWN: Duration = Duration::from_millis(700);
 /// At a planned restart new connections go on coming for a while, and SIGKILL follows the longest deadline.
@@ -101,6 +102,11 @@
 }
 
 pub(crate) fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    bind(address)?.listen(BACKLOG).map_err(|error| StartError::Listen { address, error })
+}
+
+/// A socket that has the address and does not listen yet.
+fn bind(address: SocketAddr) -> Result<TcpSocket, StartError> {
     let open = || {
         let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
         // A restarted node must not wait for its former connections to age.
@@ -108,7 +114,7 @@
         // Another process of this node may serve there still, and hear nothing of this one.
         socket.set_reuseport(true)?;
         socket.bind(address)?;
-        socket.listen(BACKLOG)
+        Ok(socket)
     };
     open().map_err(|error| StartError::Listen { address, error })
 }
@@ -133,24 +139,24 @@
     let discovery = watch::Sender::new(config.discovery);
     let management = config.management.map(listen).transpose()?;
     let ledger = Ledger::of(config.listen);
-    let mut legacy = Legacy::claim(config.listen).await;
+    let mut claim = Claim::make(config.listen).await;
     // Read after the claim: what was said in between is in the file or is told.
     gateway.merge_bans(ledger.read());
-    if let Some(legacy) = &mut legacy {
-        gateway.merge_bans(std::mem::take(&mut legacy.words));
-    }
-    let mut inherit = |door, address| {
-        let inherited = legacy.as_mut().and_then(|l| l.listener(door, address));
-        inherited.map_or_else(|| listen(address), Ok).map(Rc::new)
-    };
-    let listener = inherit(Door::Http, config.listen)?;
-    let thrift = match &site.thrift {
-        Some(thrift) => {
-            let listener = inherit(Door::Thrift, thrift.listen)?;
-            Some((listener, Front::new(gateway.clone(), thrift.front.clone())))
-        }
-        None => None,
+    gateway.merge_bans(claim.take_words());
+    let mut entrance = |door, address| {
+        let inherited = claim.listeners(door, address);
+        Ok::<_, StartError>(match claim {
+            _ if !inherited.is_empty() => Entrance::Open(inherited),
+            Claim::Silent(_) => Entrance::Bound(bind(address)?, address),
+            Claim::Alone | Claim::Offered(_) => Entrance::Open(vec![listen(address)?]),
+        })
     };
+    let mut entrances = vec![(Door::Http, entrance(Door::Http, config.listen)?)];
+    let mut front = None;
+    if let Some(thrift) = &site.thrift {
+        entrances.push((Door::Thrift, entrance(Door::Thrift, thrift.listen)?));
+        front = Some(Front::new(gateway.clone(), thrift.front.clone()));
+    }
     let succession = Succession::new(config.site.sockets, ledger.clone());
     let one_level = || Watcher::new(source::to_gateway(&gateway), &config, &site, discovery.subscribe());
     match forwarding {
@@ -160,22 +166,25 @@
     }
     spawn_local(gateway.clone().run_timers());
     let clients = Clients::new(gateway.clone());
-    let (thrift_listener, front) = thrift.unzip();
     let make_room: MakeRoom = {
         let (clients, front) = (clients.clone(), front.clone());
         Rc::new(move || {
             let _ = clients.make_room() || front.as_ref().is_some_and(|f| f.make_room());
         })
     };
-    let (budget, room) = (gateway.budget.clone(), make_room.clone());
-    let mut listeners = vec![(Door::Http, listener.clone())];
-    let gate = || succession.gate();
-    let mut accepting = vec![spawn_local(accept(clients.clone(), budget, room, listener, gate()))];
-    if let (Some(listener), Some(front)) = (thrift_listener, &front) {
-        let budget = gateway.budget.clone();
-        listeners.push((Door::Thrift, listener.clone()));
-        accepting.push(spawn_local(accept(front.clone(), budget, make_room, listener, gate())));
-    }
+    let take: Take = {
+        let (gateway, clients, front) = (gateway.clone(), clients.clone(), front.clone());
+        let gate = succession.gate();
+        Box::new(move |door, listener| {
+            let (budget, room, gate) = (gateway.budget.clone(), make_room.clone(), gate.clone());
+            match (door, &front) {
+                (Door::Thrift, Some(front)) => {
+                    spawn_local(accept(front.clone(), budget, room, listener, gate))
+                }
+                _ => spawn_local(accept(clients.clone(), budget, room, listener, gate)),
+            }
+        })
+    };
     let ready = gateway.clone();
     spawn_local(async move {
         tokio::time::sleep(READY_KNOWN).await;
@@ -187,7 +196,7 @@
         spawn_local(Desk::new(gateway.clone(), succession.clone(), ledger).accept(listener));
     }
     let serving =
-        succession.clone().serve(gateway.clone(), clients.clone(), listeners, legacy, config.listen);
+        succession.clone().serve(gateway.clone(), clients.clone(), take, entrances, claim, config.listen);
     spawn_local(serving);
     spawn_local(sweep(gateway.clone(), clients.clone()));
     spawn_local(reload(config, discovery, hangup));
@@ -195,16 +204,14 @@
     terminate.recv().await;
     let told = Instant::now();
     // An heir is given the clients' connections as they come to rest; what stays is told to come back.
-    while succession.yielded() && told.elapsed() < HAND_OVER && clients.number() > 0 {
+    let waits = || succession.yielded() && (clients.number() > 0 || !succession.heir_serves());
+    while waits() && told.elapsed() < HAND_OVER {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     gateway.leaving.set(true);
-    if !succession.yielded() {
+    if !succession.heir_serves() {
         tokio::time::sleep(STILL_ACCEPT).await;
-        succession.shut();
-        for task in accepting {
-            let _ = task.await;
-        }
+        succession.shut().await;
     }
     let open = || clients.close_idle() + front.as_ref().map_or(0, |f| f.close_idle());
     while open() > 0 && told.elapsed() < LEAVE_WITHIN {
--- /dev/null
+++ b/crates/node/src/upgrade/claim.rs
@@ -0,0 +1,140 @@
+//! What a process that starts gets from the one that serves, if there is one.
+
+use super::link::{address, place, socket, Link, LinkError, SOCKET};
+use laurelroute_handover::bans::Word;
+use laurelroute_handover::message::{Door, Message, VERSION};
+use laurelroute_policy::interface::Learnt;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::path::Path;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// An elder that runs offers at once. One that does not is not waited for any longer: clients are.
+const OFFER: Duration = Duration::from_millis(120);
+
+/// Who else serves at the address.
+pub(crate) enum Claim {
+    /// Nobody that can be spoken to.
+    Alone,
+    /// A process that hands over what it has.
+    Offered(Legacy),
+    /// One that is there and says nothing. It may yet.
+    Silent(Link),
+}
+
+/// What a process has from the one that it takes over from.
+pub(crate) struct Legacy {
+    pub(super) link: Link,
+    doors: Vec<(Door, OwnedFd)>,
+    /// Descriptors that this process may hold.
+    pub(super) part: usize,
+    /// The elder says that it is there, and expects the same.
+    pub(super) beats: bool,
+    /// Servers that operators have taken out or put back.
+    pub(crate) words: Vec<Word>,
+    pub(super) learnt: Learnt,
+}
+
+impl Claim {
+    /// Asks the process that serves at that address for all that it has.
+    pub(crate) async fn make(listen: SocketAddr) -> Claim {
+        let Some(place) = place(listen, SOCKET).filter(|place| place.exists()) else { return Claim::Alone };
+        let claimed = async {
+            let link = ask(&place).await?;
+            match tokio::time::timeout(OFFER, offer(&link)).await {
+                Ok(offer) => Ok(Claim::Offered(offer?.with(link))),
+                Err(_) => Ok(Claim::Silent(link)),
+            }
+        };
+        let claim: Result<Claim, LinkError> = claimed.await;
+        match &claim {
+            Err(error) => tracing::warn!("takeover: {error}; the address is shared without it"),
+            Ok(Claim::Silent(_)) => {
+                tracing::warn!("takeover: no offer in time; new clients come here as soon as there is a list")
+            }
+            Ok(_) => {}
+        }
+        claim.unwrap_or(Claim::Alone)
+    }
+
+    /// The elder's listening sockets of this kind, where it has offered any.
+    pub(crate) fn listeners(&mut self, door: Door, address: SocketAddr) -> Vec<TcpListener> {
+        match self {
+            Claim::Offered(legacy) => legacy.listeners(door, address),
+            Claim::Alone | Claim::Silent(_) => Vec::new(),
+        }
+    }
+
+    /// Words on servers that came with the offer.
+    pub(crate) fn take_words(&mut self) -> Vec<Word> {
+        match self {
+            Claim::Offered(legacy) => std::mem::take(&mut legacy.words),
+            Claim::Alone | Claim::Silent(_) => Vec::new(),
+        }
+    }
+}
+
+async fn ask(place: &Path) -> Result<Link, LinkError> {
+    let (_folder, address) = address(place)?;
+    let socket = socket()?;
+    rustix::net::connect(&socket, &address)?;
+    let link = Link::new(socket)?;
+    link.send(&Message::Take { version: VERSION, beats: true }, &[]).await?;
+    Ok(link)
+}
+
+/// An offer, without the link on which it came.
+pub(super) struct Offer {
+    words: Vec<Word>,
+    learnt: Learnt,
+    doors: Vec<(Door, OwnedFd)>,
+    part: usize,
+    beats: bool,
+}
+
+impl Offer {
+    pub(super) fn with(self, link: Link) -> Legacy {
+        let Offer { words, learnt, doors, part, beats } = self;
+        Legacy { link, doors, part, beats, words, learnt }
+    }
+}
+
+/// The elder's offer, whenever it comes.
+pub(super) async fn offer(link: &Link) -> Result<Offer, LinkError> {
+    let (mut words, mut learnt) = (Vec::new(), Learnt::default());
+    loop {
+        match link.receive().await? {
+            (Message::Bans { words: more, .. }, _) => words.extend(more),
+            (Message::Learnt(lesson), _) => lesson.join(&mut learnt),
+            (Message::Offer { version: VERSION, doors, part, beats }, descriptors) => {
+                let doors = doors.into_iter().zip(descriptors).collect();
+                return Ok(Offer { words, learnt, doors, part, beats });
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Legacy {
+    fn take(&mut self, door: Door) -> Vec<OwnedFd> {
+        let (these, rest) = std::mem::take(&mut self.doors).into_iter().partition(|(d, _)| *d == door);
+        self.doors = rest;
+        Vec::into_iter(these).map(|(_, descriptor)| descriptor).collect()
+    }
+
+    /// The elder's listening sockets of this kind, if it listens there too.
+    pub(super) fn listeners(&mut self, door: Door, address: SocketAddr) -> Vec<TcpListener> {
+        let there = |fd| {
+            let listener = std::net::TcpListener::from(fd);
+            (listener.local_addr().ok()? == address).then_some(())?;
+            TcpListener::from_std(listener).ok()
+        };
+        self.take(door).into_iter().filter_map(there).collect()
+    }
+
+    /// Where the elder puts down clients at rest.
+    pub(super) fn rest(&mut self) -> Option<Link> {
+        self.take(Door::Rest).pop().and_then(|fd| Link::new(fd).ok())
+    }
+}
--- /dev/null
+++ b/crates/node/src/upgrade/steer.rs
@@ -0,0 +1,62 @@
+//! New connections to an address that two processes share by SO_REUSEPORT, brought to one of them.
+//!
+//! The kernel deals connections to the group's sockets by a hash. Where one of the processes is stopped, half of them would
+//! wait in its queue. A classic BPF program that gives a constant chooses the socket with that place in the group instead
+//! (SO_ATTACH_REUSEPORT_CBPF, socket(7)). A place that is none leaves it to the hash.
+
+use nix::libc::{sock_filter, sock_fprog, BPF_K, BPF_RET};
+use nix::sys::socket::{setsockopt, sockopt::AttachReusePortCbpf};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::os::fd::AsFd;
+
+/// The state of a listening socket in the kernel's tables.
+const LISTENING: &str = "0A";
+
+/// Brings all new connections to the socket that has begun to listen at that address last. Sockets have their place in
+/// the order in which they began.
+pub(super) fn to_last(socket: impl AsFd, address: SocketAddr) -> io::Result<()> {
+    let table = if address.is_ipv4() { "/proc/self/net/tcp" } else { "/proc/self/net/tcp6" };
+    let listening = listening(&std::fs::read_to_string(table)?, address);
+    let place = u32::try_from(listening.saturating_sub(1)).map_err(io::Error::other)?;
+    let code = u16::try_from(BPF_RET | BPF_K).map_err(io::Error::other)?;
+    let mut program = [sock_filter { code, jt: 0, jf: 0, k: place }];
+    let program = sock_fprog { len: 1, filter: program.as_mut_ptr() };
+    Ok(setsockopt(&socket, AttachReusePortCbpf, &program)?)
+}
+
+/// Sockets that listen at that address, in a table as proc(5) has it.
+fn listening(table: &str, address: SocketAddr) -> usize {
+    let words = match address.ip() {
+        IpAddr::V4(ip) => format!("{:08X}", u32::from_ne_bytes(ip.octets())),
+        IpAddr::V6(ip) => {
+            let word = |w: &[u8]| w.try_into().map_or(0, u32::from_ne_bytes);
+            ip.octets().chunks(4).map(|w| format!("{:08X}", word(w))).collect()
+        }
+    };
+    let wanted = format!("{words}:{:04X}", address.port());
+    let row = |line: &&str| {
+        let mut columns = line.split_whitespace().skip(1);
+        let (local, state) = (columns.next(), columns.nth(1));
+        local == Some(&wanted) && state == Some(LISTENING)
+    };
+    table.lines().filter(row).count()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn listening_sockets_are_counted_by_their_whole_address() {
+        let table = "  sl  local_address rem_address   st\n\
+            0: 0100007F:1F90 00000000:0000 0A 0\n\
+            1: 0100007F:1F90 00000000:0000 0A 0\n\
+            2: 0100007F:1F90 0100007F:8000 01 0\n\
+            3: 0200007F:1F90 00000000:0000 0A 0\n";
+        assert_eq!(listening(table, "127.0.0.1:8080".parse().unwrap()), 2);
+        assert_eq!(listening(table, "127.0.0.1:8081".parse().unwrap()), 0);
+        let table = "0: 00000000000000000000000001000000:1F90 0000:0000 0A\n";
+        assert_eq!(listening(table, "[::1]:8080".parse().unwrap()), 1);
+    }
+}
--- a/crates/node/tests/takeover.rs
+++ b/crates/node/tests/takeover.rs
@@ -1,8 +1,10 @@
 //! Takeovers under load with a kill at some step of each, from seeds. Many more: `rig kills`.
 
+use laurelroute_testkit::silence::{self, Stop, Who};
 use laurelroute_testkit::takeover;
 use std::path::Path;
 use std::thread;
+use std::time::Duration;
 
 /// Enough that every kind of kill is among them; `LAURELROUTE_SEED` plays another one alone.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
@@ -29,3 +31,23 @@
     }
     assert!(broken.is_empty(), "{broken:#?}");
 }
+
+/// Either process stopped at some steps of a takeover: new clients go on being answered, kept ones lose nothing.
+#[test]
+fn a_stopped_process_makes_no_silence() {
+    let lasts = Duration::from_secs(2);
+    let mut broken = Vec::new();
+    for after in [0, 2, 5, 30].map(Duration::from_millis) {
+        let plays = [Who::Elder, Who::Heir].map(|who| {
+            let stop = Stop { who, after, lasts };
+            let program = Path::new(env!("CARGO_BIN_EXE_laurelroute"));
+            (stop, thread::spawn(move || silence::play(program, stop, None)))
+        });
+        for (stop, play) in plays {
+            let seen = play.join().unwrap_or_else(|_| panic!("{stop:?} did not come to its end"));
+            println!("{stop:?}: {seen:?}");
+            broken.extend(seen.broken().into_iter().map(|b| format!("{stop:?}: {b}")));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -12,6 +12,7 @@
 mod scale;
 mod seeds;
 mod shift;
+mod silence;
 mod site;
 mod thrift;
 mod two_level;
@@ -115,6 +116,17 @@
         #[arg(long, default_value_t = 100)]
         seeds: u64,
     },
+    /// New clients while one of two processes is stopped at some step of a takeover: for how long nobody answers them.
+    Silence {
+        #[command(flatten)]
+        common: Common,
+        /// Plays each row of the table this often.
+        #[arg(long, default_value_t = 1)]
+        rounds: usize,
+        /// A file for what the processes write.
+        #[arg(long, value_name = "FILE")]
+        output: Option<PathBuf>,
+    },
     /// Long messages through the node, many at once: memory, and bytes a second against a bare pass-through.
     Bulk(Common),
     /// What a planner costs as forwarders and boxes grow.
@@ -171,6 +183,7 @@
         Command::Outage { common, seeds, forwarders } => levels::outage(&common, seeds, forwarders),
         Command::Upgrade { common, upgrades, body } => upgrade::run(&common, upgrades, body),
         Command::Kills { common, seeds } => upgrade::kills(&common, seeds),
+        Command::Silence { common, rounds, output } => silence::run(&common, rounds, output.as_deref()),
         Command::Bulk(common) => bulk::run(&common),
         Command::Scale(common) => scale::run(&common),
         Command::Shift { common, seeds, svg, cost } => {
--- /dev/null
+++ b/crates/rig/src/silence.rs
@@ -0,0 +1,54 @@
+//! `rig silence`: one of the two processes of a takeover is stopped at each step of it; how long new clients go unanswered.
+
+use crate::report::{table, Failure, Outcome};
+use crate::{Common, AS_PROGRAM};
+use laurelroute_testkit::silence::{play, Stop, Who};
+use std::path::Path;
+use std::time::Duration;
+
+/// Milliseconds from the heir's start at which a process is stopped.
+const STEPS: [u64; 9] = [0, 1, 2, 3, 6, 10, 20, 40, 80];
+/// It goes on after this.
+const LASTS: Duration = Duration::from_secs(3);
+
+/// Plays every step for either process.
+pub fn run(common: &Common, rounds: usize, output: Option<&Path>) -> Result<(), Failure> {
+    std::env::set_var(AS_PROGRAM, "1");
+    let program = std::env::current_exe()?;
+    let (mut rows, mut broken) = (Vec::new(), Vec::new());
+    let (mut longest, mut unanswered, mut lost) = (Duration::ZERO, 0, 0);
+    for after in STEPS.iter().flat_map(|ms| std::iter::repeat_n(*ms, rounds)) {
+        for who in [Who::Elder, Who::Heir] {
+            let seen =
+                play(&program, Stop { who, after: Duration::from_millis(after), lasts: LASTS }, output);
+            let (held, limit) = seen.descriptors;
+            rows.push(vec![
+                format!("{after} ms"),
+                format!("{who:?}"),
+                format!("{} of {}", seen.heard.unanswered, seen.heard.came),
+                format!("{:.2}", seen.heard.longest.as_secs_f64()),
+                seen.ready.map_or("-".to_owned(), |r| format!("{:.2}", r.as_secs_f64())),
+                seen.lost.to_string(),
+                seen.twice.to_string(),
+                format!("{held} of {limit}"),
+            ]);
+            println!("{}", rows.last().map_or(String::new(), |row| row.join("  ")));
+            longest = longest.max(seen.heard.longest);
+            unanswered += seen.heard.unanswered;
+            lost += seen.lost;
+            broken.extend(seen.broken().into_iter().map(|b| format!("{who:?} at {after} ms: {b}")));
+        }
+    }
+    table(
+        &["stopped at", "who", "unanswered", "longest s", "ready s", "lost", "twice", "descriptors"],
+        &rows,
+    );
+    broken.iter().for_each(|b| println!("BROKEN {b}"));
+    let mut outcome = Outcome::default();
+    outcome.put("longest_s", longest.as_secs_f64());
+    outcome.put("unanswered", unanswered as f64);
+    outcome.put("lost", lost as f64);
+    outcome.put("broken", broken.len() as f64);
+    outcome.close("silence", common)?;
+    broken.into_iter().next().map_or(Ok(()), |first| Err(Failure(first)))
+}
--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -16,8 +16,13 @@
 impl Client {
     /// Connects; `None` where nobody listens.
     pub fn connect(wire: Wire, address: SocketAddr) -> Option<Client> {
-        let stream = TcpStream::connect(address).ok()?;
-        stream.set_read_timeout(Some(PATIENCE)).ok()?;
+        Client::connect_within(wire, address, PATIENCE)
+    }
+
+    /// Connects, and waits so long for that and for anything that comes.
+    pub fn connect_within(wire: Wire, address: SocketAddr, patience: Duration) -> Option<Client> {
+        let stream = TcpStream::connect_timeout(&address, patience).ok()?;
+        stream.set_read_timeout(Some(patience)).ok()?;
         let form = match wire {
             Wire::Http => None,
             Wire::Thrift { client, .. } => Some(client),
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod port;
 pub mod process;
 pub mod program;
+pub mod silence;
 pub mod suite;
 pub mod takeover;
 pub mod wire;
