--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -7,6 +7,7 @@
 mod demo;
 mod levels;
 mod load;
+mod members;
 mod passthrough;
 mod report;
 mod scale;
@@ -116,6 +117,17 @@
         #[arg(long, default_value_t = 100)]
         seeds: u64,
     },
+    /// Members of a fleet under drawn faults in simulated time; what noticing a kill takes and costs by their number.
+    Members {
+        #[command(flatten)]
+        common: Common,
+        /// How many seeds, from `--seed` on.
+        #[arg(long, default_value_t = 10_000)]
+        seeds: u64,
+        /// How many of the sizes (12, 30, 100 and 300 members) kills are timed at.
+        #[arg(long, default_value_t = 4)]
+        sizes: usize,
+    },
     /// New clients while one of two processes is stopped at some step of a takeover: for how long nobody answers them.
     Silence {
         #[command(flatten)]
@@ -183,6 +195,7 @@
         Command::Outage { common, seeds, forwarders } => levels::outage(&common, seeds, forwarders),
         Command::Upgrade { common, upgrades, body } => upgrade::run(&common, upgrades, body),
         Command::Kills { common, seeds } => upgrade::kills(&common, seeds),
+        Command::Members { common, seeds, sizes } => members::run(&common, seeds, sizes),
         Command::Silence { common, rounds, output } => silence::run(&common, rounds, output.as_deref()),
         Command::Bulk(common) => bulk::run(&common),
         Command::Scale(common) => scale::run(&common),
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod boxes;
 pub mod draw;
 pub mod faults;
+pub mod members;
 pub mod rules;
 pub mod shift;
 pub mod world;
--- /dev/null
+++ b/crates/simulation/src/members.rs
@@ -0,0 +1,481 @@
+//! Members of a fleet that watch one another, in simulated time: the machines of `laurelroute-membership` on links that
+//! lose, delay, double and cut, with processes that pause, die and start again. What they promise is looked at as it happens.
+
+use crate::draw::Draw;
+use crate::{Nanos, MS, S};
+use laurelroute_membership::defect::Planted;
+use laurelroute_membership::{Life, Machine, Output, Roster, Seat, View, TICK};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+/// Datagrams that a paused process's socket keeps.
+const SOCKET: usize = 200;
+
+/// What the links do to a datagram.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Network {
+    /// Part that is lost.
+    pub loss: f64,
+    /// Part that comes twice.
+    pub doubled: f64,
+    /// Delay from ... to.
+    pub delay: (Nanos, Nanos),
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Network { loss: 0.0, doubled: 0.0, delay: (MS / 5, 2 * MS) }
+    }
+}
+
+/// Something that is done to the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// The process ends.
+    Kill(Seat),
+    /// It starts with a new life, if it does not run.
+    Start(Seat),
+    /// It does not run for so long.
+    Pause(Seat, Nanos),
+    /// From each of these nothing comes to any of those.
+    Cut(Vec<Seat>, Vec<Seat>),
+    /// All links carry again.
+    Mend,
+    /// All links become like this.
+    Network(Network),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Deliver { from: Seat, to: Seat, bytes: Vec<u8> },
+    Tick { seat: Seat, start: u32 },
+}
+
+#[derive(Debug, Default)]
+struct Process {
+    machine: Option<Machine>,
+    starts: u32,
+    paused: (Nanos, Nanos),
+    waiting: Vec<(Seat, Vec<u8>)>,
+    views: Vec<(Nanos, View)>,
+    sent: u64,
+}
+
+/// A member that was put out of a view.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Removal {
+    /// When the first one learnt of it.
+    pub at: Nanos,
+    /// Who.
+    pub seat: Seat,
+    /// Its process runs with this life, and has for so long without a pause; `None` where it does not.
+    pub ran_for: Option<Nanos>,
+    /// Its last pause lasted so long.
+    pub pause: Nanos,
+}
+
+/// A fleet.
+pub struct Fleet {
+    /// The present time.
+    pub now: Nanos,
+    roster: Roster,
+    processes: Vec<Process>,
+    queue: BinaryHeap<Reverse<(Nanos, u64, Event)>>,
+    count: u64,
+    cut: BTreeSet<(Seat, Seat)>,
+    network: Network,
+    draw: Draw,
+    planted: Planted,
+    seen: BTreeMap<(u16, u64), View>,
+    /// Those that were put out, each once.
+    pub removals: Vec<Removal>,
+    /// The largest sum of what all use of one whole.
+    pub most: f64,
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+}
+
+impl Fleet {
+    /// So many processes, all started within `within`.
+    pub fn new(members: usize, seed: u64, within: Nanos) -> Fleet {
+        Fleet::planted(members, seed, within, Planted::default())
+    }
+
+    /// The same, where all do something wrong.
+    pub fn planted(members: usize, seed: u64, within: Nanos, planted: Planted) -> Fleet {
+        let names = (0..members).map(|k| format!("node-{k:03}")).collect();
+        let roster = Roster::new(names).unwrap_or_else(|e| panic!("{e}"));
+        let mut fleet = Fleet {
+            now: S,
+            processes: (0..members).map(|_| Process::default()).collect(),
+            roster,
+            queue: BinaryHeap::new(),
+            count: 0,
+            cut: BTreeSet::new(),
+            network: Network::default(),
+            draw: Draw::new(seed, 77),
+            planted,
+            seen: BTreeMap::new(),
+            removals: Vec::new(),
+            most: 0.0,
+            broken: Vec::new(),
+        };
+        let starts: Vec<Nanos> = (0..members).map(|_| S + fleet.draw.between(0, within.max(1))).collect();
+        for (seat, at) in starts.into_iter().enumerate() {
+            fleet.start(seat as Seat, at);
+        }
+        fleet
+    }
+
+    fn push(&mut self, at: Nanos, event: Event) {
+        self.count += 1;
+        self.queue.push(Reverse((at, self.count, event)));
+    }
+
+    fn start(&mut self, seat: Seat, at: Nanos) {
+        let mut seed = [0; 16];
+        seed.iter_mut().for_each(|b| *b = self.draw.below(256) as u8);
+        let mut machine = Machine::new("perth", self.roster.clone(), seat, seed, at);
+        machine.plant(self.planted);
+        let process = &mut self.processes[usize::from(seat)];
+        process.starts += 1;
+        process.machine = Some(machine);
+        process.waiting.clear();
+        process.paused = (0, 0);
+        let start = process.starts;
+        self.push(at, Event::Tick { seat, start });
+    }
+
+    /// Does something to it now.
+    pub fn apply(&mut self, fault: &Fault) {
+        match fault {
+            Fault::Kill(seat) => {
+                let process = &mut self.processes[usize::from(*seat)];
+                process.machine = None;
+                process.starts += 1;
+            }
+            Fault::Start(seat) => {
+                if self.processes[usize::from(*seat)].machine.is_none() {
+                    self.start(*seat, self.now);
+                }
+            }
+            Fault::Pause(seat, lasts) => {
+                let process = &mut self.processes[usize::from(*seat)];
+                if process.paused.1 < self.now {
+                    process.paused = (self.now, self.now + lasts);
+                }
+            }
+            Fault::Cut(from, to) => {
+                let pairs = from.iter().flat_map(|f| to.iter().map(move |t| (*f, *t)));
+                self.cut.extend(pairs.filter(|(f, t)| f != t));
+            }
+            Fault::Mend => self.cut.clear(),
+            Fault::Network(network) => self.network = *network,
+        }
+    }
+
+    /// Lets time go on.
+    pub fn run(&mut self, lasts: Nanos) {
+        let end = self.now + lasts;
+        while let Some(Reverse((at, ..))) = self.queue.peek() {
+            if *at > end {
+                break;
+            }
+            let Some(Reverse((at, _, event))) = self.queue.pop() else { break };
+            self.now = self.now.max(at);
+            self.happen(event);
+        }
+        self.now = end;
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Tick { seat, start } => {
+                let now = self.now;
+                let process = &mut self.processes[usize::from(seat)];
+                if process.starts != start || process.machine.is_none() {
+                    return;
+                }
+                if process.paused.1 > now {
+                    let wakes = process.paused.1;
+                    return self.push(wakes, Event::Tick { seat, start });
+                }
+                let waiting = std::mem::take(&mut process.waiting);
+                // Which of the two a woken process does first is chance.
+                let reads_first = self.draw.chance(0.5);
+                if reads_first {
+                    waiting.iter().for_each(|(from, bytes)| self.deliver(*from, seat, bytes));
+                }
+                self.act(seat, |machine| machine.tick(now));
+                if !reads_first {
+                    waiting.iter().for_each(|(from, bytes)| self.deliver(*from, seat, bytes));
+                }
+                self.look();
+                self.look_after_pause(seat);
+                let next = now + TICK + self.draw.between(0, 2 * MS);
+                self.push(next, Event::Tick { seat, start });
+            }
+            Event::Deliver { from, to, bytes } => {
+                let process = &mut self.processes[usize::from(to)];
+                if process.machine.is_none() {
+                    return;
+                }
+                if process.paused.1 > self.now {
+                    if process.waiting.len() < SOCKET {
+                        process.waiting.push((from, bytes));
+                    }
+                    return;
+                }
+                self.deliver(from, to, &bytes);
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: Seat, to: Seat, bytes: &[u8]) {
+        let now = self.now;
+        self.act(to, |machine| machine.receive(now, from, bytes));
+    }
+
+    fn act(&mut self, seat: Seat, f: impl FnOnce(&mut Machine) -> Vec<Output>) {
+        let Some(machine) = &mut self.processes[usize::from(seat)].machine else { return };
+        let outputs = f(machine);
+        for output in outputs {
+            match output {
+                Output::Send(to, bytes) => self.send(seat, to, bytes),
+                Output::View(view) => self.saw(seat, view),
+                Output::Out | Output::Refused(..) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: Seat, to: Seat, bytes: Vec<u8>) {
+        self.processes[usize::from(from)].sent += bytes.len() as u64;
+        if bytes.len() > 256 {
+            self.broken.push(format!("a datagram of {} bytes", bytes.len()));
+        }
+        if self.cut.contains(&(from, to)) || self.draw.chance(self.network.loss) {
+            return;
+        }
+        let copies = if self.draw.chance(self.network.doubled) { 2 } else { 1 };
+        for _ in 0..copies {
+            let (low, high) = self.network.delay;
+            let at = self.now + self.draw.between(low, high);
+            self.push(at, Event::Deliver { from, to, bytes: bytes.clone() });
+        }
+    }
+
+    fn saw(&mut self, seat: Seat, view: View) {
+        let key = (view.lineage, view.number);
+        let first = self.seen.get(&key).cloned();
+        match first {
+            Some(other) if other != view => {
+                self.broken.push(format!("two views {} at {} ms", view.number, self.now / MS));
+            }
+            Some(_) => {}
+            None => {
+                if let Some(before) = self.seen.get(&(view.lineage, view.number - 1)).cloned() {
+                    self.note_removals(&before, &view);
+                }
+                self.seen.insert(key, view.clone());
+            }
+        }
+        let views = &mut self.processes[usize::from(seat)].views;
+        if views.last().is_some_and(|(_, v)| v.lineage == view.lineage && v.number >= view.number) {
+            self.broken.push(format!("view {} again or back at seat {seat}", view.number));
+        }
+        views.push((self.now, view));
+    }
+
+    fn note_removals(&mut self, before: &View, after: &View) {
+        let gone = before.members.iter().filter(|(seat, life)| after.members.get(seat) != Some(life));
+        for (seat, life) in gone {
+            let process = &self.processes[usize::from(*seat)];
+            let runs = process.machine.as_ref().is_some_and(|m| m.life() == *life);
+            self.removals.push(Removal {
+                at: self.now,
+                seat: *seat,
+                ran_for: runs.then(|| self.now.saturating_sub(process.paused.1)),
+                pause: process.paused.1 - process.paused.0,
+            });
+        }
+    }
+
+    fn running(&self) -> impl Iterator<Item = &Machine> {
+        self.processes.iter().filter_map(|p| p.machine.as_ref())
+    }
+
+    /// Who has just woken accuses nobody that runs.
+    fn look_after_pause(&mut self, seat: Seat) {
+        let process = &self.processes[usize::from(seat)];
+        let (from, to) = process.paused;
+        let woken = to > from + S && self.now < to + 500 * MS;
+        let Some(machine) = process.machine.as_ref().filter(|_| woken) else { return };
+        let runs = |s: &&Seat| {
+            let other = &self.processes[usize::from(**s)];
+            other.machine.is_some() && other.paused.1 < from
+        };
+        if let Some(accused) = machine.accuses().iter().find(runs) {
+            self.broken.push(format!("seat {seat}, just woken, accuses {accused} at {} ms", self.now / MS));
+        }
+    }
+
+    /// What is true at every moment.
+    fn look(&mut self) {
+        let sum: f64 = self.running().map(|m| m.share(self.now)).sum();
+        self.most = self.most.max(sum);
+        if sum > 1.0 + 1e-9 && self.broken.len() < 10 {
+            self.broken.push(format!("{sum:.3} of one whole is used at {} ms", self.now / MS));
+        }
+    }
+
+    /// The sum of what all running members may use of one whole.
+    pub fn used(&self) -> f64 {
+        self.running().map(|m| m.share(self.now)).sum()
+    }
+
+    /// All that run have one view, and it has just them.
+    pub fn agreed(&self) -> bool {
+        let running: BTreeMap<Seat, Life> = self.running().map(|m| (m.seat(), m.life())).collect();
+        self.running().all(|m| m.view().is_some_and(|v| v.members == running))
+    }
+
+    /// Lets time go on until all agree and have their part; how long that took, or `None` if it was not within that time.
+    pub fn settle(&mut self, within: Nanos) -> Option<Nanos> {
+        let begun = self.now;
+        while self.now - begun < within {
+            self.run(50 * MS);
+            if self.agreed() {
+                return Some(self.now - begun);
+            }
+        }
+        None
+    }
+
+    /// The seats.
+    pub fn seats(&self) -> Vec<Seat> {
+        self.roster.seats().collect()
+    }
+
+    /// Those whose process runs.
+    pub fn runs(&self, seat: Seat) -> bool {
+        self.processes[usize::from(seat)].machine.is_some()
+    }
+
+    /// A member's machine, where it runs.
+    pub fn machine(&self, seat: Seat) -> Option<&Machine> {
+        self.processes[usize::from(seat)].machine.as_ref()
+    }
+
+    /// The views that a seat has seen, with when.
+    pub fn views(&self, seat: Seat) -> &[(Nanos, View)] {
+        &self.processes[usize::from(seat)].views
+    }
+
+    /// Bytes that each one has sent so far.
+    pub fn sent(&self) -> Vec<u64> {
+        self.processes.iter().map(|p| p.sent).collect()
+    }
+}
+
+/// A member may be put out while its process runs where it was paused for longer than this.
+pub const LONGEST_PAUSE: Nanos = 2 * S;
+/// All agree so soon after the last mend.
+pub const AGREE: Nanos = 5 * S;
+
+/// Faults drawn from a seed, each with the time from the founding on. After the last one all links are mended and all
+/// processes run.
+pub fn drawn(seed: u64, members: usize) -> Vec<(Nanos, Fault)> {
+    let mut draw = Draw::new(seed, 78);
+    let mut faults = Vec::new();
+    let mut now = 0;
+    for _ in 0..1 + draw.below(8) {
+        now += draw.between(0, 6 * S);
+        let some = |draw: &mut Draw, most: usize| -> Vec<Seat> {
+            let count = 1 + draw.below(most.max(1));
+            (0..count).map(|_| draw.below(members) as Seat).collect()
+        };
+        match draw.below(8) {
+            0 => {
+                let seat = draw.below(members) as Seat;
+                faults.push((now, Fault::Kill(seat)));
+                faults.push((now + draw.between(100 * MS, 8 * S), Fault::Start(seat)));
+            }
+            1 => {
+                let killed = some(&mut draw, members / 2);
+                faults.extend(killed.iter().map(|s| (now, Fault::Kill(*s))));
+                let back = now + draw.between(S, 8 * S);
+                faults.extend(killed.iter().map(|s| (back, Fault::Start(*s))));
+            }
+            2 => {
+                let lasts = [500 * MS, 2 * S, 10 * S][draw.below(3)];
+                faults
+                    .extend(some(&mut draw, members / 5).into_iter().map(|s| (now, Fault::Pause(s, lasts))));
+            }
+            3 => {
+                let (a, b) = (draw.below(members) as Seat, draw.below(members) as Seat);
+                faults.push((now, Fault::Cut(vec![a], vec![b])));
+            }
+            4 => {
+                let third = some(&mut draw, members / 3);
+                let rest: Vec<Seat> = (0..members as Seat).filter(|s| !third.contains(s)).collect();
+                let inwards = draw.chance(0.5);
+                faults.push((now, if inwards { Fault::Cut(rest, third) } else { Fault::Cut(third, rest) }));
+            }
+            5 => {
+                let half: Vec<Seat> = (0..members as Seat).filter(|_| draw.chance(0.5)).collect();
+                let rest: Vec<Seat> = (0..members as Seat).filter(|s| !half.contains(s)).collect();
+                faults.push((now, Fault::Cut(half.clone(), rest.clone())));
+                faults.push((now, Fault::Cut(rest, half)));
+            }
+            6 => {
+                let loss = 0.3 * draw.unit();
+                let high = draw.between(2 * MS, 200 * MS);
+                let network = Network { loss, doubled: 0.1 * draw.unit(), delay: (MS / 5, high) };
+                faults.push((now, Fault::Network(network)));
+            }
+            _ => faults.push((now, Fault::Mend)),
+        }
+    }
+    faults.sort_by_key(|(at, _)| *at);
+    let end = faults.last().map_or(0, |(at, _)| *at) + 10 * S;
+    faults.push((end, Fault::Mend));
+    faults.push((end, Fault::Network(Network::default())));
+    faults.extend((0..members as Seat).map(|s| (end, Fault::Start(s))));
+    faults
+}
+
+/// What became of a schedule.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+    /// How long after the last mend all agreed.
+    pub agreed: Nanos,
+    /// The largest sum of what all used of one whole.
+    pub most: f64,
+}
+
+/// Plays a schedule on a fleet that has just been founded.
+pub fn play(members: usize, seed: u64, faults: &[(Nanos, Fault)], planted: Planted) -> Verdict {
+    let mut fleet = Fleet::planted(members, seed, S, planted);
+    let mut broken = Vec::new();
+    if fleet.settle(30 * S).is_none() {
+        broken.push("no first view of all".to_owned());
+    }
+    let begun = fleet.now;
+    let mut cut = false;
+    for (at, fault) in faults {
+        fleet.run((begun + at).saturating_sub(fleet.now));
+        cut |= matches!(fault, Fault::Cut(..));
+        fleet.apply(fault);
+    }
+    let agreed = fleet.settle(12 * S).unwrap_or(12 * S);
+    // A cut may put out those that run; without one only a kill or a long pause may.
+    let wrongful = |r: &&Removal| !cut && r.ran_for.is_some() && r.pause <= LONGEST_PAUSE;
+    broken.extend(fleet.removals.iter().filter(wrongful).map(|r| format!("put out though it ran: {r:?}")));
+    if agreed > AGREE {
+        broken.push(format!("agreed only {} ms after the last mend", agreed / MS));
+    }
+    broken.append(&mut fleet.broken);
+    Verdict { broken, agreed, most: fleet.most }
+}
