--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -384,6 +384,12 @@
         while self.budget.over() && self.fleet(Fleet::evict) {}
     }
 
+    /// This node's part of what is split among all nodes is now this, from 0 to 1.
+    pub fn take_share(self: &Rc<Self>, share: f64) {
+        let mut state = self.state.borrow_mut();
+        self.handle(&mut state, Event::Share(share));
+    }
+
     /// A plan for the whole fleet has come, or has aged.
     pub fn guide(self: &Rc<Self>, guide: Guide) {
         let mut state = self.state.borrow_mut();
--- a/crates/membership/src/council.rs
+++ b/crates/membership/src/council.rs
@@ -210,7 +210,13 @@
         if !quorum(&self.seats, |s| promises.contains_key(&s)) {
             return Vec::new();
         }
-        let before = promises.values().filter_map(|(a, _)| a.clone()).max_by_key(|(ballot, _)| *ballot);
+        // Those that said that they have accepted nothing never will below this ballot. Where the others are too few, nothing
+        // can have been decided, and an old cut need not be gone on with.
+        let may_have = |s: Seat| promises.get(&s).is_none_or(|(accepted, _)| accepted.is_some());
+        let decided = quorum(&self.seats, may_have);
+        let accepted = || promises.values().filter_map(|(a, _)| a.clone());
+        let unfinished = accepted().next().is_some();
+        let before = accepted().max_by_key(|(ballot, _)| *ballot).filter(|_| decided);
         let bound = before.is_some();
         let cut = before.map_or_else(
             || {
@@ -222,7 +228,8 @@
             },
             |(_, cut)| cut,
         );
-        if cut.is_empty() {
+        // One that has accepted something no longer says that this view is in force: it takes another view to end that.
+        if cut.is_empty() && !unfinished {
             self.proposal = None;
             return Vec::new();
         }
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -63,6 +63,14 @@
         #[arg(long, value_name = "ADDRESS", global = true)]
         at: Option<SocketAddr>,
     },
+    /// Says who is in the fleet: exit code 0 is yes, 1 no, 2 no answer.
+    Fleet {
+        #[command(subcommand)]
+        call: crate::fleet::cli::FleetCall,
+        /// The node's second address; else that of GW_MANAGEMENT or GW_CONFIG.
+        #[arg(long, value_name = "ADDRESS", global = true)]
+        at: Option<SocketAddr>,
+    },
     /// Checks an operator's file; errors name key and line.
     Check {
         /// The file.
@@ -101,6 +109,8 @@
     Staff(#[from] StaffError),
     #[error("{0}")]
     Shift(#[from] crate::shift::cli::ShiftFailure),
+    #[error("{0}")]
+    Fleet(#[from] crate::fleet::cli::FleetFailure),
     /// The node's own no.
     #[error("{0}")]
     No(String),
@@ -113,9 +123,9 @@
         Err(error) => {
             eprintln!("laurelroute: {error}");
             match error {
-                Failure::Staff(_) | Failure::Shift(crate::shift::cli::ShiftFailure::Staff(_)) => {
-                    ExitCode::from(NO_ANSWER)
-                }
+                Failure::Staff(_)
+                | Failure::Fleet(crate::fleet::cli::FleetFailure::Staff(_))
+                | Failure::Shift(crate::shift::cli::ShiftFailure::Staff(_)) => ExitCode::from(NO_ANSWER),
                 _ => ExitCode::FAILURE,
             }
         }
@@ -135,6 +145,7 @@
         Some(Command::Servers { change: Change::Detach { id }, at }) => call(&Call::Detach(id), at),
         Some(Command::Servers { change: Change::Attach { id }, at }) => call(&Call::Attach(id), at),
         Some(Command::Shift { call, at }) => Ok(crate::shift::cli::run(&call, at)?),
+        Some(Command::Fleet { call, at }) => Ok(crate::fleet::cli::run(&call, at)?),
         Some(Command::Check { file, config }) => check(&file, config.as_deref()),
     }
 }
--- /dev/null
+++ b/crates/node/src/fleet/mod.rs
@@ -0,0 +1,269 @@
+//! This process as a member of its fleet: datagrams to and from the others, what follows from the views, and what operators
+//! are told.
+//!
+//! What a member decides stands in `laurelroute-membership`.
+
+pub(crate) mod cli;
+mod history;
+pub mod table;
+
+use history::History;
+use laurelroute_core::gateway::Gateway;
+use laurelroute_membership::{Machine, Nanos, Output, Reason, Seat, View, MS, TICK};
+use ring::hmac;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use table::FleetSite;
+use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
+
+/// Bytes of a datagram at most (the platform's protocol page).
+const DATAGRAM: usize = 256;
+/// Bytes of its mark: HMAC-SHA256 cut to half, the least that RFC 2104, section 5, has.
+const MARK: usize = 16;
+/// Datagrams that are read at a time before others have their turn.
+const BURST: usize = 64;
+/// A port that the process before still holds is tried again after this.
+const BIND_AGAIN: Duration = Duration::from_millis(250);
+/// Who is refused is named this often at most.
+const REFUSED_EVERY: Nanos = 10_000 * MS;
+
+/// Why a node does not start as a member.
+#[derive(Debug, thiserror::Error)]
+pub enum FleetError {
+    /// The platform does not have it.
+    #[error("`[fleet]`: the settings do not allow talk between nodes (`caps.peers`)")]
+    Forbidden,
+    /// The system gives no randomness.
+    #[error("`[fleet]`: no randomness from the system")]
+    Random,
+    /// Its history cannot be written.
+    #[error("`fleet.history`: {0}")]
+    History(std::io::Error),
+}
+
+/// A member.
+pub(crate) struct Member {
+    site: FleetSite,
+    machine: RefCell<Machine>,
+    history: RefCell<Option<History>>,
+    refused: RefCell<BTreeMap<(Seat, Reason), Nanos>>,
+    /// The last view, and when it came, for operators.
+    since: RefCell<(Option<View>, Nanos)>,
+    share: RefCell<f64>,
+}
+
+/// Joins the fleet that the operator's file names.
+pub(crate) fn start(
+    gateway: &Rc<Gateway>,
+    site: &FleetSite,
+    allowed: bool,
+) -> Result<Rc<Member>, FleetError> {
+    if !allowed {
+        return Err(FleetError::Forbidden);
+    }
+    let mut seed = [0; 16];
+    ring::rand::SecureRandom::fill(&ring::rand::SystemRandom::new(), &mut seed)
+        .map_err(|_| FleetError::Random)?;
+    let history = site.history.as_deref().map(History::open).transpose().map_err(FleetError::History)?;
+    let machine = Machine::new(&site.site, site.roster.clone(), site.me, seed, gateway.clock.now());
+    #[cfg(feature = "planted")]
+    let machine = planted(machine);
+    let member = Rc::new(Member {
+        site: site.clone(),
+        machine: RefCell::new(machine),
+        history: RefCell::new(history),
+        refused: RefCell::default(),
+        since: RefCell::default(),
+        share: RefCell::new(-1.0),
+    });
+    member.note("start", "");
+    spawn_local(member.clone().run(gateway.clone()));
+    Ok(member)
+}
+
+/// For tests: the defect that the environment names.
+#[cfg(feature = "planted")]
+fn planted(mut machine: Machine) -> Machine {
+    use laurelroute_membership::defect::{Defect, Planted};
+    let named = std::env::var("LAURELROUTE_PLANTED").unwrap_or_default();
+    if let Some(defect) = Defect::ALL.into_iter().find(|d| format!("{d:?}") == named) {
+        machine.plant(Planted::some(defect));
+    }
+    machine
+}
+
+impl Member {
+    async fn run(self: Rc<Self>, gateway: Rc<Gateway>) {
+        let socket = loop {
+            match UdpSocket::bind(self.site.listen).await {
+                Ok(socket) => break socket,
+                // The process that this one takes over from may have it still.
+                Err(error) => tracing::debug!("fleet: {}: {error}", self.site.listen),
+            }
+            tokio::time::sleep(BIND_AGAIN).await;
+        };
+        let seats: BTreeMap<SocketAddr, Seat> =
+            self.site.addresses.iter().enumerate().map(|(seat, address)| (*address, seat as Seat)).collect();
+        let mut tick = tokio::time::interval(Duration::from_nanos(TICK));
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut bytes = [0; DATAGRAM + 1];
+        loop {
+            tokio::select! {
+                _ = tick.tick() => {
+                    let now = gateway.clock.now();
+                    let outputs = self.machine.borrow_mut().tick(now);
+                    self.carry_out(&gateway, &socket, outputs);
+                    self.follow_share(&gateway, now);
+                }
+                ready = socket.readable() => {
+                    if ready.is_err() {
+                        continue;
+                    }
+                    for _ in 0..BURST {
+                        let Ok((length, from)) = socket.try_recv_from(&mut bytes) else { break };
+                        let Some(seat) = seats.get(&from) else { continue };
+                        let Some(body) = self.opened(&bytes[..length]) else { continue };
+                        let outputs = self.machine.borrow_mut().receive(gateway.clock.now(), *seat, body);
+                        self.carry_out(&gateway, &socket, outputs);
+                    }
+                }
+            }
+        }
+    }
+
+    /// A datagram without its mark; `None` where it is not one of ours.
+    fn opened<'a>(&self, bytes: &'a [u8]) -> Option<&'a [u8]> {
+        if bytes.len() > DATAGRAM {
+            return None;
+        }
+        let Some(key) = &self.site.key else { return Some(bytes) };
+        let (body, mark) = bytes.split_at(bytes.len().checked_sub(MARK)?);
+        let whole = hmac::sign(key, body);
+        let same = whole.as_ref()[..MARK].iter().zip(mark).fold(0, |sum, (a, b)| sum | (a ^ b)) == 0;
+        same.then_some(body)
+    }
+
+    fn sealed(&self, mut bytes: Vec<u8>) -> Vec<u8> {
+        if let Some(key) = &self.site.key {
+            let mark = hmac::sign(key, &bytes);
+            bytes.extend_from_slice(&mark.as_ref()[..MARK]);
+        }
+        bytes
+    }
+
+    fn carry_out(&self, gateway: &Rc<Gateway>, socket: &UdpSocket, outputs: Vec<Output>) {
+        let now = gateway.clock.now();
+        for output in outputs {
+            match output {
+                Output::Send(to, bytes) => {
+                    // One that finds no room, or nobody, is lost: no more is promised of a datagram.
+                    let _ = socket.try_send_to(&self.sealed(bytes), self.site.addresses[usize::from(to)]);
+                }
+                Output::View(view) => self.entered(now, view),
+                Output::Out => {
+                    tracing::warn!("fleet: this member was put out, and asks to come back");
+                    self.note("out", "");
+                    *self.since.borrow_mut() = (None, now);
+                }
+                Output::Refused(seat, reason) => self.refuse(now, seat, reason),
+            }
+        }
+    }
+
+    fn entered(&self, now: Nanos, view: View) {
+        let name = |seat: &Seat| self.site.roster.name(*seat).to_owned();
+        let (before, _) = self.since.replace((Some(view.clone()), now));
+        let old = before.map(|v| v.members).unwrap_or_default();
+        let changed = |a: &BTreeMap<Seat, u32>, b: &BTreeMap<Seat, u32>| -> Vec<String> {
+            a.iter().filter(|(seat, life)| b.get(seat) != Some(life)).map(|(seat, _)| name(seat)).collect()
+        };
+        let (new, gone) = (changed(&view.members, &old), changed(&old, &view.members));
+        tracing::info!(
+            "fleet: view {} of {} members; in: {}; out: {}",
+            view.number,
+            view.members.len(),
+            list(&new),
+            list(&gone)
+        );
+        if let Some(history) = &mut *self.history.borrow_mut() {
+            history.view(&self.machine.borrow(), &view);
+        }
+    }
+
+    fn refuse(&self, now: Nanos, seat: Seat, reason: Reason) {
+        let mut refused = self.refused.borrow_mut();
+        if refused.get(&(seat, reason)).is_some_and(|at| now.saturating_sub(*at) < REFUSED_EVERY) {
+            return;
+        }
+        // Of each seat as many as there are reasons; versions come from outside.
+        if refused.len() >= 8 * self.site.addresses.len() {
+            refused.clear();
+        }
+        refused.insert((seat, reason), now);
+        tracing::warn!("fleet: {} is refused: {reason}", self.site.roster.name(seat));
+    }
+
+    /// What this member may use of what all share follows its lease.
+    fn follow_share(&self, gateway: &Rc<Gateway>, now: Nanos) {
+        let share = self.machine.borrow().share(now);
+        if share != self.share.replace(share) {
+            gateway.take_share(share);
+            self.note("share", &format!("{share:.9}"));
+        }
+    }
+
+    fn note(&self, what: &str, value: &str) {
+        if let Some(history) = &mut *self.history.borrow_mut() {
+            history.note(&self.machine.borrow(), what, value);
+        }
+    }
+
+    /// For operators, as JSON: the view, its members, and what this one hears of them.
+    pub(crate) fn members(&self, now: Nanos) -> serde_json::Value {
+        let machine = self.machine.borrow();
+        let roster = &self.site.roster;
+        let (view, since) = &*self.since.borrow();
+        let silent: BTreeMap<Seat, Nanos> = machine.silences().collect();
+        let rows: Vec<_> = roster
+            .seats()
+            .map(|seat| {
+                let life = view.as_ref().and_then(|v| v.members.get(&seat));
+                let accusers: BTreeSet<String> =
+                    machine.accusers_of(now, seat).iter().map(|s| roster.name(*s).to_owned()).collect();
+                serde_json::json!({
+                    "name": roster.name(seat),
+                    "address": self.site.addresses[usize::from(seat)],
+                    "member": life.is_some(),
+                    "life": life,
+                    "watched_here": silent.contains_key(&seat),
+                    "silent_ms": silent.get(&seat).map(|s| s / MS),
+                    "accused_by": accusers,
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "me": roster.name(machine.seat()),
+            "view": view.as_ref().map(|v| v.number),
+            "rooted": view.as_ref().map(|v| v.rooted),
+            "since_ms": now.saturating_sub(*since) / MS,
+            "lease": machine.attached(now),
+            "share": machine.share(now),
+            "pauses": machine.pauses(),
+            "members": rows,
+        })
+    }
+}
+
+/// Names for a line of the log, not too many.
+fn list(names: &[String]) -> String {
+    const MOST: usize = 12;
+    match names.len() {
+        0 => "none".to_owned(),
+        n if n > MOST => format!("{} and {} more", names[..MOST].join(" "), n - MOST),
+        _ => names.join(" "),
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod config;
 pub mod discovery;
+mod fleet;
 mod forward;
 mod ledger;
 pub mod levels;
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -1,5 +1,6 @@
 //! The second address, where operators call: whether this process takes clients, and servers taken out and put back.
 
+use crate::fleet::Member;
 use crate::ledger::Ledger;
 use crate::upgrade::succession::Succession;
 use http_body_util::Full;
@@ -46,11 +47,17 @@
     gateway: Rc<Gateway>,
     succession: Rc<Succession>,
     ledger: Rc<Ledger>,
+    member: Option<Rc<Member>>,
 }
 
 impl Desk {
-    pub(crate) fn new(gateway: Rc<Gateway>, succession: Rc<Succession>, ledger: Rc<Ledger>) -> Rc<Self> {
-        Rc::new(Desk { gateway, succession, ledger })
+    pub(crate) fn new(
+        gateway: Rc<Gateway>,
+        succession: Rc<Succession>,
+        ledger: Rc<Ledger>,
+        member: Option<Rc<Member>>,
+    ) -> Rc<Self> {
+        Rc::new(Desk { gateway, succession, ledger, member })
     }
 
     /// Takes calls for good.
@@ -103,6 +110,10 @@
             (&Method::POST, None) if path.starts_with("/_shift/") => {
                 crate::shift::desk::say(&self.gateway, &path["/_shift/".len()..], decode)
             }
+            (&Method::GET, None) if path == "/_fleet" => match &self.member {
+                Some(member) => (StatusCode::OK, member.members(self.gateway.clock.now()).to_string()),
+                None => (StatusCode::NOT_FOUND, "this node is no member of a fleet".to_owned()),
+            },
             (_, Some(("detach" | "attach", _))) => (StatusCode::METHOD_NOT_ALLOWED, "POST".to_owned()),
             (_, None) if path == "/_ready" => (StatusCode::METHOD_NOT_ALLOWED, "GET".to_owned()),
             _ => (StatusCode::NOT_FOUND, "no such call".to_owned()),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -63,6 +63,9 @@
     /// The shift that the operator's file names cannot be followed.
     #[error("{0}")]
     Shift(#[from] crate::shift::ShiftStartError),
+    /// It cannot be a member of the fleet that the operator's file names.
+    #[error("{0}")]
+    Fleet(#[from] crate::fleet::FleetError),
     /// The system gives no runtime or signals.
     #[error("{0}")]
     System(#[from] std::io::Error),
@@ -136,6 +139,10 @@
     if let Some(shift) = &site.shift {
         crate::shift::start(&gateway, &config, shift)?;
     }
+    let member = match &site.fleet {
+        Some(fleet) => Some(crate::fleet::start(&gateway, fleet, config.site.settings.peers)?),
+        None => None,
+    };
     let discovery = watch::Sender::new(config.discovery);
     let management = config.management.map(listen).transpose()?;
     let ledger = Ledger::of(config.listen);
@@ -193,7 +200,7 @@
         }
     });
     if let Some(listener) = management {
-        spawn_local(Desk::new(gateway.clone(), succession.clone(), ledger).accept(listener));
+        spawn_local(Desk::new(gateway.clone(), succession.clone(), ledger, member).accept(listener));
     }
     let serving =
         succession.clone().serve(gateway.clone(), clients.clone(), take, entrances, claim, config.listen);
--- a/crates/node/src/site.rs
+++ b/crates/node/src/site.rs
@@ -2,6 +2,7 @@
 //!
 //! Every error names the file, the line and the key. Nothing in it is on unless it is named there.
 
+use crate::fleet::table::{FleetSite, FleetTable};
 use crate::levels::{ForwardTable, LevelTables, Levels, PeersTable, PlanTable};
 use crate::shift::table::{Shift, ShiftTable};
 use laurelroute_policy::interface::{Effect, Settings};
@@ -56,6 +57,7 @@
     forward: Option<Spanned<ForwardTable>>,
     plan: Option<Spanned<PlanTable>>,
     shift: Option<Spanned<ShiftTable>>,
+    fleet: Option<FleetTable>,
 }
 
 #[derive(Debug, Default, Deserialize)]
@@ -139,6 +141,8 @@
     pub levels: Levels,
     /// A shift from one pool of servers to another.
     pub shift: Option<Shift>,
+    /// The fleet that this process is a member of.
+    pub fleet: Option<FleetSite>,
 }
 
 /// The classes that methods can name, with their effects; `None` where only the file itself is checked.
@@ -171,7 +175,8 @@
         let tables = LevelTables { peers: table.peers, forward: table.forward, plan: table.plan };
         let levels = tables.checked(&check, classes)?;
         let shift = table.shift.map(|t| t.into_inner().checked(&check, classes)).transpose()?;
-        Ok(Site { max_connections, thrift, levels, shift })
+        let fleet = table.fleet.map(|t| t.checked(&check)).transpose()?;
+        Ok(Site { max_connections, thrift, levels, shift, fleet })
     }
 }
 
--- a/crates/node/src/staff.rs
+++ b/crates/node/src/staff.rs
@@ -28,6 +28,8 @@
     Detach(String),
     /// Uses it again.
     Attach(String),
+    /// Who is in the fleet.
+    Fleet,
     /// What is to be said of the shift.
     ShiftStatus,
     /// An operator's word on the shift.
@@ -39,6 +41,7 @@
         match self {
             Call::Ready => (Method::GET, "/_ready".to_owned()),
             Call::Detach(id) => (Method::POST, format!("/_servers/detach/{}", encode(id))),
+            Call::Fleet => (Method::GET, "/_fleet".to_owned()),
             Call::ShiftStatus => (Method::GET, "/_shift".to_owned()),
             Call::ShiftWord(word) => (Method::POST, crate::shift::desk::path(word)),
             Call::Attach(id) => (Method::POST, format!("/_servers/attach/{}", encode(id))),
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -177,6 +177,7 @@
     relief: f64,
     longest: Nanos,
     guide: Guide,
+    share: f64,
     classes: Vec<Rate>,
     trials: Vec<(usize, Nanos)>,
     split: Option<Split>,
@@ -216,6 +217,7 @@
             relief: RELIEF * settings.classes.iter().map(|c| c.aim).max().unwrap_or(1) as f64,
             longest,
             guide: Guide::default(),
+            share: 1.0 / f64::from(settings.group_size),
             classes: vec![Rate::default(); settings.classes.len()],
             trials: Vec::new(),
             split: None,
@@ -230,6 +232,7 @@
         match event {
             Event::List { kind, servers } => self.follow_list(now, kind, &servers, sink),
             Event::Plan(guide) => self.follow_plan(now, guide),
+            Event::Share(share) => self.share = share,
             Event::Split(split) => self.follow_split(now, split),
             Event::Learnt(learnt) => self.take_over(now, learnt),
             Event::Restored { server } => self.restored(now, server),
@@ -720,7 +723,7 @@
     /// refusal would put their tenant over its share and be refused the more.
     fn over_share(&self, now: Nanos, tenant: usize) -> bool {
         let Some(rate) = self.tenants.get(tenant) else { return false };
-        let even = self.settings.tenant_quota[tenant] / f64::from(self.settings.group_size);
+        let even = self.settings.tenant_quota[tenant] * self.share;
         let planned = self.guide.tenants.get(tenant).filter(|_| self.guide.trust > 0.0);
         self.beyond(now, rate, planned.copied().unwrap_or(even))
     }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -469,6 +469,8 @@
     Learnt(Learnt),
     /// A plan for the whole fleet has come, or has aged.
     Plan(Guide),
+    /// This node's part, from 0 to 1, of what is split among all nodes; else it is an even one by the settings.
+    Share(f64),
     /// Requests are split between two pools from now on, or (`None`) no longer.
     Split(Option<Split>),
     /// The list service spoke.
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -8,6 +8,7 @@
 mod levels;
 mod load;
 mod members;
+mod mesh;
 mod passthrough;
 mod report;
 mod scale;
@@ -128,6 +129,29 @@
         #[arg(long, default_value_t = 4)]
         sizes: usize,
     },
+    /// Real processes joined by relays, with drawn faults on links and processes, seed after seed.
+    Mesh {
+        #[command(flatten)]
+        common: Common,
+        /// How many seeds, from `--seed` on.
+        #[arg(long, default_value_t = 100)]
+        seeds: u64,
+        /// Processes.
+        #[arg(long, default_value_t = 12)]
+        members: usize,
+        /// A schedule to play instead of drawn ones.
+        #[arg(long, value_name = "FILE")]
+        schedule: Option<PathBuf>,
+        /// Has all processes do something wrong: NoRefutation, NoSelfDoubt, LifeComesBack or SmallerCount.
+        #[arg(long, value_name = "DEFECT")]
+        planted: Option<String>,
+        /// Cuts the first schedule that breaks something down to the shortest that still does.
+        #[arg(long)]
+        shortest: bool,
+        /// Beds at a time.
+        #[arg(long, default_value_t = 2)]
+        beds: usize,
+    },
     /// New clients while one of two processes is stopped at some step of a takeover: for how long nobody answers them.
     Silence {
         #[command(flatten)]
@@ -196,6 +220,9 @@
         Command::Upgrade { common, upgrades, body } => upgrade::run(&common, upgrades, body),
         Command::Kills { common, seeds } => upgrade::kills(&common, seeds),
         Command::Members { common, seeds, sizes } => members::run(&common, seeds, sizes),
+        Command::Mesh { common, seeds, members, schedule, planted, shortest, beds } => {
+            mesh::run(&common, &mesh::Wanted { seeds, members, schedule, planted, shortest, beds })
+        }
         Command::Silence { common, rounds, output } => silence::run(&common, rounds, output.as_deref()),
         Command::Bulk(common) => bulk::run(&common),
         Command::Scale(common) => scale::run(&common),
--- /dev/null
+++ b/crates/rig/src/mesh.rs
@@ -0,0 +1,91 @@
+//! `rig mesh`: several real processes joined by relays, under schedules of faults, with a checker over what they wrote.
+
+use crate::report::{median, Failure, Outcome};
+use crate::{Common, AS_PROGRAM};
+use laurelroute_membership::defect::Defect;
+use laurelroute_simulation::schedule::{drawn, read, shortest, write, Schedule};
+use laurelroute_testkit::mesh::{play, Setup, Verdict};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+
+/// What is to be played.
+pub struct Wanted {
+    /// How many seeds.
+    pub seeds: u64,
+    /// Processes.
+    pub members: usize,
+    /// A schedule instead of drawn ones.
+    pub schedule: Option<PathBuf>,
+    /// A defect of all processes.
+    pub planted: Option<String>,
+    /// Cuts the first schedule that breaks something down.
+    pub shortest: bool,
+    /// Beds at a time.
+    pub beds: usize,
+}
+
+fn line(seed: u64, verdict: &Verdict) -> String {
+    let agreed = verdict.agreed.map_or("never".to_owned(), |t| format!("{:.2} s", t.as_secs_f64()));
+    let (served, refused, failed) = verdict.served;
+    format!(
+        "seed {seed}: agreed after {agreed}, {} views, at most {:.3} of one whole, {served} served, {refused} refused, {failed} failed, {} lost, {} datagrams",
+        verdict.views, verdict.most, verdict.lost, verdict.carried
+    )
+}
+
+/// Plays the seeds.
+pub fn run(common: &Common, wanted: &Wanted) -> Result<(), Failure> {
+    std::env::set_var(AS_PROGRAM, "1");
+    let program = std::env::current_exe()?;
+    if let Some(name) =
+        wanted.planted.as_ref().filter(|n| !Defect::ALL.iter().any(|d| format!("{d:?}") == **n))
+    {
+        return Err(Failure(format!("`{name}` is no defect; known are {:?}", Defect::ALL)));
+    }
+    let named = match &wanted.schedule {
+        Some(file) => Some(read(&std::fs::read_to_string(file)?)?),
+        None => None,
+    };
+    let schedule = |seed| named.clone().unwrap_or_else(|| drawn(seed, wanted.members));
+    let setup = Setup { members: wanted.members, planted: wanted.planted.clone(), ..Setup::default() };
+    let (next, done) = (AtomicU64::new(0), Mutex::new(Vec::new()));
+    std::thread::scope(|scope| {
+        for _ in 0..wanted.beds.max(1) {
+            scope.spawn(|| loop {
+                let k = next.fetch_add(1, Ordering::SeqCst);
+                if k >= wanted.seeds {
+                    return;
+                }
+                let seed = common.seed + k;
+                let verdict = play(&program, &setup, seed, &schedule(seed));
+                println!("{}", line(seed, &verdict));
+                verdict.broken.iter().for_each(|b| println!("  BROKEN {b}"));
+                done.lock().unwrap_or_else(|e| e.into_inner()).push((seed, verdict));
+            });
+        }
+    });
+    let played = done.into_inner().unwrap_or_else(|e| e.into_inner());
+    let broken: Vec<&(u64, Verdict)> = played.iter().filter(|(_, v)| !v.broken.is_empty()).collect();
+    let agreed: Vec<f64> = played.iter().filter_map(|(_, v)| Some(v.agreed?.as_secs_f64())).collect();
+    let mut outcome = Outcome::default();
+    outcome.put("seeds", wanted.seeds as f64);
+    outcome.put("members", wanted.members as f64);
+    outcome.put("broken", broken.len() as f64);
+    outcome.put("agreed_s_median", median(agreed.clone()));
+    outcome.put("agreed_s_slowest", agreed.into_iter().fold(0.0, f64::max));
+    outcome.put("most_of_one_whole", played.iter().map(|(_, v)| v.most).fold(0.0, f64::max));
+    outcome.put("served", played.iter().map(|(_, v)| v.served.0).sum::<usize>() as f64);
+    outcome.put("lost", played.iter().map(|(_, v)| v.lost).sum::<usize>() as f64);
+    outcome.close("mesh", common)?;
+    let Some((seed, verdict)) = broken.iter().min_by_key(|(seed, _)| *seed) else { return Ok(()) };
+    show(&program, &setup, *seed, schedule(*seed), wanted.shortest);
+    Err(Failure(format!("seed {seed}: {}", verdict.broken[0])))
+}
+
+/// The schedule that broke something, or the shortest that still does.
+fn show(program: &Path, setup: &Setup, seed: u64, schedule: Schedule, cut_down: bool) {
+    let breaks = |s: &[_]| !play(program, setup, seed, &s.to_vec()).broken.is_empty();
+    let schedule = if cut_down { shortest(&schedule, breaks) } else { schedule };
+    println!("schedule of seed {seed}:\n{}", write(&schedule));
+}
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod faults;
 pub mod members;
 pub mod rules;
+pub mod schedule;
 pub mod shift;
 pub mod world;
 
--- a/crates/simulation/src/members.rs
+++ b/crates/simulation/src/members.rs
@@ -2,6 +2,7 @@
 //! lose, delay, double and cut, with processes that pause, die and start again. What they promise is looked at as it happens.
 
 use crate::draw::Draw;
+use crate::schedule::{Fault, Network};
 use crate::{Nanos, MS, S};
 use laurelroute_membership::defect::Planted;
 use laurelroute_membership::{Life, Machine, Output, Roster, Seat, View, TICK};
@@ -11,40 +12,6 @@
 /// Datagrams that a paused process's socket keeps.
 const SOCKET: usize = 200;
 
-/// What the links do to a datagram.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Network {
-    /// Part that is lost.
-    pub loss: f64,
-    /// Part that comes twice.
-    pub doubled: f64,
-    /// Delay from ... to.
-    pub delay: (Nanos, Nanos),
-}
-
-impl Default for Network {
-    fn default() -> Self {
-        Network { loss: 0.0, doubled: 0.0, delay: (MS / 5, 2 * MS) }
-    }
-}
-
-/// Something that is done to the fleet.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Fault {
-    /// The process ends.
-    Kill(Seat),
-    /// It starts with a new life, if it does not run.
-    Start(Seat),
-    /// It does not run for so long.
-    Pause(Seat, Nanos),
-    /// From each of these nothing comes to any of those.
-    Cut(Vec<Seat>, Vec<Seat>),
-    /// All links carry again.
-    Mend,
-    /// All links become like this.
-    Network(Network),
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Deliver { from: Seat, to: Seat, bytes: Vec<u8> },
@@ -253,7 +220,7 @@
         if bytes.len() > 256 {
             self.broken.push(format!("a datagram of {} bytes", bytes.len()));
         }
-        if self.cut.contains(&(from, to)) || self.draw.chance(self.network.loss) {
+        if self.cut.contains(&(from, to)) || self.draw.chance(self.network.loss + self.network.flipped) {
             return;
         }
         let copies = if self.draw.chance(self.network.doubled) { 2 } else { 1 };
@@ -382,68 +349,6 @@
 /// All agree so soon after the last mend.
 pub const AGREE: Nanos = 5 * S;
 
-/// Faults drawn from a seed, each with the time from the founding on. After the last one all links are mended and all
-/// processes run.
-pub fn drawn(seed: u64, members: usize) -> Vec<(Nanos, Fault)> {
-    let mut draw = Draw::new(seed, 78);
-    let mut faults = Vec::new();
-    let mut now = 0;
-    for _ in 0..1 + draw.below(8) {
-        now += draw.between(0, 6 * S);
-        let some = |draw: &mut Draw, most: usize| -> Vec<Seat> {
-            let count = 1 + draw.below(most.max(1));
-            (0..count).map(|_| draw.below(members) as Seat).collect()
-        };
-        match draw.below(8) {
-            0 => {
-                let seat = draw.below(members) as Seat;
-                faults.push((now, Fault::Kill(seat)));
-                faults.push((now + draw.between(100 * MS, 8 * S), Fault::Start(seat)));
-            }
-            1 => {
-                let killed = some(&mut draw, members / 2);
-                faults.extend(killed.iter().map(|s| (now, Fault::Kill(*s))));
-                let back = now + draw.between(S, 8 * S);
-                faults.extend(killed.iter().map(|s| (back, Fault::Start(*s))));
-            }
-            2 => {
-                let lasts = [500 * MS, 2 * S, 10 * S][draw.below(3)];
-                faults
-                    .extend(some(&mut draw, members / 5).into_iter().map(|s| (now, Fault::Pause(s, lasts))));
-            }
-            3 => {
-                let (a, b) = (draw.below(members) as Seat, draw.below(members) as Seat);
-                faults.push((now, Fault::Cut(vec![a], vec![b])));
-            }
-            4 => {
-                let third = some(&mut draw, members / 3);
-                let rest: Vec<Seat> = (0..members as Seat).filter(|s| !third.contains(s)).collect();
-                let inwards = draw.chance(0.5);
-                faults.push((now, if inwards { Fault::Cut(rest, third) } else { Fault::Cut(third, rest) }));
-            }
-            5 => {
-                let half: Vec<Seat> = (0..members as Seat).filter(|_| draw.chance(0.5)).collect();
-                let rest: Vec<Seat> = (0..members as Seat).filter(|s| !half.contains(s)).collect();
-                faults.push((now, Fault::Cut(half.clone(), rest.clone())));
-                faults.push((now, Fault::Cut(rest, half)));
-            }
-            6 => {
-                let loss = 0.3 * draw.unit();
-                let high = draw.between(2 * MS, 200 * MS);
-                let network = Network { loss, doubled: 0.1 * draw.unit(), delay: (MS / 5, high) };
-                faults.push((now, Fault::Network(network)));
-            }
-            _ => faults.push((now, Fault::Mend)),
-        }
-    }
-    faults.sort_by_key(|(at, _)| *at);
-    let end = faults.last().map_or(0, |(at, _)| *at) + 10 * S;
-    faults.push((end, Fault::Mend));
-    faults.push((end, Fault::Network(Network::default())));
-    faults.extend((0..members as Seat).map(|s| (end, Fault::Start(s))));
-    faults
-}
-
 /// What became of a schedule.
 #[derive(Clone, Debug, Default)]
 pub struct Verdict {
--- /dev/null
+++ b/crates/simulation/src/schedule.rs
@@ -0,0 +1,243 @@
+//! Schedules of faults for a fleet: drawn from a seed, written and read as text, cut down to the shortest that still breaks
+//! something. The same ones are played in simulated time and on real processes.
+
+use crate::draw::Draw;
+use crate::{Nanos, MS, S};
+use laurelroute_membership::Seat;
+use std::fmt;
+use std::str::FromStr;
+
+/// Faults, each with the time from the beginning on, the earliest first.
+pub type Schedule = Vec<(Nanos, Fault)>;
+
+/// What the links do to a datagram.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Network {
+    /// Part that is lost.
+    pub loss: f64,
+    /// Part that comes twice.
+    pub doubled: f64,
+    /// Part of which a bit is flipped. Simulated, it is lost: what is not marked as ours is not taken.
+    pub flipped: f64,
+    /// Delay from ... to.
+    pub delay: (Nanos, Nanos),
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Network { loss: 0.0, doubled: 0.0, flipped: 0.0, delay: (MS / 5, 2 * MS) }
+    }
+}
+
+/// Something that is done to the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// The process ends.
+    Kill(Seat),
+    /// It starts with a new life, if it does not run.
+    Start(Seat),
+    /// It does not run for so long.
+    Pause(Seat, Nanos),
+    /// From each of these nothing comes to any of those.
+    Cut(Vec<Seat>, Vec<Seat>),
+    /// All links carry again.
+    Mend,
+    /// All links become like this.
+    Network(Network),
+}
+
+/// Faults drawn from a seed, each with the time from the founding on. After the last one all links are mended and all
+/// processes run.
+pub fn drawn(seed: u64, members: usize) -> Vec<(Nanos, Fault)> {
+    let mut draw = Draw::new(seed, 78);
+    let mut faults = Vec::new();
+    let mut now = 0;
+    for _ in 0..1 + draw.below(8) {
+        now += draw.between(0, 6 * S);
+        let some = |draw: &mut Draw, most: usize| -> Vec<Seat> {
+            let count = 1 + draw.below(most.max(1));
+            (0..count).map(|_| draw.below(members) as Seat).collect()
+        };
+        match draw.below(8) {
+            0 => {
+                let seat = draw.below(members) as Seat;
+                faults.push((now, Fault::Kill(seat)));
+                faults.push((now + draw.between(100 * MS, 8 * S), Fault::Start(seat)));
+            }
+            1 => {
+                let killed = some(&mut draw, members / 2);
+                faults.extend(killed.iter().map(|s| (now, Fault::Kill(*s))));
+                let back = now + draw.between(S, 8 * S);
+                faults.extend(killed.iter().map(|s| (back, Fault::Start(*s))));
+            }
+            2 => {
+                let lasts = [500 * MS, 2 * S, 10 * S][draw.below(3)];
+                faults
+                    .extend(some(&mut draw, members / 5).into_iter().map(|s| (now, Fault::Pause(s, lasts))));
+            }
+            3 => {
+                let (a, b) = (draw.below(members) as Seat, draw.below(members) as Seat);
+                faults.push((now, Fault::Cut(vec![a], vec![b])));
+            }
+            4 => {
+                let third = some(&mut draw, members / 3);
+                let rest: Vec<Seat> = (0..members as Seat).filter(|s| !third.contains(s)).collect();
+                let inwards = draw.chance(0.5);
+                faults.push((now, if inwards { Fault::Cut(rest, third) } else { Fault::Cut(third, rest) }));
+            }
+            5 => {
+                let half: Vec<Seat> = (0..members as Seat).filter(|_| draw.chance(0.5)).collect();
+                let rest: Vec<Seat> = (0..members as Seat).filter(|s| !half.contains(s)).collect();
+                faults.push((now, Fault::Cut(half.clone(), rest.clone())));
+                faults.push((now, Fault::Cut(rest, half)));
+            }
+            6 => {
+                let loss = 0.3 * draw.unit();
+                let high = draw.between(2 * MS, 200 * MS);
+                let network = Network {
+                    loss,
+                    doubled: 0.1 * draw.unit(),
+                    flipped: 0.02 * draw.unit(),
+                    delay: (MS / 5, high),
+                };
+                faults.push((now, Fault::Network(network)));
+            }
+            _ => faults.push((now, Fault::Mend)),
+        }
+    }
+    faults.sort_by_key(|(at, _)| *at);
+    let end = faults.last().map_or(0, |(at, _)| *at) + 10 * S;
+    faults.push((end, Fault::Mend));
+    faults.push((end, Fault::Network(Network::default())));
+    faults.extend((0..members as Seat).map(|s| (end, Fault::Start(s))));
+    faults
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let list = |seats: &[Seat]| seats.iter().map(Seat::to_string).collect::<Vec<_>>().join(",");
+        match self {
+            Fault::Kill(seat) => write!(f, "kill {seat}"),
+            Fault::Start(seat) => write!(f, "start {seat}"),
+            Fault::Pause(seat, lasts) => write!(f, "pause {seat} {}ms", lasts / MS),
+            Fault::Cut(from, to) => write!(f, "cut {} {}", list(from), list(to)),
+            Fault::Mend => f.write_str("mend"),
+            Fault::Network(n) => write!(
+                f,
+                "network {} {} {} {}us {}us",
+                n.loss,
+                n.doubled,
+                n.flipped,
+                n.delay.0 / 1_000,
+                n.delay.1 / 1_000
+            ),
+        }
+    }
+}
+
+/// A schedule as text: a line a fault.
+pub fn write(schedule: &[(Nanos, Fault)]) -> String {
+    schedule.iter().map(|(at, fault)| format!("{}ms {fault}\n", at / MS)).collect()
+}
+
+/// What is wrong with a line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ScheduleError {
+    line: usize,
+    text: String,
+}
+
+impl fmt::Display for ScheduleError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: `{}` is no fault", self.line, self.text)
+    }
+}
+
+impl std::error::Error for ScheduleError {}
+
+fn number<T: FromStr>(text: Option<&str>, unit: &str) -> Option<T> {
+    text?.strip_suffix(unit)?.parse().ok()
+}
+
+fn seats(text: Option<&str>) -> Option<Vec<Seat>> {
+    text?.split(',').map(|seat| seat.parse().ok()).collect()
+}
+
+fn fault(line: &str) -> Option<(Nanos, Fault)> {
+    let mut words = line.split_whitespace();
+    let at: Nanos = number(words.next(), "ms")?;
+    let fault = match words.next()? {
+        "kill" => Fault::Kill(number(words.next(), "")?),
+        "start" => Fault::Start(number(words.next(), "")?),
+        "pause" => Fault::Pause(number(words.next(), "")?, number::<Nanos>(words.next(), "ms")? * MS),
+        "cut" => Fault::Cut(seats(words.next())?, seats(words.next())?),
+        "mend" => Fault::Mend,
+        "network" => Fault::Network(Network {
+            loss: number(words.next(), "")?,
+            doubled: number(words.next(), "")?,
+            flipped: number(words.next(), "")?,
+            delay: (
+                number::<Nanos>(words.next(), "us")? * 1_000,
+                number::<Nanos>(words.next(), "us")? * 1_000,
+            ),
+        }),
+        _ => return None,
+    };
+    words.next().is_none().then_some((at * MS, fault))
+}
+
+/// Reads a schedule; empty lines and those that begin with # are passed over.
+pub fn read(text: &str) -> Result<Schedule, ScheduleError> {
+    let lines = text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty() && !l.starts_with('#'));
+    let one = |(k, line): (usize, &str)| {
+        fault(line).ok_or_else(|| ScheduleError { line: k + 1, text: line.to_owned() })
+    };
+    lines.map(one).collect()
+}
+
+/// The shortest schedule found that still breaks something: faults are left out as long as it does.
+pub fn shortest(schedule: &[(Nanos, Fault)], mut breaks: impl FnMut(&[(Nanos, Fault)]) -> bool) -> Schedule {
+    let mut kept = schedule.to_vec();
+    let mut piece = kept.len().div_ceil(2);
+    while piece > 0 {
+        let mut at = 0;
+        while at < kept.len() {
+            let mut fewer = kept.clone();
+            fewer.drain(at..(at + piece).min(kept.len()));
+            if breaks(&fewer) {
+                kept = fewer;
+            } else {
+                at += piece;
+            }
+        }
+        piece = if piece == 1 { 0 } else { piece.div_ceil(2) };
+    }
+    kept
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn schedules_come_back_from_text() {
+        for seed in 0..200 {
+            let schedule: Schedule = drawn(seed, 12).into_iter().map(|(at, f)| (at / MS * MS, f)).collect();
+            let text = write(&schedule);
+            assert_eq!(write(&read(&text).unwrap()), text);
+        }
+        assert_eq!(
+            read("# all\n\n5ms kill x\n").unwrap_err().to_string(),
+            "line 3: `5ms kill x` is no fault"
+        );
+        assert!(read("5ms mend 3").is_err() && read("mend").is_err());
+    }
+
+    #[test]
+    fn the_shortest_that_breaks_is_found() {
+        let schedule = drawn(7, 12);
+        let wanted = schedule[schedule.len() / 2].clone();
+        let found = shortest(&schedule, |s| s.contains(&wanted));
+        assert_eq!(found, [wanted]);
+    }
+}
--- a/crates/simulation/tests/members.rs
+++ b/crates/simulation/tests/members.rs
@@ -2,7 +2,8 @@
 
 use laurelroute_membership::defect::{Defect, Planted};
 use laurelroute_membership::Seat;
-use laurelroute_simulation::members::{drawn, play, Fault, Fleet, Network};
+use laurelroute_simulation::members::{play, Fleet};
+use laurelroute_simulation::schedule::{drawn, Fault, Network};
 use laurelroute_simulation::{MS, S};
 
 fn founded(members: usize, seed: u64) -> Fleet {
@@ -160,7 +161,12 @@
 fn a_minute_of_loss_and_jitter_puts_nobody_out() {
     for seed in 0..6 {
         let mut fleet = founded(12, seed);
-        fleet.apply(&Fault::Network(Network { loss: 0.3, doubled: 0.1, delay: (MS, 200 * MS) }));
+        fleet.apply(&Fault::Network(Network {
+            loss: 0.3,
+            doubled: 0.1,
+            flipped: 0.0,
+            delay: (MS, 200 * MS),
+        }));
         fleet.run(60 * S);
         none_removed(&fleet, seed);
         sound(&fleet, seed);
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod discovery;
 pub mod levels;
 pub mod load;
+pub mod mesh;
 pub mod outage;
 pub mod port;
 pub mod process;
--- /dev/null
+++ b/crates/testkit/src/mesh/mod.rs
@@ -0,0 +1,354 @@
+//! A bed of several processes of the program that reach one another only through relays, with a client load on each and
+//! faults from a schedule: on each direction of each link, and on each process.
+
+pub mod check;
+pub mod relay;
+
+use crate::boxes::{ran, Act, StandIn};
+use crate::discovery::{Discovery, Entry};
+use crate::load::{Load, Tally};
+use crate::program::{Program, Wishes};
+use crate::wire::{Class, Wire};
+use crate::{fresh, until};
+use check::{Gap, Histories};
+use laurelroute_simulation::schedule::{Fault, Schedule};
+use laurelroute_simulation::{Nanos, S};
+use laurelroute_thrift::codec::Form;
+use relay::Relays;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A process that was woken looks at its clock within this.
+const WAKES: Duration = Duration::from_millis(150);
+/// A member may be put out while its process runs where it was stopped for longer than this.
+const LONGEST_PAUSE: u64 = 2_000_000;
+/// All agree so soon after the last mend.
+pub const AGREE: Duration = Duration::from_secs(5);
+/// The installation's key on the bed.
+const KEY: &str = "6c617572656c726f7574652d6f6e2d61";
+
+/// What a bed is made of.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Processes of the program.
+    pub members: usize,
+    /// Boxes behind them.
+    pub boxes: usize,
+    /// Clients of each process, half of them with unsafe requests.
+    pub clients: usize,
+    /// A defect that all processes have, for programs that can have one.
+    pub planted: Option<String>,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Setup { members: 12, boxes: 4, clients: 2, planted: None }
+    }
+}
+
+/// A fleet of real processes.
+pub struct Mesh {
+    /// The relays between them.
+    pub relays: Relays,
+    members: Vec<Member>,
+    boxes: Vec<StandIn>,
+    gaps: Vec<Gap>,
+    loads: Vec<[Load; 2]>,
+    cut: bool,
+    folder: PathBuf,
+    _discovery: Discovery,
+}
+
+struct Member {
+    program: Program,
+    history: PathBuf,
+    runs: bool,
+    /// It was killed at some time: what it held then is lost with it.
+    killed: bool,
+    wakes: Option<Instant>,
+}
+
+/// What was seen.
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    /// Promises that were broken.
+    pub broken: Vec<String>,
+    /// From the last mend until all agreed.
+    pub agreed: Option<Duration>,
+    /// The largest sum of what all may use of one whole.
+    pub most: f64,
+    /// Views that there were.
+    pub views: usize,
+    /// Requests that were served, refused and failed.
+    pub served: (usize, usize, usize),
+    /// Requests without an answer at processes that were never killed.
+    pub lost: usize,
+    /// Datagrams that the relays carried.
+    pub carried: u64,
+}
+
+fn micros() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_micros() as u64)
+}
+
+/// An address of loopback that nobody else on this machine has: a host number of this process's own.
+fn own_address(host: u32) -> SocketAddr {
+    let process = std::process::id();
+    let ip =
+        Ipv4Addr::new(127, 64 + (process % 128) as u8, (process / 128 % 256) as u8, (1 + host % 250) as u8);
+    let socket = UdpSocket::bind((ip, 0)).expect("loopback has this address");
+    socket.local_addr().expect("an address")
+}
+
+impl Mesh {
+    /// Starts the processes, and waits until all are of one view.
+    pub fn start(program: &Path, setup: &Setup, seed: u64) -> Mesh {
+        let form = Form::named("framed-binary").expect("a form");
+        let plan = Arc::default();
+        let boxes: Vec<_> =
+            (0..setup.boxes).map(|k| StandIn::start(&format!("box-{k}"), form, Arc::clone(&plan))).collect();
+        boxes.iter().for_each(|b| b.usually(Act::After(Duration::from_millis(20))));
+        let discovery = Discovery::start(&boxes.iter().map(Entry::of).collect::<Vec<_>>());
+        let folder =
+            std::env::temp_dir().join(format!("laurelroute-mesh-{}-{}", std::process::id(), fresh()));
+        std::fs::create_dir(&folder).expect("a folder can be made");
+        let listens: Vec<SocketAddr> = (0..setup.members).map(|_| own_address(fresh())).collect();
+        let relays = Relays::start(&listens, seed);
+        let members = (0..setup.members).map(|k| {
+            let history = folder.join(format!("{k}.history"));
+            let wishes = Wishes {
+                managed: true,
+                peers: true,
+                cold: (1.0, 1_000),
+                site: site(&relays, &listens, k, &history),
+                environment: setup
+                    .planted
+                    .iter()
+                    .map(|d| ("LAURELROUTE_PLANTED".to_owned(), d.clone()))
+                    .collect(),
+                ..Wishes::default()
+            };
+            let program = Program::start(program, discovery.address, form, wishes);
+            Member { program, history, runs: true, killed: false, wakes: None }
+        });
+        let members: Vec<Member> = members.collect();
+        let load = |class, member: &Member| {
+            Load::start(Wire::Http, member.program.http, setup.clients.div_ceil(2), class, 50)
+        };
+        let loads = members.iter().map(|m| [load(Class::Read, m), load(Class::Write, m)]).collect();
+        let mesh = Mesh {
+            relays,
+            members,
+            boxes,
+            gaps: Vec::new(),
+            loads,
+            cut: false,
+            folder,
+            _discovery: discovery,
+        };
+        until("all are of one view", || mesh.agreed());
+        mesh
+    }
+
+    /// A process.
+    pub fn process(&self, k: usize) -> &Program {
+        &self.members[k].program
+    }
+
+    /// What all have written so far.
+    pub fn histories(&self) -> Histories {
+        Histories::read(self.members.iter().map(|m| m.history.as_path()))
+    }
+
+    /// All that run have one view, and it has just them.
+    pub fn agreed(&self) -> bool {
+        let running: Vec<u64> = (0u64..).zip(&self.members).filter(|(_, m)| m.runs).map(|(k, _)| k).collect();
+        self.histories().agreed(&running)
+    }
+
+    /// Does something to it now.
+    pub fn apply(&mut self, fault: &Fault) {
+        match fault {
+            Fault::Kill(seat) => self.kill(usize::from(*seat)),
+            Fault::Start(seat) => self.restart(usize::from(*seat)),
+            Fault::Pause(seat, lasts) => self.pause(usize::from(*seat), *lasts),
+            Fault::Cut(from, to) => {
+                self.cut = true;
+                self.relays.cut(from, to);
+            }
+            Fault::Mend => self.relays.mend(),
+            Fault::Network(network) => self.relays.network(*network),
+        }
+    }
+
+    fn kill(&mut self, k: usize) {
+        let member = &mut self.members[k];
+        if !member.runs {
+            return;
+        }
+        let from = micros();
+        member.program.signal("KILL");
+        until("a killed process ends", || !member.program.running());
+        (member.runs, member.killed, member.wakes) = (false, true, None);
+        // What it wrote last it wrote before that.
+        let from = from.max(
+            self.histories().shares.iter().filter(|s| s.1 .0 == k as u64).map(|s| s.0 + 1).max().unwrap_or(0),
+        );
+        self.gaps.push(Gap { seat: k as u64, from, to: u64::MAX, killed: true });
+    }
+
+    fn restart(&mut self, k: usize) {
+        let member = &mut self.members[k];
+        if member.runs {
+            return;
+        }
+        member.program = member.program.successor();
+        member.runs = true;
+        for gap in self.gaps.iter_mut().filter(|g| g.seat == k as u64) {
+            gap.to = gap.to.min(micros());
+        }
+    }
+
+    fn pause(&mut self, k: usize, lasts: Nanos) {
+        let member = &mut self.members[k];
+        if !member.runs || member.wakes.is_some() {
+            return;
+        }
+        member.program.signal("STOP");
+        let lasts = Duration::from_nanos(lasts);
+        member.wakes = Some(Instant::now() + lasts);
+        let from = micros();
+        // What it wrote before it looked at its clock again does not count.
+        let to = from + (lasts + WAKES).as_micros() as u64;
+        self.gaps.push(Gap { seat: k as u64, from, to, killed: false });
+    }
+
+    /// Lets time go on; those whose pause is over go on with it.
+    pub fn run(&mut self, lasts: Duration) {
+        let end = Instant::now() + lasts;
+        loop {
+            let now = Instant::now();
+            for member in self.members.iter_mut().filter(|m| m.wakes.is_some_and(|at| at <= now)) {
+                member.wakes = None;
+                member.program.signal("CONT");
+            }
+            if now >= end {
+                return;
+            }
+            thread::sleep((end - now).min(Duration::from_millis(10)));
+        }
+    }
+
+    /// Plays a schedule to its end.
+    pub fn play(&mut self, schedule: &Schedule) {
+        let begun = Instant::now();
+        for (at, fault) in schedule {
+            self.run(Duration::from_nanos(*at).saturating_sub(begun.elapsed()));
+            self.apply(fault);
+        }
+    }
+
+    /// From now on until all agree, where they do within twice the time that they have.
+    pub fn settle(&mut self) -> Option<Duration> {
+        let begun = Instant::now();
+        while begun.elapsed() < 2 * AGREE {
+            if self.agreed() && self.members.iter().all(|m| m.wakes.is_none()) {
+                return Some(begun.elapsed());
+            }
+            self.run(Duration::from_millis(50));
+        }
+        None
+    }
+
+    /// Ends the load and looks at what became of all.
+    pub fn finish(mut self, agreed: Option<Duration>) -> Verdict {
+        // What the last to come back may use is what it will.
+        self.run(Duration::from_millis(300));
+        let tallies: Vec<[Tally; 2]> =
+            std::mem::take(&mut self.loads).into_iter().map(|l| l.map(Load::finish)).collect();
+        let all = self.histories();
+        let ran = ran(&self.boxes);
+        let mut verdict = Verdict { agreed, carried: self.relays.carried(), ..Verdict::default() };
+        let mut twice = 0;
+        for (member, [reads, writes]) in self.members.iter().zip(&tallies) {
+            let sent = writes.served.iter().chain(&writes.lost).chain(&writes.crossed);
+            twice += sent.filter(|id| ran.get(*id).is_some_and(|n| *n > 1)).count();
+            for tally in [reads, writes] {
+                verdict.served.0 += tally.served.len();
+                verdict.served.1 += tally.refused;
+                verdict.served.2 += tally.failed;
+                if !member.killed {
+                    verdict.lost += tally.lost.len() + tally.mixed.len();
+                }
+            }
+        }
+        verdict.most = all.most(&self.gaps);
+        verdict.views = all.views.iter().map(|v| v.key).collect::<std::collections::BTreeSet<_>>().len();
+        verdict.broken = all.sequences();
+        verdict.broken.extend(self.wrongful(&all));
+        let late = agreed.is_none_or(|took| took > AGREE);
+        let wrong = [
+            (late, format!("agreed after {agreed:?}, where {AGREE:?} are owed")),
+            (verdict.most > 1.0 + 1e-6, format!("{:.4} of one whole is used at once", verdict.most)),
+            (twice > 0, format!("{twice} unsafe requests ran twice")),
+            (verdict.lost > 0, format!("{} requests lost at processes that ran on", verdict.lost)),
+            (verdict.served.0 == 0, "nothing was served".to_owned()),
+            (all.odd > 0, format!("{} lines of histories cannot be read", all.odd)),
+        ];
+        verdict.broken.extend(wrong.into_iter().filter(|(is, _)| *is).map(|(_, what)| what));
+        verdict
+    }
+
+    /// Members that were put out though they ran and could be reached; under cuts nobody can be told.
+    fn wrongful(&self, all: &Histories) -> Vec<String> {
+        if self.cut {
+            return Vec::new();
+        }
+        let excused = |at: u64, seat: u64| {
+            let long =
+                |g: &&Gap| g.seat == seat && g.from <= at && g.to.saturating_sub(g.from) > LONGEST_PAUSE;
+            let dead = |g: &&Gap| g.seat == seat && g.from <= at && self.members[seat as usize].killed;
+            self.gaps.iter().any(|g| long(&g) || dead(&g))
+        };
+        let removals = all.removals().into_iter().filter(|(at, (seat, _))| !excused(*at, *seat));
+        removals.map(|(_, (seat, _))| format!("seat {seat} was put out though it ran")).collect()
+    }
+}
+
+impl Drop for Mesh {
+    fn drop(&mut self) {
+        // A stopped process cannot be asked for anything before it goes on.
+        self.members.iter().filter(|m| m.wakes.is_some()).for_each(|m| m.program.signal("CONT"));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn site(relays: &Relays, listens: &[SocketAddr], me: usize, history: &Path) -> String {
+    let members: String = (0..listens.len())
+        .map(|k| {
+            let address = if k == me { listens[me] } else { relays.address(me, k) };
+            format!("[[fleet.member]]\nname = \"node-{k:03}\"\naddress = \"{address}\"\n")
+        })
+        .collect();
+    format!(
+        "[fleet]\nsite = \"bed\"\nname = \"node-{me:03}\"\nlisten = \"{}\"\nkey = \"{KEY}\"\nhistory = \"{}\"\n{members}",
+        listens[me],
+        history.display()
+    )
+}
+
+/// Plays a schedule on a fleet that has just been founded.
+pub fn play(program: &Path, setup: &Setup, seed: u64, schedule: &Schedule) -> Verdict {
+    let mut mesh = Mesh::start(program, setup, seed);
+    mesh.play(schedule);
+    let agreed = mesh.settle();
+    mesh.finish(agreed)
+}
+
+/// A schedule's length.
+pub fn lasts(schedule: &Schedule) -> Duration {
+    Duration::from_nanos(schedule.last().map_or(0, |(at, _)| *at) + S)
+}
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -46,6 +46,10 @@
     pub name: String,
     /// It has a second address, for operators.
     pub managed: bool,
+    /// The settings allow talk between nodes.
+    pub peers: bool,
+    /// Further variables of its environment.
+    pub environment: Vec<(String, String)>,
 }
 
 impl Default for Wishes {
@@ -64,6 +68,8 @@
             levels: None,
             name: "f0".to_owned(),
             managed: false,
+            peers: false,
+            environment: Vec::new(),
         }
     }
 }
@@ -156,6 +162,7 @@
         };
         let mut process = Command::new(&command[0]);
         process.args(&command[1..]).env("GW_CONFIG", &files[0]).env("TMPDIR", &place.folder);
+        process.envs(wishes.environment.iter().map(|(key, value)| (key, value)));
         if wishes.managed {
             process.env("GW_MANAGEMENT", management.to_string());
         }
@@ -269,7 +276,7 @@
             "tenants": [], "zone": 0, "zones": ["a"], "skus": ["m"], "ordinal": 0, "groupSize": 1,
             "registryMode": "automatic",
             "caps": {"maxAttempts": wishes.max_attempts, "secondCopies": false, "cancelling": true,
-                "mayProbe": false, "peers": false, "retryAfter": true, "maxRetryAfterNs": 2_000_000_000u64,
+                "mayProbe": false, "peers": wishes.peers, "retryAfter": true, "maxRetryAfterNs": 2_000_000_000u64,
                 "connIdleNs": wishes.conn_idle_ms * 1_000_000, "connectTimeoutNs": 1_000_000_000u64},
             "guarantees": {"coldFrom": wishes.cold.0, "rampTimeNs": wishes.cold.1 * 1_000_000,
                 "tipMultiple": 3.0, "fallNs": 2_000_000_000u64},
