--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -187,7 +187,7 @@
     /// The part of something that all members share that this one may use now, from 0 to 1.
     pub fn share(&self, now: Nanos) -> f64 {
         let (rooted, members) = self.view.as_ref().map_or((false, 1), |v| (v.rooted, v.members.len()));
-        if self.planted.is(Defect::SmallerCount) {
+        if self.planted.is(Defect::SmallerCount) && self.view.is_some() {
             return 1.0 / members as f64;
         }
         self.lease.share(now, rooted, members, self.roster.len())
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -54,6 +54,7 @@
     /// The last view, and when it came, for operators.
     since: RefCell<(Option<View>, Nanos)>,
     share: RefCell<f64>,
+    accused: RefCell<Vec<Seat>>,
 }
 
 /// Joins the fleet that the operator's file names.
@@ -79,6 +80,7 @@
         refused: RefCell::default(),
         since: RefCell::default(),
         share: RefCell::new(-1.0),
+        accused: RefCell::default(),
     });
     member.note("start", "");
     spawn_local(member.clone().run(gateway.clone()));
@@ -118,6 +120,7 @@
                     let outputs = self.machine.borrow_mut().tick(now);
                     self.carry_out(&gateway, &socket, outputs);
                     self.follow_share(&gateway, now);
+                    self.note_accused();
                 }
                 ready = socket.readable() => {
                     if ready.is_err() {
@@ -216,6 +219,15 @@
         }
     }
 
+    fn note_accused(&self) {
+        let accused = self.machine.borrow().accuses().to_vec();
+        if *self.accused.borrow() != accused {
+            let seats: Vec<String> = accused.iter().map(Seat::to_string).collect();
+            self.note("accuse", &seats.join(","));
+            self.accused.replace(accused);
+        }
+    }
+
     fn note(&self, what: &str, value: &str) {
         if let Some(history) = &mut *self.history.borrow_mut() {
             history.note(&self.machine.borrow(), what, value);
--- a/crates/testkit/src/mesh/check.rs
+++ b/crates/testkit/src/mesh/check.rs
@@ -27,6 +27,8 @@
     pub views: Vec<Seen>,
     /// What a run may use of one whole from then on.
     pub shares: Vec<(u64, Run, f64)>,
+    /// Whom a run accuses of silence from then on.
+    pub accusations: Vec<(u64, Run, Vec<u64>)>,
     /// Each seat's last life.
     pub lives: BTreeMap<u64, u64>,
     /// Lines that are none.
@@ -79,6 +81,11 @@
                 let share = line["value"].as_str().and_then(|v| v.parse().ok()).unwrap_or(1.0);
                 self.shares.push((number("at"), by, share));
             }
+            Some("accuse") => {
+                let seats = line["value"].as_str().unwrap_or_default();
+                let seats = seats.split(',').filter_map(|s| s.parse().ok()).collect();
+                self.accusations.push((number("at"), by, seats));
+            }
             _ => {}
         }
         self.lives.insert(by.0, by.1);
@@ -128,6 +135,23 @@
         most
     }
 
+    /// Who was stopped and has just gone on accuses nobody that has run all the while; `after` in microseconds.
+    pub fn rash(&self, gaps: &[Gap], after: u64) -> Vec<String> {
+        let ran = |seat: u64, from: u64, to: u64| {
+            !gaps.iter().any(|g| g.seat == seat && g.from < to && from < g.to)
+        };
+        let mut rash = Vec::new();
+        for pause in gaps.iter().filter(|g| !g.killed) {
+            let just = |at: u64| pause.to.saturating_sub(after) <= at && at < pause.to + after;
+            let own = self.accusations.iter().filter(|(at, (seat, _), _)| *seat == pause.seat && just(*at));
+            for (at, _, accused) in own {
+                let wrong = accused.iter().filter(|s| ran(**s, pause.from, *at));
+                rash.extend(wrong.map(|s| format!("seat {} accuses {s}, just woken", pause.seat)));
+            }
+        }
+        rash
+    }
+
     /// Runs that were put out of a view by the next one, with when.
     pub fn removals(&self) -> Vec<(u64, Run)> {
         let mut views: BTreeMap<(u64, u64), &Seen> = BTreeMap::new();
@@ -158,6 +182,7 @@
         let mut all = Histories {
             views: vec![seen(1, a, 1, &[a, b]), seen(2, b, 1, &[a, b]), seen(3, a, 2, &[a])],
             shares: vec![(1, a, 0.5), (2, b, 0.5), (5, a, 0.9)],
+            accusations: vec![(8, b, vec![0])],
             lives: [a, b].into_iter().collect(),
             odd: 0,
         };
@@ -165,6 +190,8 @@
         assert_eq!(all.removals(), [(3, b)]);
         assert!((all.most(&[]) - 1.4).abs() < 1e-9);
         assert!((all.most(&[Gap { seat: 1, from: 4, to: u64::MAX, killed: true }]) - 1.0).abs() < 1e-9);
+        assert_eq!(all.rash(&[Gap { seat: 1, from: 4, to: 7, killed: false }], 2).len(), 1);
+        assert!(all.rash(&[Gap { seat: 1, from: 2, to: 5, killed: false }], 2).is_empty());
         all.views.push(seen(6, b, 2, &[b]));
         assert_eq!(all.sequences().len(), 1);
         all.views.push(seen(7, a, 1, &[a, b]));
--- a/crates/testkit/src/mesh/mod.rs
+++ b/crates/testkit/src/mesh/mod.rs
@@ -289,6 +289,10 @@
         verdict.views = all.views.iter().map(|v| v.key).collect::<std::collections::BTreeSet<_>>().len();
         verdict.broken = all.sequences();
         verdict.broken.extend(self.wrongful(&all));
+        // Also under cuts: who was stopped for so long believes no silence at first.
+        let long: Vec<Gap> =
+            self.gaps.iter().copied().filter(|g| g.killed || g.to - g.from > 1_000_000).collect();
+        verdict.broken.extend(all.rash(&long, 2 * WAKES.as_micros() as u64));
         let late = agreed.is_none_or(|took| took > AGREE);
         let wrong = [
             (late, format!("agreed after {agreed:?}, where {AGREE:?} are owed")),
