Drop a member's accusations with its view

Cause: Machine::leave kept the list of those accused in the old view, which nobody is told and only the check and operators read; ruled out by reading Watch::tick, which forgets silences at a pause. Change: the list goes with the view.

--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -315,6 +315,8 @@
         self.watch.over(BTreeSet::new(), |_| false);
         self.lease = Lease::default();
         self.cuts.clear();
+        // In no view it accuses nobody.
+        self.accused = (now, Vec::new());
         self.fetch = None;
         self.founding = Founding::new(now, usize::from(self.me));
         self.out.push(Output::Out);
