Say once how a call is answered, where a file's paths lie and what ran twice

Behaviour stays as it was.

- staff::answered serves `ready`, `servers`, `shift` and `fleet`, with one error for a node's no; the three had one each.
- Check::beside has the paths that the operator's file names; levels and fleet had a closure each.
- An offer is one struct; Legacy was the same five fields with the link beside them.
- A member works out its council and who watches whom once for a view, not again for its seat on the council.
One look at which accusations still count.
Founders' digest only where there may be a founding.
- Tally::twice, those() in the testkit; seeds::at_a_time and report::quantile in the rig.
- Gone, as nobody called them: View::digest, Lease::first, mesh::lasts.

--- a/crates/membership/src/council.rs
+++ b/crates/membership/src/council.rs
@@ -1,7 +1,7 @@
 //! The council: what becomes the next view. One decision for each view, by single-decree Paxos (Lamport, "Paxos Made
 //! Simple", 2001) among the members of the present one that have a seat on it.
 
-use crate::view::{quorum, Cut, Seat, Seats, View, JOINS};
+use crate::view::{quorum, Cut, Observers, Seat, Seats, View, JOINS};
 use crate::wire::{Accepted, Body};
 use crate::{Life, Nanos, MS};
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +15,10 @@
 /// A round that has come to nothing for so long is tried again.
 const ROUND: Nanos = 600 * MS;
 
+fn counts(now: Nanos, at: Nanos) -> bool {
+    now.saturating_sub(at) < COUNTS
+}
+
 #[derive(Debug)]
 enum Proposal {
     Preparing { promises: BTreeMap<Seat, (Accepted, Seats)> },
@@ -26,7 +30,7 @@
 pub struct Council {
     me: Seat,
     seats: Vec<Seat>,
-    observers: BTreeMap<Seat, BTreeSet<Seat>>,
+    observers: Observers,
     members: BTreeMap<Seat, Life>,
     accusers: BTreeMap<Seat, (Nanos, Vec<Seat>)>,
     joiners: BTreeMap<Seat, (Nanos, Life)>,
@@ -51,11 +55,11 @@
 
 impl Council {
     /// For a view that this member has a seat on the council of.
-    pub fn new(me: Seat, view: &View) -> Council {
+    pub fn new(me: Seat, view: &View, seats: Vec<Seat>, observers: Observers) -> Council {
         Council {
             me,
-            seats: view.council(),
-            observers: view.observers(),
+            seats,
+            observers,
             members: view.members.clone(),
             accusers: BTreeMap::new(),
             joiners: BTreeMap::new(),
@@ -91,20 +95,22 @@
 
     /// Those who accuse a member now.
     pub fn accusers_of(&self, now: Nanos, seat: Seat) -> BTreeSet<Seat> {
-        let counts = |at: Nanos| now.saturating_sub(at) < COUNTS;
-        let fresh = self.accusers.iter().filter(|(_, (at, accused))| counts(*at) && accused.contains(&seat));
-        fresh.map(|(by, _)| *by).collect()
+        self.accusations(now).filter(|(_, accused)| accused.contains(&seat)).map(|(by, _)| by).collect()
+    }
+
+    /// Who accuses whom now.
+    fn accusations(&self, now: Nanos) -> impl Iterator<Item = (Seat, &[Seat])> {
+        let fresh = self.accusers.iter().filter(move |(_, (at, _))| counts(now, *at));
+        fresh.map(|(by, (_, accused))| (*by, accused.as_slice()))
     }
 
     /// Members whose observers accuse them, most of them or all but those that are to leave themselves; and whether others
     /// are accused by too few.
     fn silent(&self, now: Nanos, fresh: &impl Fn(Seat) -> bool) -> (BTreeSet<Seat>, bool) {
         let mut accusers: BTreeMap<Seat, BTreeSet<Seat>> = BTreeMap::new();
-        for (by, (at, accused)) in &self.accusers {
-            if now.saturating_sub(*at) < COUNTS && self.members.contains_key(by) {
-                for seat in accused.iter().filter(|s| self.members.contains_key(*s) && !fresh(**s)) {
-                    accusers.entry(*seat).or_default().insert(*by);
-                }
+        for (by, accused) in self.accusations(now).filter(|(by, _)| self.members.contains_key(by)) {
+            for seat in accused.iter().filter(|s| self.members.contains_key(*s) && !fresh(**s)) {
+                accusers.entry(*seat).or_default().insert(by);
             }
         }
         let accused = accusers.len();
@@ -130,7 +136,7 @@
     fn cut(&self, now: Nanos, fresh: &impl Fn(Seat) -> bool) -> (Cut, bool) {
         let (out, unsettled) = self.silent(now, fresh);
         let wish = |(seat, (at, life)): (&Seat, &(Nanos, Life))| {
-            (now.saturating_sub(*at) < COUNTS).then_some((*seat, life.to_le_bytes()))
+            counts(now, *at).then_some((*seat, life.to_le_bytes()))
         };
         let joins: Vec<_> = self.joiners.iter().filter_map(wish).take(JOINS).collect();
         let taken = |seat: &Seat| joins.iter().any(|(s, _)| s == seat);
--- a/crates/membership/src/founding.rs
+++ b/crates/membership/src/founding.rs
@@ -79,8 +79,10 @@
         let seats: Vec<Seat> = (0..roster as Seat).collect();
         let late = now.saturating_sub(self.began) >= ALL_WITHIN;
         let enough = present.len() == roster || late && quorum(&seats, |s| present.contains_key(&s));
-        let digest = digest(&present);
-        enough.then_some((present, digest))
+        enough.then(|| {
+            let digest = digest(&present);
+            (present, digest)
+        })
     }
 
     /// Whom to ask for a founding now, and its digest: only the first of the founders asks.
--- a/crates/membership/src/lease.rs
+++ b/crates/membership/src/lease.rs
@@ -28,11 +28,6 @@
         Lease { settled: now + LEASE, before: share, ..Lease::default() }
     }
 
-    /// For the first view of all: nobody had anything before.
-    pub fn first() -> Lease {
-        Lease::default()
-    }
-
     /// One of the council, asked at that time, has said that the view is in force.
     pub fn confirmed(&mut self, by: Seat, asked: Nanos) {
         let at = self.said.entry(by).or_insert(asked);
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -243,9 +243,7 @@
                     }
                 }
                 To::One(seat, body) => self.send(seat, body),
-                To::All(body) => {
-                    self.tell_council(&body);
-                }
+                To::All(body) => self.tell_council(&body),
                 To::Decided(cut) => {
                     self.step(now, &cut);
                     return;
@@ -288,13 +286,14 @@
         let first = self.view.is_none() && view.number == 1;
         let before = self.view.is_some().then(|| self.share(now));
         // A first view that all founded: nobody has had a part so far.
-        self.lease = if first { Lease::first() } else { Lease::anew(now, before) };
+        self.lease = if first { Lease::default() } else { Lease::anew(now, before) };
         let observers = view.observers();
         self.observers = observers.get(&self.me).into_iter().flatten().copied().collect();
         let mine = observers.iter().filter(|(_, by)| by.contains(&self.me)).map(|(s, _)| *s).collect();
         self.watch.over(mine, |s| view.members.contains_key(&s));
         self.council_seats = view.council();
-        self.council = self.council_seats.contains(&self.me).then(|| Council::new(self.me, &view));
+        let seats = self.council_seats.clone();
+        self.council = seats.contains(&self.me).then(|| Council::new(self.me, &view, seats, observers));
         (self.fetch, self.sponsor, self.beat, self.pinged) = (None, None, None, None);
         self.replaced.clear();
         self.accused = (0, Vec::new());
@@ -386,10 +385,8 @@
     }
 
     fn ping(&mut self, now: Nanos) {
-        if let (Some(council), Some(_)) = (&self.council, &self.view) {
-            if council.in_force() {
-                self.lease.renew(now, self.me, council.seats());
-            }
+        if let Some(council) = self.council.as_ref().filter(|c| c.in_force()) {
+            self.lease.renew(now, self.me, council.seats());
         }
         if self.pinged.is_some_and(|at| now.saturating_sub(at) + TICK / 2 < PING) {
             return;
--- a/crates/membership/src/view.rs
+++ b/crates/membership/src/view.rs
@@ -138,6 +138,9 @@
     }
 }
 
+/// The observers of each member.
+pub type Observers = BTreeMap<Seat, BTreeSet<Seat>>;
+
 /// Who is a member.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct View {
@@ -182,10 +185,9 @@
 
     /// Who watches whom: the observers of each member. Rings of the members in several orders, as Rapid has them (Suresh et al.,
     /// ATC 2018); who follows in a ring watches.
-    pub fn observers(&self) -> BTreeMap<Seat, BTreeSet<Seat>> {
+    pub fn observers(&self) -> Observers {
         let mut seats: Vec<Seat> = self.members.keys().copied().collect();
-        let mut observers: BTreeMap<Seat, BTreeSet<Seat>> =
-            seats.iter().map(|s| (*s, BTreeSet::new())).collect();
+        let mut observers: Observers = seats.iter().map(|s| (*s, BTreeSet::new())).collect();
         let wanted = OBSERVERS.min(seats.len().saturating_sub(1));
         for ring in 0..4 * OBSERVERS as u64 {
             seats.sort_unstable_by_key(|s| mix(mix(ring) ^ u64::from(*s)));
@@ -199,11 +201,6 @@
         }
         observers
     }
-
-    /// Tells views apart.
-    pub fn digest(&self) -> u64 {
-        mix(digest(&self.members) ^ mix(self.number))
-    }
 }
 
 /// Tells sets of members apart.
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -1,9 +1,11 @@
 //! The command line.
 
 use crate::config::Config;
+use crate::fleet::cli::FleetFailure;
 use crate::run::{self, Role, StartError};
+use crate::shift::cli::ShiftFailure;
 use crate::site::{Site, SiteError};
-use crate::staff::{self, Call, StaffError};
+use crate::staff::{answered, Call, CallError};
 use clap::{Parser, Subcommand};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -106,14 +108,11 @@
     #[error("{0}")]
     Ask(#[from] crate::ask::AskError),
     #[error("{0}")]
-    Staff(#[from] StaffError),
+    Call(#[from] CallError),
     #[error("{0}")]
-    Shift(#[from] crate::shift::cli::ShiftFailure),
+    Shift(#[from] ShiftFailure),
     #[error("{0}")]
-    Fleet(#[from] crate::fleet::cli::FleetFailure),
-    /// The node's own no.
-    #[error("{0}")]
-    No(String),
+    Fleet(#[from] FleetFailure),
 }
 
 /// The program, from its arguments to its exit.
@@ -122,10 +121,14 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("laurelroute: {error}");
-            match error {
-                Failure::Staff(_)
-                | Failure::Fleet(crate::fleet::cli::FleetFailure::Staff(_))
-                | Failure::Shift(crate::shift::cli::ShiftFailure::Staff(_)) => ExitCode::from(NO_ANSWER),
+            let call = match &error {
+                Failure::Call(error)
+                | Failure::Fleet(FleetFailure::Call(error))
+                | Failure::Shift(ShiftFailure::Call(error)) => Some(error),
+                _ => None,
+            };
+            match call {
+                Some(CallError::Staff(_)) => ExitCode::from(NO_ANSWER),
                 _ => ExitCode::FAILURE,
             }
         }
@@ -151,11 +154,7 @@
 }
 
 fn call(call: &Call, at: Option<SocketAddr>) -> Result<(), Failure> {
-    let said = staff::make(call, at)?;
-    if !said.yes {
-        return Err(Failure::No(said.text));
-    }
-    println!("{}", said.text);
+    println!("{}", answered(call, at)?);
     Ok(())
 }
 
--- a/crates/node/src/fleet/cli.rs
+++ b/crates/node/src/fleet/cli.rs
@@ -1,6 +1,6 @@
 //! `laurelroute fleet`: what a running member says of its fleet, for people.
 
-use crate::staff::{self, Call, StaffError};
+use crate::staff::{answered, Call, CallError};
 use serde_json::Value;
 use std::net::SocketAddr;
 
@@ -23,23 +23,18 @@
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum FleetFailure {
     #[error("{0}")]
-    Staff(#[from] StaffError),
-    #[error("{0}")]
-    No(String),
+    Call(#[from] CallError),
     #[error("the node's answer cannot be read: {0}")]
     Odd(#[from] serde_json::Error),
 }
 
 pub(crate) fn run(call: &FleetCall, at: Option<SocketAddr>) -> Result<(), FleetFailure> {
-    let said = staff::make(&Call::Fleet, at)?;
-    if !said.yes {
-        return Err(FleetFailure::No(said.text));
-    }
-    let fleet: Value = serde_json::from_str(&said.text)?;
+    let said = answered(&Call::Fleet, at)?;
+    let fleet: Value = serde_json::from_str(&said)?;
     match call {
-        FleetCall::Members { json: true } => println!("{}", said.text),
+        FleetCall::Members { json: true } => println!("{said}"),
         FleetCall::Members { json: false } => println!("{}", members(&fleet)),
-        FleetCall::Explain { name } => println!("{}", explain(&fleet, name).map_err(FleetFailure::No)?),
+        FleetCall::Explain { name } => println!("{}", explain(&fleet, name).map_err(CallError::No)?),
     }
     Ok(())
 }
--- a/crates/node/src/fleet/table.rs
+++ b/crates/node/src/fleet/table.rs
@@ -5,7 +5,7 @@
 use ring::hmac;
 use serde::Deserialize;
 use std::net::{IpAddr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use toml::Spanned;
 
 /// Bytes of a key at least: as long as what the MAC gives.
@@ -112,7 +112,6 @@
                 check.error(Some(at), format!("`fleet.listen`: {listen} is no address of this machine"))
             );
         }
-        let beside = |path: PathBuf| Path::new(check.file).parent().map(|p| p.join(&path)).unwrap_or(path);
         Ok(FleetSite {
             site: self.site.into_inner(),
             roster,
@@ -120,7 +119,7 @@
             addresses,
             listen,
             key,
-            history: self.history.map(beside),
+            history: self.history.map(|path| check.beside(path)),
         })
     }
 }
--- a/crates/node/src/levels.rs
+++ b/crates/node/src/levels.rs
@@ -8,7 +8,7 @@
 use laurelroute_policy::interface::Nanos;
 use serde::Deserialize;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use toml::Spanned;
 
 /// Planners of one installation at most: each forwarder speaks with all of them.
@@ -166,14 +166,12 @@
             return Err(check.at(name, format!("`{key}` has to have 1 to {LONGEST_NAME} bytes")));
         }
     }
-    // Paths are meant from where the file is: the program may be started anywhere.
-    let beside = |path: PathBuf| Path::new(check.file).parent().map(|p| p.join(&path)).unwrap_or(path);
     Ok(Peers {
         site: table.site.into_inner(),
         name: table.name.into_inner(),
-        authority: beside(table.authority),
-        certificate: beside(table.certificate),
-        key: beside(table.key),
+        authority: check.beside(table.authority),
+        certificate: check.beside(table.certificate),
+        key: check.beside(table.key),
         planner: table.planner,
     })
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -155,7 +155,7 @@
         Ok::<_, StartError>(match claim {
             _ if !inherited.is_empty() => Entrance::Open(inherited),
             Claim::Silent(_) => Entrance::Bound(bind(address)?, address),
-            Claim::Alone | Claim::Offered(_) => Entrance::Open(vec![listen(address)?]),
+            Claim::Alone | Claim::Offered(..) => Entrance::Open(vec![listen(address)?]),
         })
     };
     let mut entrances = vec![(Door::Http, entrance(Door::Http, config.listen)?)];
--- a/crates/node/src/shift/cli.rs
+++ b/crates/node/src/shift/cli.rs
@@ -1,6 +1,6 @@
 //! `laurelroute shift`.
 
-use crate::staff::{self, Call, StaffError};
+use crate::staff::{answered, Call, CallError};
 use clap::{Args, Subcommand};
 use laurelroute_shift::course::{Verb, Word};
 use laurelroute_shift::explain::Status;
@@ -60,9 +60,7 @@
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum ShiftFailure {
     #[error("{0}")]
-    Staff(#[from] StaffError),
-    #[error("{0}")]
-    No(String),
+    Call(#[from] CallError),
     #[error("the node's answer cannot be read: {0}")]
     Odd(#[from] serde_json::Error),
     #[error("terminal: {0}")]
@@ -88,15 +86,6 @@
     Ok(())
 }
 
-fn answered(call: &Call, at: Option<SocketAddr>) -> Result<String, ShiftFailure> {
-    let said = staff::make(call, at)?;
-    if said.yes {
-        Ok(said.text)
-    } else {
-        Err(ShiftFailure::No(said.text))
-    }
-}
-
 /// The status of a running node's shift.
 pub(super) fn status(at: Option<SocketAddr>) -> Result<Status, ShiftFailure> {
     Ok(serde_json::from_str(&answered(&Call::ShiftStatus, at)?)?)
--- a/crates/node/src/site.rs
+++ b/crates/node/src/site.rs
@@ -14,7 +14,7 @@
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use toml::Spanned;
 
@@ -196,6 +196,11 @@
         self.error(Some(value.span().start), message)
     }
 
+    /// A path that the file names. It is meant from where the file is: the program may be started anywhere.
+    pub(crate) fn beside(&self, path: PathBuf) -> PathBuf {
+        Path::new(self.file).parent().map(|p| p.join(&path)).unwrap_or(path)
+    }
+
     /// A number between 1 and a limit, or the default where there is none.
     pub(crate) fn number<T>(
         &self,
--- a/crates/node/src/staff.rs
+++ b/crates/node/src/staff.rs
@@ -68,6 +68,25 @@
     System(#[from] std::io::Error),
 }
 
+/// Why a call came to nothing.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum CallError {
+    #[error("{0}")]
+    Staff(#[from] StaffError),
+    /// The node's own no.
+    #[error("{0}")]
+    No(String),
+}
+
+/// What a node that says yes says with it.
+pub(crate) fn answered(call: &Call, at: Option<SocketAddr>) -> Result<String, CallError> {
+    let said = make(call, at)?;
+    match said.yes {
+        true => Ok(said.text),
+        false => Err(CallError::No(said.text)),
+    }
+}
+
 /// What the node said.
 #[derive(Debug)]
 pub(crate) struct Said {
--- a/crates/node/src/upgrade/claim.rs
+++ b/crates/node/src/upgrade/claim.rs
@@ -18,21 +18,20 @@
     /// Nobody that can be spoken to.
     Alone,
     /// A process that hands over what it has.
-    Offered(Legacy),
+    Offered(Link, Offer),
     /// One that is there and says nothing. It may yet.
     Silent(Link),
 }
 
 /// What a process has from the one that it takes over from.
-pub(crate) struct Legacy {
-    pub(super) link: Link,
+pub(crate) struct Offer {
     doors: Vec<(Door, OwnedFd)>,
     /// Descriptors that this process may hold.
     pub(super) part: usize,
     /// The elder says that it is there, and expects the same.
     pub(super) beats: bool,
     /// Servers that operators have taken out or put back.
-    pub(crate) words: Vec<Word>,
+    pub(super) words: Vec<Word>,
     pub(super) learnt: Learnt,
 }
 
@@ -43,7 +42,7 @@
         let claimed = async {
             let link = ask(&place).await?;
             match tokio::time::timeout(OFFER, offer(&link)).await {
-                Ok(offer) => Ok(Claim::Offered(offer?.with(link))),
+                Ok(offer) => Ok(Claim::Offered(link, offer?)),
                 Err(_) => Ok(Claim::Silent(link)),
             }
         };
@@ -61,7 +60,7 @@
     /// The elder's listening sockets of this kind, where it has offered any.
     pub(crate) fn listeners(&mut self, door: Door, address: SocketAddr) -> Vec<TcpListener> {
         match self {
-            Claim::Offered(legacy) => legacy.listeners(door, address),
+            Claim::Offered(_, offer) => offer.listeners(door, address),
             Claim::Alone | Claim::Silent(_) => Vec::new(),
         }
     }
@@ -69,7 +68,7 @@
     /// Words on servers that came with the offer.
     pub(crate) fn take_words(&mut self) -> Vec<Word> {
         match self {
-            Claim::Offered(legacy) => std::mem::take(&mut legacy.words),
+            Claim::Offered(_, offer) => std::mem::take(&mut offer.words),
             Claim::Alone | Claim::Silent(_) => Vec::new(),
         }
     }
@@ -84,22 +83,6 @@
     Ok(link)
 }
 
-/// An offer, without the link on which it came.
-pub(super) struct Offer {
-    words: Vec<Word>,
-    learnt: Learnt,
-    doors: Vec<(Door, OwnedFd)>,
-    part: usize,
-    beats: bool,
-}
-
-impl Offer {
-    pub(super) fn with(self, link: Link) -> Legacy {
-        let Offer { words, learnt, doors, part, beats } = self;
-        Legacy { link, doors, part, beats, words, learnt }
-    }
-}
-
 /// The elder's offer, whenever it comes.
 pub(super) async fn offer(link: &Link) -> Result<Offer, LinkError> {
     let (mut words, mut learnt) = (Vec::new(), Learnt::default());
@@ -109,14 +92,14 @@
             (Message::Learnt(lesson), _) => lesson.join(&mut learnt),
             (Message::Offer { version: VERSION, doors, part, beats }, descriptors) => {
                 let doors = doors.into_iter().zip(descriptors).collect();
-                return Ok(Offer { words, learnt, doors, part, beats });
+                return Ok(Offer { doors, part, beats, words, learnt });
             }
             _ => {}
         }
     }
 }
 
-impl Legacy {
+impl Offer {
     fn take(&mut self, door: Door) -> Vec<OwnedFd> {
         let (these, rest) = std::mem::take(&mut self.doors).into_iter().partition(|(d, _)| *d == door);
         self.doors = rest;
--- a/crates/node/src/upgrade/succession.rs
+++ b/crates/node/src/upgrade/succession.rs
@@ -1,6 +1,6 @@
 //! This process's place between the one that it takes over from and the one that takes over from it.
 
-use super::claim::{offer, Claim, Legacy};
+use super::claim::{offer, Claim, Offer};
 use super::link::{bind, place, Link, LinkError, Rest, SOCKET};
 use super::steer;
 use crate::ledger::Ledger;
@@ -158,7 +158,7 @@
             Claim::Alone => {
                 self.gate.send_replace(Gate::Open);
             }
-            Claim::Offered(legacy) => self.take_over(&gateway, legacy).await,
+            Claim::Offered(link, offer) => self.take_over(&gateway, link, offer).await,
             Claim::Silent(link) => {
                 // Both keep within the limit also before the elder has said what it holds.
                 let held = link.peer().and_then(descriptors);
@@ -183,18 +183,18 @@
     }
 
     /// Has what the elder has offered, and says so once there is a list.
-    async fn take_over(self: &Rc<Self>, gateway: &Rc<Gateway>, mut legacy: Legacy) {
-        let (heir, effects) = Heir::new(self.sockets, legacy.part, legacy.beats, gateway.clock.now());
-        if let Some(rest) = legacy.rest() {
+    async fn take_over(self: &Rc<Self>, gateway: &Rc<Gateway>, link: Link, mut offer: Offer) {
+        let (heir, effects) = Heir::new(self.sockets, offer.part, offer.beats, gateway.clock.now());
+        if let Some(rest) = offer.rest() {
             spawn_local(self.clone().pick_up(rest));
         }
-        let link = Rc::new(legacy.link);
+        let link = Rc::new(link);
         self.carry_out(gateway, &link, effects);
         self.links.borrow_mut().push(link.clone());
         spawn_local(self.clone().follow_elder(gateway.clone(), link.clone(), heir));
         gateway.listed().await;
         // Of the servers in the list, and no others.
-        gateway.take_over(legacy.learnt);
+        gateway.take_over(offer.learnt);
         self.gate.send_replace(Gate::Open);
         let _ = link.send(&Message::Ready, &[]).await;
     }
@@ -202,18 +202,17 @@
     /// An elder that said nothing when this process started runs again: its queues are served, and it hands over as ever.
     async fn await_offer(self: Rc<Self>, gateway: Rc<Gateway>, link: Link) {
         match offer(&link).await {
-            Ok(offer) => {
+            Ok(mut offer) => {
                 tracing::info!("takeover: the other process answers now");
-                let mut legacy = offer.with(link);
-                gateway.merge_bans(std::mem::take(&mut legacy.words));
+                gateway.merge_bans(std::mem::take(&mut offer.words));
                 let doors: Vec<_> = {
                     let listeners = self.listeners.borrow();
                     listeners.iter().filter_map(|(d, l)| Some((*d, l.local_addr().ok()?))).collect()
                 };
                 for (door, address) in doors {
-                    legacy.listeners(door, address).into_iter().for_each(|l| self.enter(door, l));
+                    offer.listeners(door, address).into_iter().for_each(|l| self.enter(door, l));
                 }
-                self.take_over(&gateway, legacy).await;
+                self.take_over(&gateway, link, offer).await;
             }
             Err(error) => {
                 tracing::info!("takeover: {error}: this process has all that the node may hold");
--- a/crates/rig/src/members.rs
+++ b/crates/rig/src/members.rs
@@ -1,6 +1,6 @@
 //! `rig members`: the fleet's members under drawn faults in simulated time, and what detection takes and costs by their number.
 
-use crate::report::{table, Failure, Outcome};
+use crate::report::{quantile, table, Failure, Outcome};
 use crate::seeds::all;
 use crate::Common;
 use laurelroute_membership::defect::Planted;
@@ -35,14 +35,6 @@
     Some((times.iter().min()? / MS, times.iter().max()? / MS, rate / members as f64))
 }
 
-fn quantile(mut values: Vec<u64>, part: f64) -> u64 {
-    values.sort_unstable();
-    values
-        .get(((values.len() as f64 * part) as usize).min(values.len().saturating_sub(1)))
-        .copied()
-        .unwrap_or(0)
-}
-
 /// Members that are put out though they run, in a minute of loss with one pause of up to two seconds.
 fn rough_minute(seed: u64, loss: f64) -> usize {
     let mut fleet = Fleet::new(MEMBERS, seed, S);
--- a/crates/rig/src/mesh.rs
+++ b/crates/rig/src/mesh.rs
@@ -1,13 +1,12 @@
 //! `rig mesh`: several real processes joined by relays, under schedules of faults, with a checker over what they wrote.
 
 use crate::report::{median, Failure, Outcome};
+use crate::seeds::at_a_time;
 use crate::{Common, AS_PROGRAM};
 use laurelroute_membership::defect::Defect;
 use laurelroute_simulation::schedule::{drawn, read, shortest, write, Schedule};
 use laurelroute_testkit::mesh::{play, Setup, Verdict};
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Mutex;
 
 /// What is to be played.
 pub struct Wanted {
@@ -49,23 +48,13 @@
     };
     let schedule = |seed| named.clone().unwrap_or_else(|| drawn(seed, wanted.members));
     let setup = Setup { members: wanted.members, planted: wanted.planted.clone(), ..Setup::default() };
-    let (next, done) = (AtomicU64::new(0), Mutex::new(Vec::new()));
-    std::thread::scope(|scope| {
-        for _ in 0..wanted.beds.max(1) {
-            scope.spawn(|| loop {
-                let k = next.fetch_add(1, Ordering::SeqCst);
-                if k >= wanted.seeds {
-                    return;
-                }
-                let seed = common.seed + k;
-                let verdict = play(&program, &setup, seed, &schedule(seed));
-                println!("{}", line(seed, &verdict));
-                verdict.broken.iter().for_each(|b| println!("  BROKEN {b}"));
-                done.lock().unwrap_or_else(|e| e.into_inner()).push((seed, verdict));
-            });
-        }
+    let played = at_a_time(wanted.beds.max(1), wanted.seeds, |k| {
+        let seed = common.seed + k;
+        let verdict = play(&program, &setup, seed, &schedule(seed));
+        println!("{}", line(seed, &verdict));
+        verdict.broken.iter().for_each(|b| println!("  BROKEN {b}"));
+        (seed, verdict)
     });
-    let played = done.into_inner().unwrap_or_else(|e| e.into_inner());
     let broken: Vec<&(u64, Verdict)> = played.iter().filter(|(_, v)| !v.broken.is_empty()).collect();
     let agreed: Vec<f64> = played.iter().filter_map(|(_, v)| Some(v.agreed?.as_secs_f64())).collect();
     let mut outcome = Outcome::default();
@@ -78,7 +67,7 @@
     outcome.put("served", played.iter().map(|(_, v)| v.served.0).sum::<usize>() as f64);
     outcome.put("lost", played.iter().map(|(_, v)| v.lost).sum::<usize>() as f64);
     outcome.close("mesh", common)?;
-    let Some((seed, verdict)) = broken.iter().min_by_key(|(seed, _)| *seed) else { return Ok(()) };
+    let Some((seed, verdict)) = broken.first() else { return Ok(()) };
     show(&program, &setup, *seed, schedule(*seed), wanted.shortest);
     Err(Failure(format!("seed {seed}: {}", verdict.broken[0])))
 }
--- a/crates/rig/src/report.rs
+++ b/crates/rig/src/report.rs
@@ -48,6 +48,13 @@
     }
 }
 
+/// The figure that this part of them, from 0 to 1, does not exceed; 0 where there is none.
+pub fn quantile(mut figures: Vec<u64>, part: f64) -> u64 {
+    figures.sort_unstable();
+    let at = ((figures.len() as f64 * part) as usize).min(figures.len().saturating_sub(1));
+    figures.get(at).copied().unwrap_or(0)
+}
+
 /// The middle of some figures.
 pub fn median(mut figures: Vec<f64>) -> f64 {
     figures.sort_by(f64::total_cmp);
--- a/crates/rig/src/seeds.rs
+++ b/crates/rig/src/seeds.rs
@@ -5,8 +5,12 @@
 
 /// Plays seeds on all cores; what is kept of each, in the order of seeds.
 pub fn all<T: Send>(seeds: u64, one: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    at_a_time(std::thread::available_parallelism().map_or(1, |n| n.get()), seeds, one)
+}
+
+/// Plays so many seeds at a time; what is kept of each, in the order of seeds.
+pub fn at_a_time<T: Send>(workers: usize, seeds: u64, one: impl Fn(u64) -> T + Sync) -> Vec<T> {
     let (next, done) = (AtomicU64::new(0), Mutex::new(Vec::new()));
-    let workers = std::thread::available_parallelism().map_or(1, |n| n.get());
     std::thread::scope(|scope| {
         for _ in 0..workers {
             scope.spawn(|| loop {
--- a/crates/rig/src/upgrade.rs
+++ b/crates/rig/src/upgrade.rs
@@ -136,9 +136,7 @@
         *p99 = Tally { took, ..Tally::default() }.quantile(0.99);
     }
     let ran = bed.ran();
-    let written = seen.tallies.iter().skip(1).step_by(2);
-    let sent = written.flat_map(|t| t.served.iter().chain(&t.lost).chain(&t.crossed));
-    seen.twice = sent.filter(|id| ran.get(*id).is_some_and(|n| *n > 1)).count();
+    seen.twice = seen.tallies.iter().skip(1).step_by(2).map(|t| t.twice(&ran)).sum();
     Ok(seen)
 }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -63,6 +63,11 @@
     }
 }
 
+/// What is said of those that are true.
+pub(crate) fn those(all: impl IntoIterator<Item = (bool, String)>) -> impl Iterator<Item = String> {
+    all.into_iter().filter(|(is, _)| *is).map(|(_, what)| what)
+}
+
 static COUNT: AtomicU32 = AtomicU32::new(0);
 
 /// A number that no other caller in this process gets.
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -3,6 +3,7 @@
 use crate::client::Client;
 use crate::lock;
 use crate::wire::{Answer, Ask, Class, Wire};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -43,6 +44,16 @@
         self.mixed.extend(other.mixed);
     }
 
+    /// Ids of those that may have run: all that were sent.
+    pub fn sent(&self) -> impl Iterator<Item = &String> {
+        self.served.iter().chain(&self.lost).chain(&self.crossed)
+    }
+
+    /// Of those that were sent, how many ran more than once.
+    pub fn twice(&self, ran: &HashMap<String, usize>) -> usize {
+        self.sent().filter(|id| ran.get(*id).is_some_and(|n| *n > 1)).count()
+    }
+
     /// The time within which this part of the served ones was, from 0 to 1.
     pub fn quantile(&mut self, part: f64) -> Duration {
         self.took.sort_unstable();
--- a/crates/testkit/src/mesh/mod.rs
+++ b/crates/testkit/src/mesh/mod.rs
@@ -9,10 +9,10 @@
 use crate::load::{Load, Tally};
 use crate::program::{Program, Wishes};
 use crate::wire::{Class, Wire};
-use crate::{fresh, until};
+use crate::{fresh, those, until};
 use check::{Gap, Histories};
 use laurelroute_simulation::schedule::{Fault, Schedule};
-use laurelroute_simulation::{Nanos, S};
+use laurelroute_simulation::Nanos;
 use laurelroute_thrift::codec::Form;
 use relay::Relays;
 use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
@@ -274,8 +274,7 @@
         let mut verdict = Verdict { agreed, carried: self.relays.carried(), ..Verdict::default() };
         let mut twice = 0;
         for (member, [reads, writes]) in self.members.iter().zip(&tallies) {
-            let sent = writes.served.iter().chain(&writes.lost).chain(&writes.crossed);
-            twice += sent.filter(|id| ran.get(*id).is_some_and(|n| *n > 1)).count();
+            twice += writes.twice(&ran);
             for tally in [reads, writes] {
                 verdict.served.0 += tally.served.len();
                 verdict.served.1 += tally.refused;
@@ -302,7 +301,7 @@
             (verdict.served.0 == 0, "nothing was served".to_owned()),
             (all.odd > 0, format!("{} lines of histories cannot be read", all.odd)),
         ];
-        verdict.broken.extend(wrong.into_iter().filter(|(is, _)| *is).map(|(_, what)| what));
+        verdict.broken.extend(those(wrong));
         verdict
     }
 
@@ -351,8 +350,3 @@
     let agreed = mesh.settle();
     mesh.finish(agreed)
 }
-
-/// A schedule's length.
-pub fn lasts(schedule: &Schedule) -> Duration {
-    Duration::from_nanos(schedule.last().map_or(0, |(at, _)| *at) + S)
-}
--- a/crates/testkit/src/silence.rs
+++ b/crates/testkit/src/silence.rs
@@ -4,10 +4,10 @@
 use crate::boxes::{ran, Act};
 use crate::client::Client;
 use crate::load::Load;
-use crate::lock;
 use crate::process::descriptors;
 use crate::program::{Bed, Program, Wishes};
 use crate::wire::{Answer, Ask, Class, Wire};
+use crate::{lock, those};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -139,7 +139,7 @@
             (held > limit, format!("{held} descriptors, where {limit} are allowed")),
             (!self.settled, "the takeover did not come to its end".to_owned()),
         ];
-        wrong.into_iter().filter(|(is, _)| *is).map(|(_, what)| what).collect()
+        those(wrong).collect()
     }
 }
 
@@ -177,13 +177,11 @@
     let settled = settle(bed.node, &heir, &mut most);
     let tallies = loads.map(Load::finish);
     let ran = ran(&bed.boxes);
-    let unsafe_ones = &tallies[1];
-    let sent = unsafe_ones.served.iter().chain(&unsafe_ones.lost).chain(&unsafe_ones.crossed);
     Seen {
         heard,
         ready,
         lost: tallies.iter().map(|t| t.lost.len() + t.crossed.len() + t.mixed.len()).sum(),
-        twice: sent.filter(|id| ran.get(*id).is_some_and(|n| *n > 1)).count(),
+        twice: tallies[1].twice(&ran),
         descriptors: (most, limit),
         settled,
     }
--- a/crates/testkit/src/takeover.rs
+++ b/crates/testkit/src/takeover.rs
@@ -5,7 +5,7 @@
 use crate::process::descriptors;
 use crate::program::{Bed, Program, Wishes};
 use crate::wire::{Class, Wire};
-use crate::{until, Random};
+use crate::{those, until, Random};
 use std::collections::{BTreeSet, HashMap};
 use std::path::Path;
 use std::time::{Duration, Instant};
@@ -174,12 +174,10 @@
 
 fn check(boxes: &[StandIn], node: &Node, heeded: Instant, tallies: &[Tally; 2], seen: &mut Seen) {
     let ran: HashMap<String, usize> = ran(boxes);
-    let runs = |id: &String| ran.get(id).copied().unwrap_or(0);
     seen.served = tallies.iter().map(|t| t.served.len()).sum();
     seen.lost = tallies.iter().map(|t| t.lost.len() + t.crossed.len()).sum();
-    let all = |ids: fn(&Tally) -> &Vec<String>| ids(&tallies[1]).iter().filter(|id| runs(id) > 1).count();
-    let twice = all(|t| &t.served) + all(|t| &t.lost) + all(|t| &t.crossed);
-    let unserved = tallies[1].served.iter().filter(|id| runs(id) == 0).count();
+    let twice = tallies[1].twice(&ran);
+    let unserved = tallies[1].served.iter().filter(|id| !ran.contains_key(*id)).count();
     let mixed: usize = tallies.iter().map(|t| t.mixed.len()).sum();
     let used_while_out = |b: &&StandIn| node.banned.contains(&b.name) && b.since(heeded) > 0;
     let forgotten: Vec<&str> = boxes.iter().filter(used_while_out).map(|b| b.name.as_str()).collect();
@@ -194,5 +192,5 @@
         (held > limit, format!("{held} descriptors, where {limit} are allowed")),
         (seen.served == 0, "nothing was served".to_owned()),
     ];
-    seen.broken.extend(broken.into_iter().filter(|(wrong, _)| *wrong).map(|(_, what)| what));
+    seen.broken.extend(those(broken));
 }
