Tell the council of a cut before whoever decided it is out; call out from a view not in force

A trace of the views showed members leaving one after another, 1.3 to 2 s apart, each of them the first of the council at that time. After a cut in halves the first of the council has to go on with an old cut that may have been decided, and that puts out itself: it decided, left, and told nobody (`step` after `To::Decided`), so that the next one did the same. Ruled out: lost words (the links were mended and lose nothing by then) and the joining of the two sides.

Change: who decides sends the cut to the council at once (`Machine::decided`), and a member whose view is not in force, as far as it knows, calls three seats outside of it each second (`call_out`); a member of another view answers. A member whose words go to an observer anyway sends no beat besides, and the council's members ask each other every 600 ms instead of 300.

--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -14,8 +14,10 @@
 
 /// Others that are asked whether they hear one that this member does not.
 const HELPERS: usize = 3;
-/// The council is asked whether the view is in force this often.
+/// The council is asked whether the view is in force this often ...
 const PING: Nanos = 300 * MS;
+/// ... and its members ask one another, each of them all the others, so often.
+const PING_ALL: Nanos = 600 * MS;
 /// One that is behind is told so, and one that is ahead is asked, this often at most.
 const TELL: Nanos = 150 * MS;
 /// A wish to join goes on to the council this often at most.
@@ -26,6 +28,8 @@
 const SPONSORS: Nanos = 3_000 * MS;
 /// Cuts that are kept for those that are behind.
 const CUTS: usize = 8;
+/// A member whose view is not in force, as far as it knows, calls some that are not in it this often: they may be of another.
+const CALL_OUT: Nanos = 1_000 * MS;
 /// Accusations are said again this often.
 const ACCUSE_EVERY: Nanos = 300 * MS;
 
@@ -107,9 +111,11 @@
     told: BTreeMap<Seat, Nanos>,
     asked: BTreeMap<Seat, Nanos>,
     passed_on: BTreeMap<Seat, Nanos>,
-    beat: Option<Nanos>,
+    /// When anything last went to a seat: whatever that was, it says that this one is there.
+    spoken: BTreeMap<Seat, Nanos>,
     pinged: Option<Nanos>,
     accused: (Nanos, Vec<Seat>),
+    called_out: Nanos,
     out: Vec<Output>,
 }
 
@@ -143,9 +149,10 @@
             told: BTreeMap::new(),
             asked: BTreeMap::new(),
             passed_on: BTreeMap::new(),
-            beat: None,
+            spoken: BTreeMap::new(),
             pinged: None,
             accused: (0, Vec::new()),
+            called_out: now,
             out: Vec::new(),
         }
     }
@@ -213,7 +220,7 @@
         self.watch.pauses()
     }
 
-    fn send(&mut self, to: Seat, body: Body) {
+    fn send(&mut self, now: Nanos, to: Seat, body: Body) {
         let (view, lineage, rooted) =
             self.view.as_ref().map_or((0, 0, false), |v| (v.number, v.lineage, v.rooted));
         let head = Head {
@@ -228,6 +235,7 @@
             rooted,
         };
         if let Some(bytes) = (Datagram { head, body }).encode() {
+            self.spoken.insert(to, now);
             self.out.push(Output::Send(to, bytes));
         }
     }
@@ -242,20 +250,27 @@
                         words.extend(council.hear(now, seat, body, |s| watch.vouches(now, s)));
                     }
                 }
-                To::One(seat, body) => self.send(seat, body),
-                To::All(body) => self.tell_council(&body),
-                To::Decided(cut) => {
-                    self.step(now, &cut);
-                    return;
-                }
+                To::One(seat, body) => self.send(now, seat, body),
+                To::All(body) => self.tell_council(now, &body),
+                To::Decided(cut) => return self.decided(now, cut),
             }
         }
     }
 
-    fn tell_council(&mut self, body: &Body) {
+    /// The council learns of it by this word: who decided may itself be out now, and then nobody else knows.
+    fn decided(&mut self, now: Nanos, cut: Cut) {
+        let Some(view) = self.view.clone() else { return };
+        let number = view.number;
+        self.view = Some(view.next(&cut, self.roster.len()));
+        self.tell_council(now, &Body::Change(number, cut.clone()));
+        self.view = Some(view);
+        self.step(now, &cut);
+    }
+
+    fn tell_council(&mut self, now: Nanos, body: &Body) {
         for seat in self.council_seats.clone() {
             if seat != self.me {
-                self.send(seat, body.clone());
+                self.send(now, seat, body.clone());
             }
         }
     }
@@ -294,14 +309,14 @@
         self.council_seats = view.council();
         let seats = self.council_seats.clone();
         self.council = seats.contains(&self.me).then(|| Council::new(self.me, &view, seats, observers));
-        (self.fetch, self.sponsor, self.beat, self.pinged) = (None, None, None, None);
+        (self.fetch, self.sponsor, self.pinged) = (None, None, None);
         self.replaced.clear();
         self.accused = (0, Vec::new());
         self.view = Some(view.clone());
         self.out.push(Output::View(view));
         // Some hear of it at once, and tell others by their beats.
         let others: Vec<Seat> = self.some_members(HELPERS, self.me);
-        others.into_iter().for_each(|s| self.send(s, Body::Beat));
+        others.into_iter().for_each(|s| self.send(now, s, Body::Beat));
     }
 
     /// Out of its view, it comes back as another life.
@@ -354,14 +369,12 @@
         }
         for subject in ask {
             let helpers = self.some_members(HELPERS, subject);
-            helpers.into_iter().for_each(|h| self.send(h, Body::Ask(subject)));
-        }
-        if self.beat.is_none_or(|at| now.saturating_sub(at) + TICK / 2 >= BEAT) {
-            self.beat = Some(now);
-            self.observers.clone().into_iter().for_each(|s| self.send(s, Body::Beat));
+            helpers.into_iter().for_each(|h| self.send(now, h, Body::Ask(subject)));
         }
         self.accuse(now);
         self.ping(now);
+        self.beat(now);
+        self.call_out(now);
         let watch = &self.watch;
         if let Some(council) = &mut self.council {
             let words = council.tick(now, |s| watch.fresh(now, s));
@@ -370,6 +383,28 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Whoever watches this member hears of it each [`BEAT`].
+    fn beat(&mut self, now: Nanos) {
+        for seat in self.observers.clone() {
+            if self.spoken.get(&seat).is_none_or(|at| now.saturating_sub(*at) + TICK / 2 >= BEAT) {
+                self.send(now, seat, Body::Beat);
+            }
+        }
+    }
+
+    fn call_out(&mut self, now: Nanos) {
+        if now.saturating_sub(self.called_out) < CALL_OUT || self.attached(now) {
+            return;
+        }
+        self.called_out = now;
+        let Some(view) = &self.view else { return };
+        let mut outside: Vec<Seat> = self.roster.seats().filter(|s| !view.members.contains_key(s)).collect();
+        for _ in 0..HELPERS.min(outside.len()) {
+            let seat = outside.swap_remove(self.random.next_u32() as usize % outside.len());
+            self.send(now, seat, Body::Beat);
+        }
+    }
+
     fn accuse(&mut self, now: Nanos) {
         let mut accused = self.watch.accused(now);
         accused.truncate(ACCUSED);
@@ -381,23 +416,24 @@
         if let Some(council) = &mut self.council {
             council.accuse(now, self.me, accused.clone());
         }
-        self.tell_council(&Body::Accuse(accused));
+        self.tell_council(now, &Body::Accuse(accused));
     }
 
     fn ping(&mut self, now: Nanos) {
         if let Some(council) = self.council.as_ref().filter(|c| c.in_force()) {
             self.lease.renew(now, self.me, council.seats());
         }
-        if self.pinged.is_some_and(|at| now.saturating_sub(at) + TICK / 2 < PING) {
+        let every = if self.council.is_some() { PING_ALL } else { PING };
+        if self.pinged.is_some_and(|at| now.saturating_sub(at) + TICK / 2 < every) {
             return;
         }
         self.pinged = Some(now);
         let others: Vec<Seat> = self.council_seats.iter().copied().filter(|s| *s != self.me).collect();
         if self.council.is_some() {
-            others.into_iter().for_each(|s| self.send(s, Body::Ping(now)));
+            others.into_iter().for_each(|s| self.send(now, s, Body::Ping(now)));
         } else if !others.is_empty() {
             let one = others[self.random.next_u32() as usize % others.len()];
-            self.send(one, Body::Ping(now));
+            self.send(now, one, Body::Ping(now));
         }
     }
 
@@ -414,13 +450,13 @@
         }
         for seat in calls {
             let cookie = self.given.get(&seat).copied().unwrap_or(0);
-            self.send(seat, Body::Join(cookie));
+            self.send(now, seat, Body::Join(cookie));
         }
         if sponsor.is_none() {
             if let Some((seats, digest)) = self.founding.ask(now, me, roster) {
                 for seat in seats {
                     if Self::due(&mut self.asked, now, seat, TELL) {
-                        self.send(seat, Body::Found(digest));
+                        self.send(now, seat, Body::Found(digest));
                     }
                 }
             }
@@ -461,6 +497,8 @@
                     if !self.attached(now) && (head.rooted || !rooted && head.lineage() > lineage) {
                         self.leave(now);
                         self.sponsor = Some((at, now));
+                    } else if Self::due(&mut self.told, now, at, TELL) {
+                        self.send(now, at, Body::Beat);
                     }
                     return;
                 }
@@ -483,10 +521,10 @@
         match body {
             Body::Challenge(cookie) => {
                 self.given.insert(at, cookie);
-                self.send(at, Body::Join(cookie));
+                self.send(now, at, Body::Join(cookie));
             }
             Body::Found(digest) if head.view == 0 && self.founding.agrees(now, me, roster, at, digest) => {
-                self.send(at, Body::Founded(digest));
+                self.send(now, at, Body::Founded(digest));
             }
             Body::Founded(digest) if head.view == 0 => {
                 if let Some(founders) = self.founding.agreed(now, me, roster, at, digest) {
@@ -496,7 +534,7 @@
             Body::Piece(..) => self.take_piece(now, at, head, body),
             _ if head.view != 0 && Self::due(&mut self.asked, now, at, TELL) => {
                 let from = self.fetched((head.view, head.lineage()));
-                self.send(at, Body::Want(from));
+                self.send(now, at, Body::Want(from));
             }
             _ => {}
         }
@@ -525,7 +563,7 @@
             }
             if Self::due(&mut self.asked, now, at, TELL) {
                 let from = self.fetched((head.view, head.lineage()));
-                self.send(at, Body::Want(from));
+                self.send(now, at, Body::Want(from));
             }
             return;
         }
@@ -533,7 +571,7 @@
             return self.leave(now);
         }
         match body {
-            Body::Want(from) => return self.give(at, head.view, from),
+            Body::Want(from) => return self.give(now, at, head.view, from),
             Body::Join(cookie) if !holds => return self.join(now, at, life, cookie),
             _ => {}
         }
@@ -545,7 +583,7 @@
                 self.out.push(Output::Refused(at, Reason::Life));
             }
             if Self::due(&mut self.told, now, at, TELL) {
-                self.send(at, Body::Beat);
+                self.send(now, at, Body::Beat);
             }
             // What a member says of others counts in its own view only.
             if !matches!(body, Body::Probe(_) | Body::Alive(_)) {
@@ -567,9 +605,9 @@
 
     fn take_as_member(&mut self, now: Nanos, at: Seat, life: Life, body: Body) {
         match body {
-            Body::Ask(subject) => self.send(subject, Body::Probe(at)),
-            Body::Probe(asker) => self.send(at, Body::Alive(asker)),
-            Body::Alive(asker) => self.send(asker, Body::Seen(at, life.to_le_bytes())),
+            Body::Ask(subject) => self.send(now, subject, Body::Probe(at)),
+            Body::Probe(asker) => self.send(now, at, Body::Alive(asker)),
+            Body::Alive(asker) => self.send(now, asker, Body::Seen(at, life.to_le_bytes())),
             Body::Seen(seat, life) => {
                 if self.view.as_ref().is_some_and(|v| v.holds(seat, Life::from_le_bytes(life))) {
                     self.watch.hear_of(seat);
@@ -613,8 +651,8 @@
         let age = self.lease.age(now).and_then(|age| u32::try_from(age.div_ceil(MS)).ok());
         let to_council = council.seats().contains(&at);
         match age {
-            Some(age) => self.send(at, Body::Pong(asked, age)),
-            None if to_council => self.send(at, Body::Pong(asked, u32::MAX)),
+            Some(age) => self.send(now, at, Body::Pong(asked, age)),
+            None if to_council => self.send(now, at, Body::Pong(asked, u32::MAX)),
             None => {}
         }
     }
@@ -622,7 +660,7 @@
     fn join(&mut self, now: Nanos, at: Seat, life: Life, cookie: u64) {
         if !self.cookies.1.contains(&cookie) {
             let cookie = self.cookies.1[0];
-            return self.send(at, Body::Challenge(cookie));
+            return self.send(now, at, Body::Challenge(cookie));
         }
         if !Self::due(&mut self.passed_on, now, at, PASS_ON) {
             return;
@@ -630,20 +668,20 @@
         if let Some(council) = &mut self.council {
             council.join(now, at, life);
         }
-        self.tell_council(&Body::Joiner(at, life.to_le_bytes()));
+        self.tell_council(now, &Body::Joiner(at, life.to_le_bytes()));
     }
 
     /// What leads from that view to this one's, or a piece of this one's.
-    fn give(&mut self, at: Seat, theirs: u64, from: u16) {
+    fn give(&mut self, now: Nanos, at: Seat, theirs: u64, from: u16) {
         if let Some((_, cut)) = self.cuts.iter().find(|(number, _)| *number == theirs && from == 0) {
             let cut = cut.clone();
-            return self.send(at, Body::Change(theirs, cut));
+            return self.send(now, at, Body::Change(theirs, cut));
         }
         let Some(view) = &self.view else { return };
         let members = view.members.iter().skip(usize::from(from)).take(PIECE);
         let piece = members.map(|(seat, life)| (*seat, life.to_le_bytes())).collect();
         let total = view.members.len() as u16;
-        self.send(at, Body::Piece(from, total, piece));
+        self.send(now, at, Body::Piece(from, total, piece));
     }
 
     fn catch_up(&mut self, now: Nanos, at: Seat, head: &Head, body: Body) {
@@ -654,7 +692,7 @@
                 }
                 self.step(now, &cut);
                 if self.view.as_ref().is_some_and(|v| v.number < head.view) {
-                    self.send(at, Body::Want(0));
+                    self.send(now, at, Body::Want(0));
                 }
             }
             body => self.take_piece(now, at, head, body),
@@ -682,7 +720,7 @@
         fetch.members.extend(members.iter().map(|(s, l)| (*s, Life::from_le_bytes(*l))));
         if fetch.members.len() < fetch.total {
             let next = fetch.members.len() as u16;
-            return self.send(at, Body::Want(next));
+            return self.send(now, at, Body::Want(next));
         }
         let Some(Fetch { view: (number, lineage), rooted, members, .. }) = self.fetch.take() else { return };
         let view = View { number, lineage, rooted, members };
