--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -86,6 +86,8 @@
     most_connections: Option<u32>,
     /// Servers that operators have taken out of use, whatever the list says.
     pub bans: Bans,
+    /// Servers that drain by others' word, ahead of the list.
+    drained: BTreeSet<String>,
     /// Servers that were put back and may be used from now on.
     restored: Vec<Endpoint>,
 }
@@ -102,7 +104,7 @@
 impl Fleet {
     /// An empty fleet whose servers each hold at most so many connections of this node's, over all wires.
     pub fn with_cap(most_connections: Option<u32>) -> Self {
-        Fleet { upstreams: BTreeMap::new(), most_connections, bans: Bans::default(), restored: Vec::new() }
+        Fleet { most_connections, ..Fleet::default() }
     }
 
     fn endpoint(&self, host: &str) -> Endpoint {
@@ -116,7 +118,10 @@
         for entry in entries {
             let endpoint = self.endpoint(&entry.host);
             let listed = Server { endpoint, ..entry.server };
-            let server = self.bans.overlay(&entry.host, listed);
+            let mut server = self.bans.overlay(&entry.host, listed);
+            if server.phase == Phase::Ready && self.drained.contains(&entry.host) {
+                server.phase = Phase::Draining;
+            }
             let dials = entry.dials;
             let upstream = self.upstreams.entry(endpoint).or_insert_with(|| Upstream {
                 host: entry.host,
@@ -168,6 +173,14 @@
         self.follow(now, ListKind::Changes, entries)
     }
 
+    /// A server drains by others' word, or does no longer; whether that is news.
+    pub fn hear_of_drain(&mut self, host: &str, drains: bool) -> bool {
+        match drains {
+            true => self.drained.insert(host.to_owned()),
+            false => self.drained.remove(host),
+        }
+    }
+
     /// The servers that were put back and have come into use since this was last asked.
     pub fn restored(&mut self) -> Vec<Endpoint> {
         std::mem::take(&mut self.restored)
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -360,6 +360,25 @@
         Ok(word)
     }
 
+    /// The fleet's word on a server, which counts whatever was said of it here before.
+    pub fn follow_ban(self: &Rc<Self>, host: &str, out: bool) {
+        let now = self.clock.now();
+        let news = self.fleet(|f| match out {
+            true => matches!(f.bans.detach(host, now), Ok(Some(_))),
+            false => f.bans.attach(host, now).is_some(),
+        });
+        if news {
+            self.reconsider(&[host.to_owned()]);
+        }
+    }
+
+    /// Others have heard that a server drains, before the list here says so; or that counts no longer.
+    pub fn follow_drain(self: &Rc<Self>, host: &str, drains: bool) {
+        if self.fleet(|f| f.hear_of_drain(host, drains)) {
+            self.reconsider(&[host.to_owned()]);
+        }
+    }
+
     /// Takes over words that were said to another process of this node.
     pub fn merge_bans(self: &Rc<Self>, words: Vec<Word>) {
         let changed = self.fleet(|f| f.bans.merge(words));
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -89,11 +89,17 @@
     Detach {
         /// Its name in the list.
         id: String,
+        /// Says of each member of the fleet whether it has that word; a no where one has not, or does not answer.
+        #[arg(long)]
+        everywhere: bool,
     },
     /// It is used again.
     Attach {
         /// Its name in the list.
         id: String,
+        /// Says of each member of the fleet whether it has that word; a no where one has not, or does not answer.
+        #[arg(long)]
+        everywhere: bool,
     },
 }
 
@@ -145,14 +151,25 @@
             Ok(crate::ask::explain(site, plan, server.unwrap_or_default(), class.unwrap_or_default())?)
         }
         Some(Command::Ready { at }) => call(&Call::Ready, at),
-        Some(Command::Servers { change: Change::Detach { id }, at }) => call(&Call::Detach(id), at),
-        Some(Command::Servers { change: Change::Attach { id }, at }) => call(&Call::Attach(id), at),
+        Some(Command::Servers { change, at }) => say(change, at),
         Some(Command::Shift { call, at }) => Ok(crate::shift::cli::run(&call, at)?),
         Some(Command::Fleet { call, at }) => Ok(crate::fleet::cli::run(&call, at)?),
         Some(Command::Check { file, config }) => check(&file, config.as_deref()),
     }
 }
 
+fn say(change: Change, at: Option<SocketAddr>) -> Result<(), Failure> {
+    let (word, id, everywhere) = match change {
+        Change::Detach { id, everywhere } => (Call::Detach(id.clone()), id, everywhere),
+        Change::Attach { id, everywhere } => (Call::Attach(id.clone()), id, everywhere),
+    };
+    call(&word, at)?;
+    if everywhere {
+        println!("{}", crate::fleet::cli::everywhere(&id, at)?);
+    }
+    Ok(())
+}
+
 fn call(call: &Call, at: Option<SocketAddr>) -> Result<(), Failure> {
     println!("{}", answered(call, at)?);
     Ok(())
--- a/crates/node/src/fleet/cli.rs
+++ b/crates/node/src/fleet/cli.rs
@@ -18,6 +18,22 @@
         /// Its name.
         name: String,
     },
+    /// What all members know alike, as this node has it: bans, and drains by the list.
+    State {
+        /// Only `ban` or `drain`.
+        #[arg(long, value_parser = ["ban", "drain"])]
+        kind: Option<String>,
+        /// As the node says it.
+        #[arg(long)]
+        json: bool,
+    },
+    /// What two nodes' copies disagree on, and which rule will settle it: exit code 1 where they do.
+    Differ {
+        /// A node's second address.
+        a: SocketAddr,
+        /// Another one's.
+        b: SocketAddr,
+    },
 }
 
 #[derive(Debug, thiserror::Error)]
@@ -29,16 +45,110 @@
 }
 
 pub(crate) fn run(call: &FleetCall, at: Option<SocketAddr>) -> Result<(), FleetFailure> {
+    match call {
+        FleetCall::State { kind, json } => return show_state(kind.clone(), *json, at),
+        FleetCall::Differ { a, b } => return differ(*a, *b),
+        FleetCall::Members { .. } | FleetCall::Explain { .. } => {}
+    }
     let said = answered(&Call::Fleet, at)?;
     let fleet: Value = serde_json::from_str(&said)?;
     match call {
         FleetCall::Members { json: true } => println!("{said}"),
         FleetCall::Members { json: false } => println!("{}", members(&fleet)),
         FleetCall::Explain { name } => println!("{}", explain(&fleet, name).map_err(CallError::No)?),
+        FleetCall::State { .. } | FleetCall::Differ { .. } => {}
     }
     Ok(())
 }
 
+fn show_state(kind: Option<String>, json: bool, at: Option<SocketAddr>) -> Result<(), FleetFailure> {
+    let said = answered(&Call::FleetState(kind), at)?;
+    match json {
+        true => println!("{said}"),
+        false => println!("{}", state(&serde_json::from_str(&said)?)),
+    }
+    Ok(())
+}
+
+fn differ(a: SocketAddr, b: SocketAddr) -> Result<(), FleetFailure> {
+    let copy = |at| -> Result<Value, FleetFailure> {
+        Ok(serde_json::from_str(&answered(&Call::FleetState(None), Some(at))?)?)
+    };
+    let lines = differences(&copy(a)?, &copy(b)?);
+    if lines.is_empty() {
+        println!("the copies are equal");
+        return Ok(());
+    }
+    Err(CallError::No(lines.join("\n")).into())
+}
+
+/// After staff's word: which members have it. A no where one has not, or does not answer.
+pub(crate) fn everywhere(server: &str, at: Option<SocketAddr>) -> Result<String, CallError> {
+    let said = answered(&Call::FleetHeld(server.to_owned()), at)?;
+    let rows: Vec<(String, Option<bool>)> =
+        serde_json::from_str(&said).map_err(|_| CallError::No(format!("that is no answer: {said}")))?;
+    let line = |(name, has): &(String, Option<bool>)| {
+        let has = match has {
+            Some(true) => "has it",
+            Some(false) => "has not",
+            None => "does not answer",
+        };
+        format!("{name:<24} {has}")
+    };
+    let text = rows.iter().map(line).collect::<Vec<_>>().join("\n");
+    match rows.iter().all(|(_, has)| *has == Some(true)) {
+        true => Ok(text),
+        false => Err(CallError::No(text)),
+    }
+}
+
+fn entries(copy: &Value) -> &[Value] {
+    copy["entries"].as_array().map_or(&[], Vec::as_slice)
+}
+
+fn state(copy: &Value) -> String {
+    let word = |w: &Value| match w["version"].as_u64() {
+        Some(version) => format!("list {version}"),
+        None => format!("{}#{}{}", text(&w["by"]), w["number"], if w["out"] == true { "" } else { " back" }),
+    };
+    let row = |e: &Value| {
+        let words: Vec<String> = e["words"].as_array().into_iter().flatten().map(word).collect();
+        let out = if e["out"] == true { "out" } else { "in use" };
+        format!("{:<6} {:<24} {out:<7} {}", text(&e["kind"]), text(&e["server"]), words.join(", "))
+    };
+    let caught_up = if copy["caught_up"] == true { "" } else { "; has yet to hear what the others know" };
+    let head = format!(
+        "copy {} at {}, {} entries{caught_up}",
+        text(&copy["copy"]),
+        text(&copy["me"]),
+        entries(copy).len()
+    );
+    [head].into_iter().chain(entries(copy).iter().map(row)).collect::<Vec<_>>().join("\n")
+}
+
+/// Entries that two copies have otherwise, with the rule that settles it.
+fn differences(a: &Value, b: &Value) -> Vec<String> {
+    let name = |e: &Value| (text(&e["kind"]).to_owned(), text(&e["server"]).to_owned());
+    let index = |copy: &Value| -> std::collections::BTreeMap<(String, String), Value> {
+        entries(copy).iter().map(|e| (name(e), e.clone())).collect()
+    };
+    let (mine, theirs) = (index(a), index(b));
+    let keys: std::collections::BTreeSet<_> = mine.keys().chain(theirs.keys()).collect();
+    let short = |e: Option<&Value>| match e {
+        None => "nothing".to_owned(),
+        Some(e) => (if e["out"] == true { "out" } else { "in use" }).to_owned(),
+    };
+    let line = |key: &(String, String)| {
+        let rule = match key.0.as_str() {
+            "drain" => "the later version of the list counts",
+            _ => "the word that knew of the other counts; of two that did not, the ban",
+        };
+        let (a, b) = (short(mine.get(key)), short(theirs.get(key)));
+        format!("{} {}: {a} here, {b} there: {rule}", key.0, key.1)
+    };
+    keys.into_iter().filter(|key| mine.get(*key) != theirs.get(*key)).map(line).collect()
+}
+
 fn rows(fleet: &Value) -> &[Value] {
     fleet["members"].as_array().map_or(&[], Vec::as_slice)
 }
@@ -113,4 +223,20 @@
         assert!(why.contains("no member") && why.contains("for 2300 ms") && why.contains("by a"), "{why}");
         assert!(explain(&fleet, "c").is_err());
     }
+
+    #[test]
+    fn copies_are_readable_and_so_is_what_differs() {
+        let word = serde_json::json!({"by": "a", "life": 1, "number": 2, "out": true, "at": 0});
+        let ban = serde_json::json!({"kind": "ban", "server": "s", "out": true, "words": [word]});
+        let drain = serde_json::json!({"kind": "drain", "server": "t", "out": false, "words": [{"version": 7, "out": false}]});
+        let copy = |entries: &[&Value]| serde_json::json!({"me": "a", "caught_up": true, "copy": "0f", "entries": entries});
+        let both = copy(&[&ban, &drain]);
+        let shown = state(&both);
+        assert!(shown.starts_with("copy 0f at a, 2 entries\n") && shown.contains("a#2"), "{shown}");
+        assert!(shown.lines().nth(2).unwrap().contains("list 7"), "{shown}");
+        assert!(differences(&both, &both).is_empty());
+        let lines = differences(&both, &copy(&[&drain]));
+        assert_eq!(lines.len(), 1);
+        assert!(lines[0].starts_with("ban s: out here, nothing there"), "{lines:?}");
+    }
 }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -4,14 +4,16 @@
 //! What a member decides stands in `laurelroute-membership`.
 
 pub(crate) mod cli;
+pub(crate) mod copy;
 mod history;
 pub mod table;
 
+use copy::Copy;
 use history::History;
 use laurelroute_core::gateway::Gateway;
 use laurelroute_membership::{Machine, Nanos, Output, Reason, Seat, View, MS, TICK};
 use ring::hmac;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -49,6 +51,10 @@
 pub(crate) struct Member {
     site: FleetSite,
     machine: RefCell<Machine>,
+    copy: Rc<Copy>,
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// The process that this one takes over from has its port still.
+    waits: Cell<bool>,
     history: RefCell<Option<History>>,
     refused: RefCell<BTreeMap<(Seat, Reason), Nanos>>,
     /// The last view, and when it came, for operators.
@@ -62,6 +68,7 @@
     gateway: &Rc<Gateway>,
     site: &FleetSite,
     allowed: bool,
+    listen: SocketAddr,
 ) -> Result<Rc<Member>, FleetError> {
     if !allowed {
         return Err(FleetError::Forbidden);
@@ -71,11 +78,16 @@
         .map_err(|_| FleetError::Random)?;
     let history = site.history.as_deref().map(History::open).transpose().map_err(FleetError::History)?;
     let machine = Machine::new(&site.site, site.roster.clone(), site.me, seed, gateway.clock.now());
+    let replica = laurelroute_replica::Machine::new(&site.site, &site.roster, site.me, machine.life());
     #[cfg(feature = "planted")]
-    let machine = planted(machine);
+    let (machine, replica) = planted(machine, replica);
+    let copy = Copy::new(replica, crate::upgrade::link::place(listen, "replica"), gateway.clock.now());
     let member = Rc::new(Member {
         site: site.clone(),
         machine: RefCell::new(machine),
+        copy: Rc::new(copy),
+        socket: RefCell::default(),
+        waits: Cell::default(),
         history: RefCell::new(history),
         refused: RefCell::default(),
         since: RefCell::default(),
@@ -89,25 +101,37 @@
 
 /// For tests: the defect that the environment names.
 #[cfg(feature = "planted")]
-fn planted(mut machine: Machine) -> Machine {
+fn planted(
+    mut machine: Machine,
+    mut replica: laurelroute_replica::Machine,
+) -> (Machine, laurelroute_replica::Machine) {
     use laurelroute_membership::defect::{Defect, Planted};
+    use laurelroute_replica::defect as copies;
     let named = std::env::var("LAURELROUTE_PLANTED").unwrap_or_default();
     if let Some(defect) = Defect::ALL.into_iter().find(|d| format!("{d:?}") == named) {
         machine.plant(Planted::some(defect));
     }
-    machine
+    if let Some(defect) = copies::Defect::ALL.into_iter().find(|d| format!("{d:?}") == named) {
+        replica.plant(copies::Planted::some(defect));
+    }
+    (machine, replica)
 }
 
 impl Member {
     async fn run(self: Rc<Self>, gateway: Rc<Gateway>) {
         let socket = loop {
             match UdpSocket::bind(self.site.listen).await {
-                Ok(socket) => break socket,
+                Ok(socket) => break Rc::new(socket),
                 // The process that this one takes over from may have it still.
                 Err(error) => tracing::debug!("fleet: {}: {error}", self.site.listen),
             }
+            self.waits.set(true);
             tokio::time::sleep(BIND_AGAIN).await;
         };
+        self.waits.set(false);
+        self.socket.replace(Some(socket.clone()));
+        // The process before has ended, and writes its file no longer.
+        self.remember(&gateway);
         let seats: BTreeMap<SocketAddr, Seat> =
             self.site.addresses.iter().enumerate().map(|(seat, address)| (*address, seat as Seat)).collect();
         let mut tick = tokio::time::interval(Duration::from_nanos(TICK));
@@ -118,9 +142,13 @@
                 _ = tick.tick() => {
                     let now = gateway.clock.now();
                     let outputs = self.machine.borrow_mut().tick(now);
-                    self.carry_out(&gateway, &socket, outputs);
+                    self.carry_out(&gateway, outputs);
+                    let outputs = self.copy.machine.borrow_mut().tick(now);
+                    self.carry_out_copy(&gateway, outputs);
+                    self.forget_heard(&gateway, now);
                     self.follow_share(&gateway, now);
                     self.note_accused();
+                    self.note_copy();
                 }
                 ready = socket.readable() => {
                     if ready.is_err() {
@@ -130,14 +158,30 @@
                         let Ok((length, from)) = socket.try_recv_from(&mut bytes) else { break };
                         let Some(seat) = seats.get(&from) else { continue };
                         let Some(body) = self.opened(&bytes[..length]) else { continue };
-                        let outputs = self.machine.borrow_mut().receive(gateway.clock.now(), *seat, body);
-                        self.carry_out(&gateway, &socket, outputs);
+                        self.receive(&gateway, *seat, body);
                     }
                 }
             }
         }
     }
 
+    fn receive(&self, gateway: &Rc<Gateway>, seat: Seat, body: &[u8]) {
+        let now = gateway.clock.now();
+        if body.first().is_some_and(|version| version & 0x80 != 0) {
+            let outputs = self.copy.machine.borrow_mut().receive(now, seat, body);
+            return self.carry_out_copy(gateway, outputs);
+        }
+        let outputs = self.machine.borrow_mut().receive(now, seat, body);
+        self.carry_out(gateway, outputs);
+    }
+
+    /// One that finds no room, or nobody, is lost: no more is promised of a datagram.
+    fn post(&self, to: Seat, bytes: Vec<u8>) {
+        if let Some(socket) = &*self.socket.borrow() {
+            let _ = socket.try_send_to(&self.sealed(bytes), self.site.addresses[usize::from(to)]);
+        }
+    }
+
     /// A datagram without its mark; `None` where it is not one of ours.
     fn opened<'a>(&self, bytes: &'a [u8]) -> Option<&'a [u8]> {
         if bytes.len() > DATAGRAM {
@@ -158,18 +202,21 @@
         bytes
     }
 
-    fn carry_out(&self, gateway: &Rc<Gateway>, socket: &UdpSocket, outputs: Vec<Output>) {
+    fn carry_out(&self, gateway: &Rc<Gateway>, outputs: Vec<Output>) {
         let now = gateway.clock.now();
         for output in outputs {
             match output {
-                Output::Send(to, bytes) => {
-                    // One that finds no room, or nobody, is lost: no more is promised of a datagram.
-                    let _ = socket.try_send_to(&self.sealed(bytes), self.site.addresses[usize::from(to)]);
+                Output::Send(to, bytes) => self.post(to, bytes),
+                Output::View(view) => {
+                    let life = self.machine.borrow().life();
+                    let outputs = self.copy.machine.borrow_mut().view(now, &view, life);
+                    self.entered(now, view);
+                    self.carry_out_copy(gateway, outputs);
                 }
-                Output::View(view) => self.entered(now, view),
                 Output::Out => {
                     tracing::warn!("fleet: this member was put out, and asks to come back");
                     self.note("out", "");
+                    self.copy.machine.borrow_mut().leave();
                     *self.since.borrow_mut() = (None, now);
                 }
                 Output::Refused(seat, reason) => self.refuse(now, seat, reason),
--- a/crates/node/src/fleet/table.rs
+++ b/crates/node/src/fleet/table.rs
@@ -19,6 +19,7 @@
     listen: Option<Spanned<SocketAddr>>,
     key: Option<Spanned<String>>,
     history: Option<PathBuf>,
+    confirm: Option<Spanned<usize>>,
     #[serde(default, rename = "member")]
     members: Vec<MemberTable>,
 }
@@ -47,6 +48,8 @@
     pub key: Option<hmac::Key>,
     /// A file for what happens, in lines of JSON.
     pub history: Option<PathBuf>,
+    /// Staff's word is answered once so many others have it, where there are so many and they answer in time.
+    pub confirm: usize,
 }
 
 /// A key as an even number of hexadecimal digits.
@@ -106,6 +109,12 @@
                 }
             },
         };
+        let confirm = self.confirm.as_ref().map_or(1, |c| *c.get_ref());
+        if let Some(at) = self.confirm.as_ref().filter(|_| confirm >= roster.len()) {
+            let message =
+                format!("`fleet.confirm` is {confirm}, where there are {} others", roster.len() - 1);
+            return Err(check.at(at, message));
+        }
         if !here(listen.ip()) {
             let at = self.listen.as_ref().map_or(self.name.span().start, |l| l.span().start);
             return Err(
@@ -120,6 +129,7 @@
             listen,
             key,
             history: self.history.map(|path| check.beside(path)),
+            confirm,
         })
     }
 }
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -91,15 +91,21 @@
     all.merge(words);
     // What is not sound was told of at the start, or has been spoilt since: what is known here takes its place.
     all.merge(load(path).unwrap_or_default());
-    let draft = path.with_extension(format!("bans-{}", std::process::id()));
-    let written = write(&draft, &encode(all.words())).and_then(|()| fs::rename(&draft, path));
+    replace_file(path, &encode(all.words()))?;
+    Ok(all.words().cloned().collect())
+}
+
+/// Puts these bytes in a file's place.
+pub(crate) fn replace_file(path: &Path, bytes: &[u8]) -> io::Result<()> {
+    let kind = path.extension().unwrap_or_default().to_string_lossy().into_owned();
+    let draft = path.with_extension(format!("{kind}-{}", std::process::id()));
+    let written = write(&draft, bytes).and_then(|()| fs::rename(&draft, path));
     if written.is_err() {
         let _ = fs::remove_file(&draft);
     }
     written?;
     // The name is on the disk once its folder is.
-    path.parent().map_or(Ok(()), |folder| File::open(folder)?.sync_all())?;
-    Ok(all.words().cloned().collect())
+    path.parent().map_or(Ok(()), |folder| File::open(folder)?.sync_all())
 }
 
 fn write(draft: &Path, bytes: &[u8]) -> io::Result<()> {
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -99,13 +99,18 @@
         let servers = path.strip_prefix("/_servers/").and_then(|rest| rest.split_once('/'));
         let (status, text) = match (request.method(), servers) {
             (&Method::GET | &Method::HEAD, None) if path == "/_ready" => {
+                let now = self.gateway.clock.now();
+                let behind = self.member.as_ref().is_some_and(|m| !m.ready(now));
                 match self.succession.serving(&self.gateway) {
+                    true if behind => {
+                        (StatusCode::SERVICE_UNAVAILABLE, "has yet to hear what its fleet knows".to_owned())
+                    }
                     true => (StatusCode::OK, "takes clients".to_owned()),
                     false => (StatusCode::SERVICE_UNAVAILABLE, "takes no clients".to_owned()),
                 }
             }
-            (&Method::POST, Some(("detach", id))) => self.decide(id, Gateway::detach).await,
-            (&Method::POST, Some(("attach", id))) => self.decide(id, Gateway::attach).await,
+            (&Method::POST, Some(("detach", id))) => self.decide(id, true, Gateway::detach).await,
+            (&Method::POST, Some(("attach", id))) => self.decide(id, false, Gateway::attach).await,
             (&Method::GET, None) if path == "/_shift" => crate::shift::desk::status(&self.gateway),
             (&Method::POST, None) if path.starts_with("/_shift/") => {
                 crate::shift::desk::say(&self.gateway, &path["/_shift/".len()..], decode)
@@ -114,6 +119,9 @@
                 Some(member) => (StatusCode::OK, member.members(self.gateway.clock.now()).to_string()),
                 None => (StatusCode::NOT_FOUND, "this node is no member of a fleet".to_owned()),
             },
+            (&Method::GET, None) if path.starts_with("/_fleet/") => {
+                self.fleet(&path["/_fleet/".len()..]).await
+            }
             (_, Some(("detach" | "attach", _))) => (StatusCode::METHOD_NOT_ALLOWED, "POST".to_owned()),
             (_, None) if path == "/_ready" => (StatusCode::METHOD_NOT_ALLOWED, "GET".to_owned()),
             _ => (StatusCode::NOT_FOUND, "no such call".to_owned()),
@@ -127,10 +135,29 @@
         Ok(response)
     }
 
+    /// What a member's copy has, and who has the same of one server.
+    async fn fleet(&self, call: &str) -> (StatusCode, String) {
+        let Some(member) = &self.member else {
+            return (StatusCode::NOT_FOUND, "this node is no member of a fleet".to_owned());
+        };
+        match call.split_once('/') {
+            None if call == "state" => (StatusCode::OK, member.state(None).to_string()),
+            Some(("state", kind @ ("ban" | "drain"))) => {
+                (StatusCode::OK, member.state(Some(kind)).to_string())
+            }
+            Some(("held", id)) => match decode(id) {
+                Some(host) => (StatusCode::OK, serde_json::json!(member.held(&host).await).to_string()),
+                None => (StatusCode::BAD_REQUEST, "that is no server's name".to_owned()),
+            },
+            _ => (StatusCode::NOT_FOUND, "no such call".to_owned()),
+        }
+    }
+
     /// Takes a server out or puts it back, and sees to it that the node's other process knows.
     async fn decide(
         &self,
         id: &str,
+        out: bool,
         change: fn(&Rc<Gateway>, &str) -> Result<Option<Word>, Unmanaged>,
     ) -> (StatusCode, String) {
         let Some(host) = decode(id).filter(|host| (1..=MOST_NAME).contains(&host.len())) else {
@@ -147,7 +174,14 @@
                 if let Some(word) = &word {
                     tracing::info!("server {host}: {}", if word.out { "taken out" } else { "put back" });
                 }
-                (StatusCode::OK, self.kept(word).await)
+                let fleet = async {
+                    match &self.member {
+                        Some(member) => format!("; {}", member.say(&self.gateway, &host, out).await),
+                        None => String::new(),
+                    }
+                };
+                let (kept, fleet) = tokio::join!(self.kept(word), fleet);
+                (StatusCode::OK, kept + &fleet)
             }
             Err(error @ Unmanaged::Unknown) => (StatusCode::NOT_FOUND, error.to_string()),
             Err(error @ Unmanaged::Bans(_)) => (StatusCode::INSUFFICIENT_STORAGE, error.to_string()),
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -139,10 +139,6 @@
     if let Some(shift) = &site.shift {
         crate::shift::start(&gateway, &config, shift)?;
     }
-    let member = match &site.fleet {
-        Some(fleet) => Some(crate::fleet::start(&gateway, fleet, config.site.settings.peers)?),
-        None => None,
-    };
     let discovery = watch::Sender::new(config.discovery);
     let management = config.management.map(listen).transpose()?;
     let ledger = Ledger::of(config.listen);
@@ -150,6 +146,10 @@
     // Read after the claim: what was said in between is in the file or is told.
     gateway.merge_bans(ledger.read());
     gateway.merge_bans(claim.take_words());
+    let member = match &site.fleet {
+        Some(fleet) => Some(crate::fleet::start(&gateway, fleet, config.site.settings.peers, config.listen)?),
+        None => None,
+    };
     let mut entrance = |door, address| {
         let inherited = claim.listeners(door, address);
         Ok::<_, StartError>(match claim {
@@ -165,7 +165,8 @@
         front = Some(Front::new(gateway.clone(), thrift.front.clone()));
     }
     let succession = Succession::new(config.site.sockets, ledger.clone());
-    let one_level = || Watcher::new(source::to_gateway(&gateway), &config, &site, discovery.subscribe());
+    let one_level =
+        || Watcher::new(source::to_gateway(&gateway, member.clone()), &config, &site, discovery.subscribe());
     match forwarding {
         Some(forwarding) => forwarding.start(&gateway, &config, &site, discovery.subscribe()),
         None if push => drop(spawn_local(one_level().follow())),
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -1,6 +1,7 @@
 //! What discovery says, handed to whoever goes by it.
 
 use crate::discovery::Sink;
+use crate::fleet::copy::phases;
 use laurelroute_core::fleet::Entry;
 use laurelroute_core::gateway::Gateway;
 use laurelroute_plan::member::Member;
@@ -8,11 +9,15 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// Straight to the gateway: the one-level node.
-pub(crate) fn to_gateway(gateway: &Rc<Gateway>) -> Sink {
+/// Straight to the gateway: the one-level node. Where it is a member of a fleet, the others hear of what drains.
+pub(crate) fn to_gateway(gateway: &Rc<Gateway>, fleet: Option<Rc<crate::fleet::Member>>) -> Sink {
     let gateway = gateway.clone();
-    Box::new(move |kind, _, entries| {
+    Box::new(move |kind, version, entries| {
+        let said = fleet.is_some().then(|| phases(&entries));
         gateway.list(kind, entries);
+        if let (Some(fleet), Some(said)) = (&fleet, said) {
+            fleet.listed(&gateway, kind, version, &said);
+        }
         if matches!(kind, ListKind::Full | ListKind::Changes) {
             gateway.set_ready();
         }
--- a/crates/node/src/staff.rs
+++ b/crates/node/src/staff.rs
@@ -16,8 +16,8 @@
 
 /// A node answers within 1 s, whatever its load.
 const PATIENCE: Duration = Duration::from_secs(3);
-/// What an answer says at most: the status of a shift has some 64 rows and changes.
-const TEXT: usize = 256 * 1024;
+/// What an answer says at most: a copy of what the fleet knows has up to 2,048 entries.
+const TEXT: usize = 1024 * 1024;
 
 /// A call.
 #[derive(Clone, Debug, PartialEq)]
@@ -30,6 +30,10 @@
     Attach(String),
     /// Who is in the fleet.
     Fleet,
+    /// What the members know alike, of one kind or all.
+    FleetState(Option<String>),
+    /// Which members have what this node has of a server.
+    FleetHeld(String),
     /// What is to be said of the shift.
     ShiftStatus,
     /// An operator's word on the shift.
@@ -42,6 +46,9 @@
             Call::Ready => (Method::GET, "/_ready".to_owned()),
             Call::Detach(id) => (Method::POST, format!("/_servers/detach/{}", encode(id))),
             Call::Fleet => (Method::GET, "/_fleet".to_owned()),
+            Call::FleetState(None) => (Method::GET, "/_fleet/state".to_owned()),
+            Call::FleetState(Some(kind)) => (Method::GET, format!("/_fleet/state/{}", encode(kind))),
+            Call::FleetHeld(id) => (Method::GET, format!("/_fleet/held/{}", encode(id))),
             Call::ShiftStatus => (Method::GET, "/_shift".to_owned()),
             Call::ShiftWord(word) => (Method::POST, crate::shift::desk::path(word)),
             Call::Attach(id) => (Method::POST, format!("/_servers/attach/{}", encode(id))),
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Members of a fleet as real processes, joined by relays that lose, delay, spoil and cut. Many more: `rig mesh`.
 
-use laurelroute_simulation::schedule::{drawn, read, write, Fault};
+use laurelroute_simulation::schedule::{drawn, read, spoken, write, Fault};
 use laurelroute_testkit::mesh::{play, Mesh, Setup};
 use laurelroute_testkit::until;
 use std::path::Path;
@@ -67,6 +67,73 @@
     });
 }
 
+/// `laurelroute servers ...` at a process.
+fn servers(mesh: &Mesh, at: usize, arguments: &[&str]) -> (i32, String) {
+    let mut command = Command::new(PROGRAM);
+    command.env_remove("GW_CONFIG").env("GW_MANAGEMENT", mesh.process(at).management.to_string());
+    let output = command.arg("servers").args(arguments).output().expect("the program runs");
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).trim().to_owned())
+}
+
+/// Taken out at one node, a box is out at all; one that starts with a new disk hears of it before it says that it is ready.
+#[test]
+fn a_word_said_at_one_node_counts_at_all() {
+    let mut mesh = Mesh::start(Path::new(PROGRAM), &small(4), 5);
+    let (code, text) = servers(&mesh, 0, &["detach", "box-1", "--everywhere"]);
+    assert!(
+        code == 0 && text.contains("kept at 3 other members") && text.matches("has it").count() == 4,
+        "{text}"
+    );
+    let (_, text) = fleet(&mesh, 3, &["state"]);
+    assert!(text.contains("1 entries") && text.contains("box-1") && text.contains("node-000#1"), "{text}");
+    mesh.apply(&Fault::Kill(2));
+    until("the others are of one view", || mesh.agreed());
+    let (code, text) = servers(&mesh, 1, &["attach", "box-1", "--everywhere"]);
+    assert!(code == 0 && text.contains("kept at 2 other members"), "{text}");
+    let (code, text) = servers(&mesh, 1, &["detach", "box-0"]);
+    assert!(code == 0 && text.contains("kept at 2 other members"), "{text}");
+    mesh.apply(&Fault::Fresh(2));
+    until("it is ready", || mesh.process(2).call("GET", "/_ready") == Some(200));
+    let (_, text) = fleet(&mesh, 2, &["state", "--kind", "ban"]);
+    assert!(
+        text.contains("box-0                    out") && text.contains("box-1                    in use"),
+        "{text}"
+    );
+    let addresses = [0, 2].map(|k| mesh.process(k).management.to_string());
+    let (code, text) = fleet(&mesh, 0, &["differ", &addresses[0], &addresses[1]]);
+    assert_eq!((code, text.as_str()), (0, "the copies are equal"));
+    let (code, text) = servers(&mesh, 0, &["attach", "box-1"]);
+    assert!(code == 0 && text.contains("done"), "{text}");
+    let agreed = mesh.settle();
+    let verdict = mesh.finish(agreed);
+    assert!(verdict.broken.is_empty(), "{verdict:#?}");
+}
+
+/// Words said on both sides of a cut, kills with and without the disk, pauses: all come to the same.
+#[test]
+fn copies_keep_what_is_promised_under_faults() {
+    let program = Path::new(PROGRAM);
+    let named = "0ms ban 0 1\n600ms cut 0,1,2 3,4\n600ms cut 3,4 0,1,2\n1000ms back 0 1\n1100ms ban 1 1\n1300ms back 4 1\n\
+                 1500ms ban 3 0\n1600ms kill 2\n4000ms mend\n4200ms fresh 2\n5000ms pause 1 2000ms\n5500ms back 0 0\n8000ms mend\n";
+    let mut schedules = vec![(0, read(named).expect("a schedule"))];
+    schedules.extend([2, 7].map(|seed| (seed, spoken(seed, 5, 2))));
+    std::thread::scope(|scope| {
+        let plays: Vec<_> = schedules
+            .iter()
+            .map(|(seed, schedule)| {
+                (seed, schedule, scope.spawn(|| play(program, &small(5), *seed, schedule)))
+            })
+            .collect();
+        for (seed, schedule, one) in plays {
+            let verdict = one.join().unwrap_or_else(|_| panic!("seed {seed} did not come to its end"));
+            println!("seed {seed}: {verdict:?}");
+            assert!(verdict.broken.is_empty(), "seed {seed}: {:#?}\n{}", verdict.broken, write(schedule));
+            assert!(verdict.words.0 > 0);
+        }
+    });
+}
+
 /// The bed's own checks find what is wrong: a cut that nobody mends does not end in agreement.
 #[test]
 fn a_broken_promise_is_found() {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,6 +3,7 @@
 
 mod boxes;
 mod bulk;
+mod compare;
 mod cost;
 mod demo;
 mod levels;
@@ -10,6 +11,7 @@
 mod members;
 mod mesh;
 mod passthrough;
+mod replica;
 mod report;
 mod scale;
 mod seeds;
@@ -128,6 +130,12 @@
         /// How many of the sizes (12, 30, 100 and 300 members) kills are timed at.
         #[arg(long, default_value_t = 4)]
         sizes: usize,
+        /// Counts wrongful removals beside plain heartbeats and SWIM, and what is used once half is gone.
+        #[arg(long)]
+        compare: bool,
+        /// Draws that comparison.
+        #[arg(long, value_name = "FILE", requires = "compare")]
+        svg: Option<PathBuf>,
     },
     /// Real processes joined by relays, with drawn faults on links and processes, seed after seed.
     Mesh {
@@ -152,6 +160,32 @@
         #[arg(long, default_value_t = 2)]
         beds: usize,
     },
+    /// What all members of a fleet know alike: real processes under drawn faults with staff's words in them, and simulated time.
+    Replica {
+        #[command(flatten)]
+        common: Common,
+        /// How many seeds on real processes, from `--seed` on.
+        #[arg(long, default_value_t = 200)]
+        seeds: u64,
+        /// How many seeds in simulated time.
+        #[arg(long, default_value_t = 2_000)]
+        simulated: u64,
+        /// Processes.
+        #[arg(long, default_value_t = 5)]
+        members: usize,
+        /// A schedule to play instead of drawn ones.
+        #[arg(long, value_name = "FILE")]
+        schedule: Option<PathBuf>,
+        /// Has all processes do something wrong: WallClock, ForgetsEarly, SecondWriter or ReadyEarly.
+        #[arg(long, value_name = "DEFECT")]
+        planted: Option<String>,
+        /// Cuts the first schedule that breaks something down to the shortest that still does.
+        #[arg(long)]
+        shortest: bool,
+        /// Beds at a time.
+        #[arg(long, default_value_t = 4)]
+        beds: usize,
+    },
     /// New clients while one of two processes is stopped at some step of a takeover: for how long nobody answers them.
     Silence {
         #[command(flatten)]
@@ -219,10 +253,16 @@
         Command::Outage { common, seeds, forwarders } => levels::outage(&common, seeds, forwarders),
         Command::Upgrade { common, upgrades, body } => upgrade::run(&common, upgrades, body),
         Command::Kills { common, seeds } => upgrade::kills(&common, seeds),
-        Command::Members { common, seeds, sizes } => members::run(&common, seeds, sizes),
+        Command::Members { common, seeds, sizes, compare, svg } => {
+            members::run(&common, &members::Wanted { seeds, sizes, compare, svg: svg.as_deref() })
+        }
         Command::Mesh { common, seeds, members, schedule, planted, shortest, beds } => {
             mesh::run(&common, &mesh::Wanted { seeds, members, schedule, planted, shortest, beds })
         }
+        Command::Replica { common, seeds, simulated, members, schedule, planted, shortest, beds } => {
+            let wanted = mesh::Wanted { seeds, members, schedule, planted, shortest, beds };
+            replica::run(&common, simulated, &wanted)
+        }
         Command::Silence { common, rounds, output } => silence::run(&common, rounds, output.as_deref()),
         Command::Bulk(common) => bulk::run(&common),
         Command::Scale(common) => scale::run(&common),
--- a/crates/rig/src/members.rs
+++ b/crates/rig/src/members.rs
@@ -7,6 +7,7 @@
 use laurelroute_simulation::members::{play, Fleet};
 use laurelroute_simulation::schedule::{drawn, Fault, Network};
 use laurelroute_simulation::{Nanos, MS, S};
+use std::path::Path;
 
 /// Members in the drawn worlds.
 const MEMBERS: usize = 12;
@@ -51,8 +52,21 @@
     fleet.removals.len()
 }
 
+/// What is to be played.
+pub struct Wanted<'a> {
+    /// How many seeds.
+    pub seeds: u64,
+    /// How many of the sizes.
+    pub sizes: usize,
+    /// Beside others.
+    pub compare: bool,
+    /// A picture of that.
+    pub svg: Option<&'a Path>,
+}
+
 /// Drawn schedules, kills by size, and rough minutes.
-pub fn run(common: &Common, seeds: u64, sizes: usize) -> Result<(), Failure> {
+pub fn run(common: &Common, wanted: &Wanted<'_>) -> Result<(), Failure> {
+    let (seeds, sizes) = (wanted.seeds, wanted.sizes);
     println!("{seeds} drawn schedules, {MEMBERS} members ...");
     let played = all(seeds, |k| {
         let seed = common.seed + k;
@@ -96,6 +110,9 @@
         outcome.put(format!("bytes_a_second_{members}"), rate);
     }
     table(&["members", "kills", "first ms", "p99", "last ms", "p99", "B/s a member"], &rows);
+    if wanted.compare {
+        crate::compare::run(&mut outcome, common.seed, wanted.svg)?;
+    }
     outcome.close("members", common)?;
     match broken.into_iter().next() {
         Some(first) => Err(Failure(first)),
--- a/crates/rig/src/mesh.rs
+++ b/crates/rig/src/mesh.rs
@@ -4,6 +4,7 @@
 use crate::seeds::at_a_time;
 use crate::{Common, AS_PROGRAM};
 use laurelroute_membership::defect::Defect;
+use laurelroute_replica::defect as copies;
 use laurelroute_simulation::schedule::{drawn, read, shortest, write, Schedule};
 use laurelroute_testkit::mesh::{play, Setup, Verdict};
 use std::path::{Path, PathBuf};
@@ -35,18 +36,32 @@
 
 /// Plays the seeds.
 pub fn run(common: &Common, wanted: &Wanted) -> Result<(), Failure> {
+    play_all(common, wanted, |seed| drawn(seed, wanted.members), Outcome::default(), "mesh")
+}
+
+/// Plays the seeds with schedules drawn like this.
+pub fn play_all(
+    common: &Common,
+    wanted: &Wanted,
+    drawn: impl Fn(u64) -> Schedule + Sync,
+    mut outcome: Outcome,
+    name: &str,
+) -> Result<(), Failure> {
     std::env::set_var(AS_PROGRAM, "1");
     let program = std::env::current_exe()?;
-    if let Some(name) =
-        wanted.planted.as_ref().filter(|n| !Defect::ALL.iter().any(|d| format!("{d:?}") == **n))
-    {
-        return Err(Failure(format!("`{name}` is no defect; known are {:?}", Defect::ALL)));
+    let defects: Vec<String> = Defect::ALL
+        .iter()
+        .map(|d| format!("{d:?}"))
+        .chain(copies::Defect::ALL.iter().map(|d| format!("{d:?}")))
+        .collect();
+    if let Some(name) = wanted.planted.as_ref().filter(|n| !defects.contains(n)) {
+        return Err(Failure(format!("`{name}` is no defect; known are {}", defects.join(", "))));
     }
     let named = match &wanted.schedule {
         Some(file) => Some(read(&std::fs::read_to_string(file)?)?),
         None => None,
     };
-    let schedule = |seed| named.clone().unwrap_or_else(|| drawn(seed, wanted.members));
+    let schedule = |seed| named.clone().unwrap_or_else(|| drawn(seed));
     let setup = Setup { members: wanted.members, planted: wanted.planted.clone(), ..Setup::default() };
     let played = at_a_time(wanted.beds.max(1), wanted.seeds, |k| {
         let seed = common.seed + k;
@@ -57,7 +72,6 @@
     });
     let broken: Vec<&(u64, Verdict)> = played.iter().filter(|(_, v)| !v.broken.is_empty()).collect();
     let agreed: Vec<f64> = played.iter().filter_map(|(_, v)| Some(v.agreed?.as_secs_f64())).collect();
-    let mut outcome = Outcome::default();
     outcome.put("seeds", wanted.seeds as f64);
     outcome.put("members", wanted.members as f64);
     outcome.put("broken", broken.len() as f64);
@@ -66,7 +80,14 @@
     outcome.put("most_of_one_whole", played.iter().map(|(_, v)| v.most).fold(0.0, f64::max));
     outcome.put("served", played.iter().map(|(_, v)| v.served.0).sum::<usize>() as f64);
     outcome.put("lost", played.iter().map(|(_, v)| v.lost).sum::<usize>() as f64);
-    outcome.close("mesh", common)?;
+    let words = |of: fn(&(usize, usize)) -> usize| played.iter().map(|(_, v)| of(&v.words)).sum::<usize>();
+    if words(|w| w.0) > 0 {
+        let equal = played.iter().filter_map(|(_, v)| Some(v.equal?.as_secs_f64())).fold(0.0, f64::max);
+        outcome.put("words", words(|w| w.0) as f64);
+        outcome.put("words_kept_by_others_at_once", words(|w| w.1) as f64);
+        outcome.put("equal_s_slowest", equal);
+    }
+    outcome.close(name, common)?;
     let Some((seed, verdict)) = broken.first() else { return Ok(()) };
     show(&program, &setup, *seed, schedule(*seed), wanted.shortest);
     Err(Failure(format!("seed {seed}: {}", verdict.broken[0])))
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -4,6 +4,7 @@
 //! list of servers are models here. All draws follow from one seed, faults among them, and the promises are looked at
 //! after every event, so that a run that breaks one is repeated by its seed.
 
+pub mod baselines;
 pub mod boxes;
 pub mod draw;
 pub mod faults;
--- a/crates/simulation/src/members/mod.rs
+++ b/crates/simulation/src/members/mod.rs
@@ -1,6 +1,8 @@
 //! Members of a fleet that watch one another, in simulated time: the machines of `laurelroute-membership` on links that
 //! lose, delay, double and cut, with processes that pause, die and start again. What they promise is looked at as it happens.
 
+pub mod copies;
+
 use crate::draw::Draw;
 use crate::schedule::{Fault, Network};
 use crate::{Nanos, MS, S};
@@ -9,6 +11,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
+/// Bytes of the mark that a carrier adds to each datagram.
+const MARK: u64 = 16;
 /// Datagrams that a paused process's socket keeps.
 const SOCKET: usize = 200;
 
@@ -26,6 +30,7 @@
     waiting: Vec<(Seat, Vec<u8>)>,
     views: Vec<(Nanos, View)>,
     sent: u64,
+    copy: copies::Kept,
 }
 
 /// A member that was put out of a view.
@@ -54,6 +59,7 @@
     draw: Draw,
     planted: Planted,
     seen: BTreeMap<(u16, u64), View>,
+    copies: Option<copies::Copies>,
     /// Those that were put out, each once.
     pub removals: Vec<Removal>,
     /// The largest sum of what all use of one whole.
@@ -83,6 +89,7 @@
             draw: Draw::new(seed, 77),
             planted,
             seen: BTreeMap::new(),
+            copies: None,
             removals: Vec::new(),
             most: 0.0,
             broken: Vec::new(),
@@ -110,6 +117,7 @@
         process.waiting.clear();
         process.paused = (0, 0);
         let start = process.starts;
+        self.start_copy(seat);
         self.push(at, Event::Tick { seat, start });
     }
 
@@ -120,7 +128,15 @@
                 let process = &mut self.processes[usize::from(*seat)];
                 process.machine = None;
                 process.starts += 1;
+                process.copy.stop();
+            }
+            Fault::Fresh(seat) => {
+                if !self.runs(*seat) {
+                    self.processes[usize::from(*seat)].copy.lose(self.now);
+                    self.start(*seat, self.now);
+                }
             }
+            Fault::Say(seat, server, out) => self.say(*seat, *server, *out),
             Fault::Start(seat) => {
                 if self.processes[usize::from(*seat)].machine.is_none() {
                     self.start(*seat, self.now);
@@ -174,6 +190,7 @@
                     waiting.iter().for_each(|(from, bytes)| self.deliver(*from, seat, bytes));
                 }
                 self.act(seat, |machine| machine.tick(now));
+                self.act_copy(seat, |copy| copy.tick(now));
                 if !reads_first {
                     waiting.iter().for_each(|(from, bytes)| self.deliver(*from, seat, bytes));
                 }
@@ -200,6 +217,9 @@
 
     fn deliver(&mut self, from: Seat, to: Seat, bytes: &[u8]) {
         let now = self.now;
+        if bytes.first() == Some(&laurelroute_replica::wire::VERSION) {
+            return self.act_copy(to, |copy| copy.receive(now, from, bytes));
+        }
         self.act(to, |machine| machine.receive(now, from, bytes));
     }
 
@@ -209,14 +229,18 @@
         for output in outputs {
             match output {
                 Output::Send(to, bytes) => self.send(seat, to, bytes),
-                Output::View(view) => self.saw(seat, view),
-                Output::Out | Output::Refused(..) => {}
+                Output::View(view) => {
+                    self.view_copy(seat, &view);
+                    self.saw(seat, view);
+                }
+                Output::Out => self.leave_copy(seat),
+                Output::Refused(..) => {}
             }
         }
     }
 
     fn send(&mut self, from: Seat, to: Seat, bytes: Vec<u8>) {
-        self.processes[usize::from(from)].sent += bytes.len() as u64;
+        self.processes[usize::from(from)].sent += bytes.len() as u64 + MARK;
         if bytes.len() > 256 {
             self.broken.push(format!("a datagram of {} bytes", bytes.len()));
         }
--- a/crates/simulation/src/schedule.rs
+++ b/crates/simulation/src/schedule.rs
@@ -36,6 +36,10 @@
     Kill(Seat),
     /// It starts with a new life, if it does not run.
     Start(Seat),
+    /// It starts with a new life and without what the one before kept, if it does not run.
+    Fresh(Seat),
+    /// Staff take this server out of use there, or put it back.
+    Say(Seat, u16, bool),
     /// It does not run for so long.
     Pause(Seat, Nanos),
     /// From each of these nothing comes to any of those.
@@ -113,12 +117,53 @@
     faults
 }
 
+/// The same, with staff's words on a few servers all the while, and some that start again without what they kept.
+pub fn spoken(seed: u64, members: usize, servers: u16) -> Schedule {
+    let mut faults = drawn(seed, members);
+    let mut draw = Draw::new(seed, 82);
+    let end = faults.last().map_or(0, |(at, _)| *at);
+    for (_, fault) in &mut faults {
+        if let Fault::Start(seat) = *fault {
+            if draw.chance(0.5) {
+                *fault = Fault::Fresh(seat);
+            }
+        }
+    }
+    // Who is killed has often just spoken, and speaks again once it is back.
+    let kill = |(at, fault): &(Nanos, Fault)| match fault {
+        Fault::Kill(seat) => Some((*at, *seat)),
+        _ => None,
+    };
+    let killed: Vec<(Nanos, Seat)> = faults.iter().filter_map(kill).collect();
+    for (at, seat) in killed {
+        let server = draw.below(usize::from(servers)) as u16;
+        faults
+            .push((at.saturating_sub(draw.between(0, 400 * MS)), Fault::Say(seat, server, draw.chance(0.6))));
+        faults.push((at + draw.between(0, 12 * S), Fault::Say(seat, server, draw.chance(0.5))));
+    }
+    for _ in 0..2 + draw.below(12) {
+        let (seat, server) = (draw.below(members) as Seat, draw.below(usize::from(servers)) as u16);
+        let at = draw.between(0, end);
+        faults.push((at, Fault::Say(seat, server, draw.chance(0.6))));
+        if draw.chance(0.3) {
+            // Somebody else says the opposite at about the same moment.
+            let other = draw.below(members) as Seat;
+            faults.push((at + draw.between(0, 20 * MS), Fault::Say(other, server, draw.chance(0.5))));
+        }
+    }
+    faults.sort_by_key(|(at, _)| *at);
+    faults
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let list = |seats: &[Seat]| seats.iter().map(Seat::to_string).collect::<Vec<_>>().join(",");
         match self {
             Fault::Kill(seat) => write!(f, "kill {seat}"),
             Fault::Start(seat) => write!(f, "start {seat}"),
+            Fault::Fresh(seat) => write!(f, "fresh {seat}"),
+            Fault::Say(seat, server, true) => write!(f, "ban {seat} {server}"),
+            Fault::Say(seat, server, false) => write!(f, "back {seat} {server}"),
             Fault::Pause(seat, lasts) => write!(f, "pause {seat} {}ms", lasts / MS),
             Fault::Cut(from, to) => write!(f, "cut {} {}", list(from), list(to)),
             Fault::Mend => f.write_str("mend"),
@@ -169,6 +214,9 @@
     let fault = match words.next()? {
         "kill" => Fault::Kill(number(words.next(), "")?),
         "start" => Fault::Start(number(words.next(), "")?),
+        "fresh" => Fault::Fresh(number(words.next(), "")?),
+        "ban" => Fault::Say(number(words.next(), "")?, number(words.next(), "")?, true),
+        "back" => Fault::Say(number(words.next(), "")?, number(words.next(), "")?, false),
         "pause" => Fault::Pause(number(words.next(), "")?, number::<Nanos>(words.next(), "ms")? * MS),
         "cut" => Fault::Cut(seats(words.next())?, seats(words.next())?),
         "mend" => Fault::Mend,
@@ -222,7 +270,8 @@
     #[test]
     fn schedules_come_back_from_text() {
         for seed in 0..200 {
-            let schedule: Schedule = drawn(seed, 12).into_iter().map(|(at, f)| (at / MS * MS, f)).collect();
+            let schedule: Schedule =
+                spoken(seed, 12, 4).into_iter().map(|(at, f)| (at / MS * MS, f)).collect();
             let text = write(&schedule);
             assert_eq!(write(&read(&text).unwrap()), text);
         }
--- a/crates/testkit/src/mesh/check.rs
+++ b/crates/testkit/src/mesh/check.rs
@@ -1,5 +1,6 @@
 //! What the members of a fleet wrote of themselves, and whether it keeps what is promised.
 
+use super::copies::Copies;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::path::Path;
@@ -31,6 +32,8 @@
     pub accusations: Vec<(u64, Run, Vec<u64>)>,
     /// Each seat's last life.
     pub lives: BTreeMap<u64, u64>,
+    /// What they wrote of their copies.
+    pub copies: Copies,
     /// Lines that are none.
     pub odd: usize,
 }
@@ -60,6 +63,7 @@
         }
         all.views.sort_by_key(|v| v.at);
         all.shares.sort_by_key(|s| s.0);
+        all.copies.sort();
         all
     }
 
@@ -86,6 +90,7 @@
                 let seats = seats.split(',').filter_map(|s| s.parse().ok()).collect();
                 self.accusations.push((number("at"), by, seats));
             }
+            Some("ban" | "said" | "copy" | "caught" | "start") => self.copies.line(number("at"), by, &line),
             _ => {}
         }
         self.lives.insert(by.0, by.1);
@@ -184,7 +189,7 @@
             shares: vec![(1, a, 0.5), (2, b, 0.5), (5, a, 0.9)],
             accusations: vec![(8, b, vec![0])],
             lives: [a, b].into_iter().collect(),
-            odd: 0,
+            ..Histories::default()
         };
         assert!(all.sequences().is_empty() && !all.agreed(&[0, 1]) && all.agreed(&[0]));
         assert_eq!(all.removals(), [(3, b)]);
--- a/crates/testkit/src/mesh/mod.rs
+++ b/crates/testkit/src/mesh/mod.rs
@@ -2,6 +2,7 @@
 //! faults from a schedule: on each direction of each link, and on each process.
 
 pub mod check;
+pub mod copies;
 pub mod relay;
 
 use crate::boxes::{ran, Act, StandIn};
@@ -56,6 +57,10 @@
     members: Vec<Member>,
     boxes: Vec<StandIn>,
     gaps: Vec<Gap>,
+    /// When each seat started without what it had kept.
+    fresh: Vec<(u64, u64)>,
+    calls: Vec<thread::JoinHandle<copies::Answered>>,
+    begun: (Instant, u64),
     loads: Vec<[Load; 2]>,
     cut: bool,
     folder: PathBuf,
@@ -64,6 +69,8 @@
 
 struct Member {
     program: Program,
+    /// Those before, whose addresses and files it has.
+    past: Vec<Program>,
     history: PathBuf,
     runs: bool,
     /// It was killed at some time: what it held then is lost with it.
@@ -88,6 +95,10 @@
     pub lost: usize,
     /// Datagrams that the relays carried.
     pub carried: u64,
+    /// Staff's words that were said, and those that were answered as kept elsewhere as well.
+    pub words: (usize, usize),
+    /// From the moment at which all agreed on the members until all copies were equal.
+    pub equal: Option<Duration>,
 }
 
 fn micros() -> u64 {
@@ -132,7 +143,7 @@
                 ..Wishes::default()
             };
             let program = Program::start(program, discovery.address, form, wishes);
-            Member { program, history, runs: true, killed: false, wakes: None }
+            Member { program, past: Vec::new(), history, runs: true, killed: false, wakes: None }
         });
         let members: Vec<Member> = members.collect();
         let load = |class, member: &Member| {
@@ -144,6 +155,9 @@
             members,
             boxes,
             gaps: Vec::new(),
+            fresh: Vec::new(),
+            calls: Vec::new(),
+            begun: (Instant::now(), micros()),
             loads,
             cut: false,
             folder,
@@ -173,7 +187,9 @@
     pub fn apply(&mut self, fault: &Fault) {
         match fault {
             Fault::Kill(seat) => self.kill(usize::from(*seat)),
-            Fault::Start(seat) => self.restart(usize::from(*seat)),
+            Fault::Start(seat) => self.restart(usize::from(*seat), false),
+            Fault::Fresh(seat) => self.restart(usize::from(*seat), true),
+            Fault::Say(seat, server, out) => self.say(usize::from(*seat), usize::from(*server), *out),
             Fault::Pause(seat, lasts) => self.pause(usize::from(*seat), *lasts),
             Fault::Cut(from, to) => {
                 self.cut = true;
@@ -200,12 +216,18 @@
         self.gaps.push(Gap { seat: k as u64, from, to: u64::MAX, killed: true });
     }
 
-    fn restart(&mut self, k: usize) {
+    fn restart(&mut self, k: usize, fresh: bool) {
         let member = &mut self.members[k];
         if member.runs {
             return;
         }
-        member.program = member.program.successor();
+        if fresh {
+            self.fresh.push((k as u64, micros()));
+            let program = member.program.stranger();
+            member.past.push(std::mem::replace(&mut member.program, program));
+        } else {
+            member.program = member.program.successor();
+        }
         member.runs = true;
         for gap in self.gaps.iter_mut().filter(|g| g.seat == k as u64) {
             gap.to = gap.to.min(micros());
@@ -226,6 +248,17 @@
         self.gaps.push(Gap { seat: k as u64, from, to, killed: false });
     }
 
+    /// Staff take a box out of use at a process, or put it back; where it does not run there is nobody to tell.
+    fn say(&mut self, k: usize, server: usize, out: bool) {
+        let member = &self.members[k];
+        if !member.runs || member.wakes.is_some() {
+            return;
+        }
+        let host = self.boxes[server % self.boxes.len()].name.clone();
+        let management = member.program.management;
+        self.calls.push(thread::spawn(move || copies::call(management, k as u64, host, out)));
+    }
+
     /// Lets time go on; those whose pause is over go on with it.
     pub fn run(&mut self, lasts: Duration) {
         let end = Instant::now() + lasts;
@@ -263,6 +296,19 @@
         None
     }
 
+    /// From now on until all copies are equal, where they are within twice the time that they have.
+    pub fn even_out(&mut self) -> Option<Duration> {
+        let begun = Instant::now();
+        while begun.elapsed() < 2 * copies::EQUAL {
+            let all = self.histories();
+            if all.copies.equal(&all.lives) {
+                return Some(begun.elapsed());
+            }
+            self.run(Duration::from_millis(50));
+        }
+        None
+    }
+
     /// Ends the load and looks at what became of all.
     pub fn finish(mut self, agreed: Option<Duration>) -> Verdict {
         // What the last to come back may use is what it will.
@@ -271,6 +317,8 @@
             std::mem::take(&mut self.loads).into_iter().map(|l| l.map(Load::finish)).collect();
         let all = self.histories();
         let ran = ran(&self.boxes);
+        let answered: Vec<_> =
+            std::mem::take(&mut self.calls).into_iter().filter_map(|c| c.join().ok()).collect();
         let mut verdict = Verdict { agreed, carried: self.relays.carried(), ..Verdict::default() };
         let mut twice = 0;
         for (member, [reads, writes]) in self.members.iter().zip(&tallies) {
@@ -292,6 +340,12 @@
         let long: Vec<Gap> =
             self.gaps.iter().copied().filter(|g| g.killed || g.to - g.from > 1_000_000).collect();
         verdict.broken.extend(all.rash(&long, 2 * WAKES.as_micros() as u64));
+        verdict.broken.extend(self.used_though_out(&all, &tallies));
+        let kept = |answer: &copies::Answered| answer.kept;
+        verdict.words = (answered.len(), answered.iter().filter(|a| kept(a)).count());
+        let kills = self.gaps.iter().filter(|g| g.killed).map(|g| (g.seat, g.from)).collect();
+        let losses = copies::Losses { fresh: self.fresh.clone(), kills };
+        verdict.broken.extend(all.copies.check(&all.lives, &losses, &answered));
         let late = agreed.is_none_or(|took| took > AGREE);
         let wrong = [
             (late, format!("agreed after {agreed:?}, where {AGREE:?} are owed")),
@@ -305,6 +359,33 @@
         verdict
     }
 
+    /// Boxes that a process sent something new to, a quarter of a second after it knew that they were out.
+    fn used_though_out(&self, all: &Histories, tallies: &[[Tally; 2]]) -> Vec<String> {
+        let (begun, then) = self.begun;
+        let by: std::collections::HashMap<&String, u64> = (0u64..)
+            .zip(tallies)
+            .flat_map(|(k, tallies)| tallies.iter().flat_map(move |t| t.sent().map(move |id| (id, k))))
+            .collect();
+        let came = self.boxes.iter().flat_map(|b| b.came().into_iter().map(move |c| (b.name.as_str(), c)));
+        let mut broken = Vec::new();
+        for (name, came) in came {
+            let Some(seat) = came.id.as_ref().and_then(|id| by.get(id)) else { continue };
+            let at = then + came.at.saturating_duration_since(begun).as_micros() as u64;
+            // A process that was stopped may have had the request under way.
+            let stopped = self
+                .gaps
+                .iter()
+                .any(|g| g.seat == *seat && g.from <= at && at < g.to.saturating_add(250_000));
+            if !stopped
+                && all.copies.out_for(*seat, name, at).is_some_and(|since| since + 250_000 < at)
+                && broken.len() < 5
+            {
+                broken.push(format!("seat {seat} uses {name} at {at}, out there for longer than 250 ms"));
+            }
+        }
+        broken
+    }
+
     /// Members that were put out though they ran and could be reached; under cuts nobody can be told.
     fn wrongful(&self, all: &Histories) -> Vec<String> {
         if self.cut {
@@ -348,5 +429,13 @@
     let mut mesh = Mesh::start(program, setup, seed);
     mesh.play(schedule);
     let agreed = mesh.settle();
-    mesh.finish(agreed)
+    let equal = mesh.even_out();
+    let mut verdict = mesh.finish(agreed);
+    verdict.equal = equal;
+    if equal.is_none_or(|took| took > copies::EQUAL) {
+        verdict
+            .broken
+            .push(format!("copies equal {equal:?} after all agreed, where {:?} are owed", copies::EQUAL));
+    }
+    verdict
 }
