Name in each word between copies the life that it is for

A trace of who said 'done' to whom: one member heard nobody (cut inwards) and was heard by all; a batch of its that was loaded for a process which had been killed meanwhile came to the next one on that seat, and its 'you have all' was taken by that. Ruled out: an old batch on its own link (loaded anew after 1 s since the change before).

Change: a word between copies names the recipient's life (`Head::to_life`), and another life does not listen.

--- a/crates/replica/src/machine.rs
+++ b/crates/replica/src/machine.rs
@@ -199,6 +199,7 @@
     }
 
     fn send(&mut self, to: Seat, body: Body) {
+        let Some(to_life) = self.members.get(&to) else { return };
         let head = Head {
             version: VERSION,
             site: self.site.to_le_bytes(),
@@ -206,6 +207,7 @@
             from: self.me,
             to,
             life: self.life.to_le_bytes(),
+            to_life: to_life.to_le_bytes(),
         };
         if let Some(bytes) = (Datagram { head, body }).encode() {
             self.allowance.1 = self.allowance.1.saturating_sub(bytes.len() as u64);
@@ -307,7 +309,7 @@
         let life = Life::from_le_bytes(head.life);
         let ours = head.site == self.site.to_le_bytes()
             && head.roster == self.tag.to_le_bytes()
-            && (head.from, head.to) == (at, self.me)
+            && (head.from, head.to, head.to_life) == (at, self.me, self.life.to_le_bytes())
             && self.members.get(&at) == Some(&life);
         if !ours {
             return;
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -31,6 +31,8 @@
     pub to: Seat,
     /// The sender's life.
     pub life: [u8; 4],
+    /// The life that it is for: what was said to the process before is nothing to the one that has its seat now.
+    pub to_life: [u8; 4],
 }
 
 /// What is said.
--- a/crates/replica/tests/links.rs
+++ b/crates/replica/tests/links.rs
@@ -150,6 +150,7 @@
         spoilt(|d| d.head.site = [1; 2]),
         spoilt(|d| d.head.roster = [1; 2]),
         spoilt(|d| d.head.to = 0),
+        spoilt(|d| d.head.to_life = [9; 4]),
     ];
     for bytes in wrong {
         assert_eq!(pair.machines[1].receive(pair.now, 0, &bytes), []);
