Have the bed excuse who has just woken or lost its disk from having caught up

Cause: 3 of 48 drawn schedules on real processes were called broken: a member said that it had caught up and lacked words that all others had had for 3 s. Two of them counted what a process before on a seat had had, whose disk was lost since; the others were members that were stopped while the word of their neighbour was on its way, as the simulation excuses already.

--- a/crates/testkit/src/mesh/mod.rs
+++ b/crates/testkit/src/mesh/mod.rs
@@ -344,7 +344,8 @@
         let kept = |answer: &copies::Answered| answer.kept;
         verdict.words = (answered.len(), answered.iter().filter(|a| kept(a)).count());
         let kills = self.gaps.iter().filter(|g| g.killed).map(|g| (g.seat, g.from)).collect();
-        let losses = copies::Losses { fresh: self.fresh.clone(), kills };
+        let stops = self.gaps.iter().filter(|g| !g.killed).map(|g| (g.seat, g.from, g.to)).collect();
+        let losses = copies::Losses { fresh: self.fresh.clone(), kills, stops };
         verdict.broken.extend(all.copies.check(&all.lives, &losses, &answered));
         let late = agreed.is_none_or(|took| took > AGREE);
         let wrong = [
