Have members and copies share their datagrams' bytes, planted defects, files and calls

Change, behaviour as it was: one `Planted` for the defects of members and of copies; one way to bytes and back for both kinds of datagrams; `node/files.rs` reads, replaces and sets aside the files of bans and of copies (a file of copies is read no further than its longest); one call on a second address in the testkit; `rig mesh` and `rig replica` share their options on faults; `fleet` commands print in one place. A question on an entry names its key, so that who is asked looks it up and does not go through all entries; the digest over a copy is worked out for a word that compares it and not for each one; asking all members has one condition for being over. Dead code went: `Store::last`, the answer of `Link::took`, `Answered::text`.

--- a/crates/membership/src/defect.rs
+++ b/crates/membership/src/defect.rs
@@ -19,24 +19,25 @@
         [Defect::NoRefutation, Defect::NoSelfDoubt, Defect::LifeComesBack, Defect::SmallerCount];
 }
 
-/// The defect that is planted, if any.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Planted(#[cfg(feature = "planted")] Option<Defect>);
+/// The defect that is planted, if any, of those that a machine can have.
+#[derive(Clone, Copy, Debug)]
+pub struct Planted<D = Defect>(Option<D>);
 
-impl Planted {
-    /// This one.
-    #[cfg(feature = "planted")]
-    pub fn some(defect: Defect) -> Planted {
-        Planted(Some(defect))
+impl<D> Default for Planted<D> {
+    fn default() -> Self {
+        Planted(None)
     }
+}
 
+impl<D: PartialEq> Planted<D> {
+    /// This one.
     #[cfg(feature = "planted")]
-    pub(crate) fn is(self, defect: Defect) -> bool {
-        self.0 == Some(defect)
+    pub fn some(defect: D) -> Self {
+        Planted(Some(defect))
     }
 
-    #[cfg(not(feature = "planted"))]
-    pub(crate) fn is(self, _: Defect) -> bool {
-        false
+    /// Whether it is this one.
+    pub fn is(&self, defect: D) -> bool {
+        cfg!(feature = "planted") && self.0 == Some(defect)
     }
 }
--- a/crates/membership/src/wire.rs
+++ b/crates/membership/src/wire.rs
@@ -104,11 +104,21 @@
 impl Datagram {
     /// As bytes; `None` where it would be too long, which no bound above allows.
     pub fn encode(&self) -> Option<Vec<u8>> {
-        postcard::to_allocvec(self).ok().filter(|bytes| bytes.len() <= MOST)
+        encode(self)
     }
 
     /// From bytes; `None` where they are none.
     pub fn decode(bytes: &[u8]) -> Option<Datagram> {
-        (bytes.len() <= MOST).then(|| postcard::from_bytes(bytes).ok()).flatten()
+        decode(bytes)
     }
 }
+
+/// Something as a datagram's bytes; `None` where it would be too long.
+pub fn encode<T: Serialize>(datagram: &T) -> Option<Vec<u8>> {
+    postcard::to_allocvec(datagram).ok().filter(|bytes| bytes.len() <= MOST)
+}
+
+/// What a datagram's bytes say; `None` where they are too long, or nothing of the kind.
+pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
+    (bytes.len() <= MOST).then(|| postcard::from_bytes(bytes).ok()).flatten()
+}
--- a/crates/node/src/fleet/cli.rs
+++ b/crates/node/src/fleet/cli.rs
@@ -45,41 +45,30 @@
 }
 
 pub(crate) fn run(call: &FleetCall, at: Option<SocketAddr>) -> Result<(), FleetFailure> {
-    match call {
-        FleetCall::State { kind, json } => return show_state(kind.clone(), *json, at),
-        FleetCall::Differ { a, b } => return differ(*a, *b),
-        FleetCall::Members { .. } | FleetCall::Explain { .. } => {}
-    }
-    let said = answered(&Call::Fleet, at)?;
-    let fleet: Value = serde_json::from_str(&said)?;
-    match call {
-        FleetCall::Members { json: true } => println!("{said}"),
-        FleetCall::Members { json: false } => println!("{}", members(&fleet)),
-        FleetCall::Explain { name } => println!("{}", explain(&fleet, name).map_err(CallError::No)?),
-        FleetCall::State { .. } | FleetCall::Differ { .. } => {}
-    }
+    let text = match call {
+        FleetCall::Members { json: true } => answered(&Call::Fleet, at)?,
+        FleetCall::Members { json: false } => members(&asked(&Call::Fleet, at)?),
+        FleetCall::Explain { name } => explain(&asked(&Call::Fleet, at)?, name).map_err(CallError::No)?,
+        FleetCall::State { kind, json: true } => answered(&Call::FleetState(kind.clone()), at)?,
+        FleetCall::State { kind, json: false } => state(&asked(&Call::FleetState(kind.clone()), at)?),
+        FleetCall::Differ { a, b } => differ(*a, *b)?,
+    };
+    println!("{text}");
     Ok(())
 }
 
-fn show_state(kind: Option<String>, json: bool, at: Option<SocketAddr>) -> Result<(), FleetFailure> {
-    let said = answered(&Call::FleetState(kind), at)?;
-    match json {
-        true => println!("{said}"),
-        false => println!("{}", state(&serde_json::from_str(&said)?)),
-    }
-    Ok(())
+/// What a node says, as JSON.
+fn asked(call: &Call, at: Option<SocketAddr>) -> Result<Value, FleetFailure> {
+    Ok(serde_json::from_str(&answered(call, at)?)?)
 }
 
-fn differ(a: SocketAddr, b: SocketAddr) -> Result<(), FleetFailure> {
-    let copy = |at| -> Result<Value, FleetFailure> {
-        Ok(serde_json::from_str(&answered(&Call::FleetState(None), Some(at))?)?)
-    };
+fn differ(a: SocketAddr, b: SocketAddr) -> Result<String, FleetFailure> {
+    let copy = |at| asked(&Call::FleetState(None), Some(at));
     let lines = differences(&copy(a)?, &copy(b)?);
-    if lines.is_empty() {
-        println!("the copies are equal");
-        return Ok(());
+    match lines.is_empty() {
+        true => Ok("the copies are equal".to_owned()),
+        false => Err(CallError::No(lines.join("\n")).into()),
     }
-    Err(CallError::No(lines.join("\n")).into())
 }
 
 /// After staff's word: which members have it. A no where one has not, or does not answer.
--- a/crates/node/src/fleet/copy.rs
+++ b/crates/node/src/fleet/copy.rs
@@ -3,7 +3,7 @@
 //! How copies are brought in line stands in `laurelroute-replica`.
 
 use super::Member;
-use crate::ledger::replace_file;
+use crate::files;
 use laurelroute_core::fleet::Entry as Listed;
 use laurelroute_core::gateway::Gateway;
 use laurelroute_membership::{Nanos, Seat, MS};
@@ -21,6 +21,8 @@
 const KEPT: Duration = Duration::from_millis(300);
 /// How long members are waited for that are asked what they have.
 const ANSWERS: Duration = Duration::from_millis(1000);
+/// Those who have not said yes by then are asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
 /// Looks at whether others have a word, in between.
 const LOOK: Duration = Duration::from_millis(10);
 /// A member that nobody brings up to date says that it is ready after this all the same.
@@ -49,7 +51,7 @@
 }
 
 fn load(path: &Path) -> Vec<(Key, Entry)> {
-    let bytes = match std::fs::read(path) {
+    let bytes = match files::read(path, disk::MOST_FILE) {
         Ok(bytes) => bytes,
         Err(error) if error.kind() == io::ErrorKind::NotFound => return Vec::new(),
         Err(error) => {
@@ -57,19 +59,11 @@
             return Vec::new();
         }
     };
-    match disk::decode(&bytes) {
-        Ok(entries) => entries,
-        Err(error) => {
-            let aside = path.with_extension("replica-unsound");
-            let kept = std::fs::rename(path, &aside).is_ok();
-            tracing::warn!(
-                "{}: {error}; nothing is taken from it{}",
-                path.display(),
-                if kept { ", and it is kept beside" } else { "" }
-            );
-            Vec::new()
-        }
-    }
+    disk::decode(&bytes).unwrap_or_else(|error| {
+        tracing::warn!("{}: {error}; nothing is taken from it", path.display());
+        files::set_aside(path);
+        Vec::new()
+    })
 }
 
 impl Copy {
@@ -98,7 +92,7 @@
             let bytes = disk::encode(self.machine.borrow().store());
             let path = path.clone();
             // A disk may take its time, and clients do not wait for it.
-            let written = tokio::task::spawn_blocking(move || replace_file(&path, &bytes)).await;
+            let written = tokio::task::spawn_blocking(move || files::replace(&path, &bytes)).await;
             let error = match written {
                 Ok(Ok(())) => None,
                 Ok(Err(error)) => Some(error.to_string()),
@@ -302,24 +296,22 @@
         let members: Vec<Seat> =
             self.machine.borrow().view().map_or_else(Vec::new, |v| v.members.keys().copied().collect());
         let others = members.iter().filter(|s| **s != self.site.me).count();
+        // Another question has come since, or all have said yes; who has not may have it a moment later.
+        let over = || {
+            let asked = self.copy.asked.borrow();
+            asked.0 != number || asked.1.len() >= others && asked.1.values().all(|has| *has)
+        };
         let begun = tokio::time::Instant::now();
-        while begun.elapsed() < ANSWERS {
+        while begun.elapsed() < ANSWERS && !over() {
             let outputs = self.copy.machine.borrow_mut().ask(number, &key);
             for output in outputs {
                 if let Output::Send(to, bytes) = output {
                     self.post(to, bytes);
                 }
             }
-            for _ in 0..10 {
+            let asked = tokio::time::Instant::now();
+            while asked.elapsed() < ASK_AGAIN && !over() {
                 tokio::time::sleep(LOOK).await;
-                let asked = self.copy.asked.borrow();
-                if asked.0 != number || asked.1.len() >= others && asked.1.values().all(|has| *has) {
-                    break;
-                }
-            }
-            let asked = self.copy.asked.borrow();
-            if asked.0 != number || asked.1.len() >= others && asked.1.values().all(|has| *has) {
-                break;
             }
         }
         let asked = self.copy.asked.borrow();
--- a/crates/node/src/ledger.rs
+++ b/crates/node/src/ledger.rs
@@ -4,12 +4,12 @@
 //! finds there, as one, in place of what was there. Should one overwrite a word that the other has just written, the word
 //! is told to it all the same, and it writes again before it says that it has noted it (`crates/handover/tests/ledger.rs`).
 
+use crate::files;
 use crate::upgrade::link::place;
 use laurelroute_core::gateway::Gateway;
 use laurelroute_handover::bans::{Bans, Word};
 use laurelroute_handover::ledger::{decode, encode, LedgerError, MOST_FILE};
-use std::fs::{self, File};
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -55,12 +55,8 @@
             Ok(words) => words,
             Err(ReadError::Io(e)) if e.kind() == io::ErrorKind::NotFound => Vec::new(),
             Err(error) => {
-                let aside = path.with_extension("bans-unsound");
                 tracing::warn!("{}: {error}; no ban is taken from it", path.display());
-                match fs::rename(path, &aside) {
-                    Ok(()) => tracing::warn!("it is kept as {}", aside.display()),
-                    Err(error) => tracing::warn!("it cannot be set aside: {error}"),
-                }
+                files::set_aside(path);
                 Vec::new()
             }
         }
@@ -79,37 +75,15 @@
 }
 
 fn load(path: &Path) -> Result<Vec<Word>, ReadError> {
-    let mut bytes = Vec::new();
-    File::open(path)?.take(MOST_FILE as u64 + 1).read_to_end(&mut bytes)?;
-    Ok(decode(&bytes)?)
+    Ok(decode(&files::read(path, MOST_FILE)?)?)
 }
 
-/// Puts these words and those that are there into the file; gives all of them. Whoever reads finds the former file or the
-/// new one, also after a crash.
+/// Puts these words and those that are there into the file; gives all of them.
 fn replace(path: &Path, words: Vec<Word>) -> Result<Vec<Word>, KeepError> {
     let mut all = Bans::default();
     all.merge(words);
     // What is not sound was told of at the start, or has been spoilt since: what is known here takes its place.
     all.merge(load(path).unwrap_or_default());
-    replace_file(path, &encode(all.words()))?;
+    files::replace(path, &encode(all.words()))?;
     Ok(all.words().cloned().collect())
 }
-
-/// Puts these bytes in a file's place.
-pub(crate) fn replace_file(path: &Path, bytes: &[u8]) -> io::Result<()> {
-    let kind = path.extension().unwrap_or_default().to_string_lossy().into_owned();
-    let draft = path.with_extension(format!("{kind}-{}", std::process::id()));
-    let written = write(&draft, bytes).and_then(|()| fs::rename(&draft, path));
-    if written.is_err() {
-        let _ = fs::remove_file(&draft);
-    }
-    written?;
-    // The name is on the disk once its folder is.
-    path.parent().map_or(Ok(()), |folder| File::open(folder)?.sync_all())
-}
-
-fn write(draft: &Path, bytes: &[u8]) -> io::Result<()> {
-    let mut file = File::create(draft)?;
-    file.write_all(bytes)?;
-    file.sync_all()
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cli;
 pub mod config;
 pub mod discovery;
+mod files;
 mod fleet;
 mod forward;
 mod ledger;
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -13,11 +13,21 @@
     Setup { members, boxes: 2, ..Setup::default() }
 }
 
-/// `laurelroute fleet ...` at a process: its exit code and what it prints.
+/// `laurelroute fleet ...` at a process.
 fn fleet(mesh: &Mesh, at: usize, arguments: &[&str]) -> (i32, String) {
+    staff(mesh, at, "fleet", arguments)
+}
+
+/// `laurelroute servers ...` at a process.
+fn servers(mesh: &Mesh, at: usize, arguments: &[&str]) -> (i32, String) {
+    staff(mesh, at, "servers", arguments)
+}
+
+/// A command of the program's, at a process: its exit code and what it prints.
+fn staff(mesh: &Mesh, at: usize, name: &str, arguments: &[&str]) -> (i32, String) {
     let mut command = Command::new(PROGRAM);
     command.env_remove("GW_CONFIG").env("GW_MANAGEMENT", mesh.process(at).management.to_string());
-    let output = command.arg("fleet").args(arguments).output().expect("the program runs");
+    let output = command.arg(name).args(arguments).output().expect("the program runs");
     let text = [output.stdout, output.stderr].concat();
     (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).trim().to_owned())
 }
@@ -67,15 +77,6 @@
     });
 }
 
-/// `laurelroute servers ...` at a process.
-fn servers(mesh: &Mesh, at: usize, arguments: &[&str]) -> (i32, String) {
-    let mut command = Command::new(PROGRAM);
-    command.env_remove("GW_CONFIG").env("GW_MANAGEMENT", mesh.process(at).management.to_string());
-    let output = command.arg("servers").args(arguments).output().expect("the program runs");
-    let text = [output.stdout, output.stderr].concat();
-    (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).trim().to_owned())
-}
-
 /// Taken out at one node, a box is out at all; one that starts with a new disk hears of it before it says that it is ready.
 #[test]
 fn a_word_said_at_one_node_counts_at_all() {
--- a/crates/replica/src/defect.rs
+++ b/crates/replica/src/defect.rs
@@ -20,23 +20,4 @@
 }
 
 /// The defect that is planted, if any.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Planted(#[cfg(feature = "planted")] Option<Defect>);
-
-impl Planted {
-    /// This one.
-    #[cfg(feature = "planted")]
-    pub fn some(defect: Defect) -> Planted {
-        Planted(Some(defect))
-    }
-
-    #[cfg(feature = "planted")]
-    pub(crate) fn is(self, defect: Defect) -> bool {
-        self.0 == Some(defect)
-    }
-
-    #[cfg(not(feature = "planted"))]
-    pub(crate) fn is(self, _: Defect) -> bool {
-        false
-    }
-}
+pub type Planted = laurelroute_membership::defect::Planted<Defect>;
--- a/crates/replica/src/link.rs
+++ b/crates/replica/src/link.rs
@@ -168,19 +168,17 @@
         Some(Flight { number, parts, lacking, loaded: now, sent: None, keys, digests, done })
     }
 
-    /// It says which parts of a batch it lacks. Whether all have come.
-    pub fn took(&mut self, number: u32, lacking: Vec<u8>) -> bool {
-        let Some(flight) = self.flight.as_mut().filter(|f| f.number == number) else { return false };
+    /// It says which parts of a batch it lacks.
+    pub fn took(&mut self, number: u32, lacking: Vec<u8>) {
+        let Some(flight) = self.flight.as_mut().filter(|f| f.number == number) else { return };
         if lacking.iter().any(|at| usize::from(*at) >= flight.parts.len()) {
-            return false;
+            return;
         }
         flight.lacking = lacking;
-        if !flight.lacking.is_empty() {
-            return false;
+        if flight.lacking.is_empty() {
+            self.done = flight.done.or(self.done);
+            self.flight = None;
         }
-        self.done = flight.done.or(self.done);
-        self.flight = None;
-        true
     }
 
     /// Takes a part of a batch. Gives what to answer, and the batch once it is whole.
--- a/crates/replica/src/machine.rs
+++ b/crates/replica/src/machine.rs
@@ -1,7 +1,6 @@
 //! One node's replica: datagrams, words and time in, datagrams and changes out.
 
 use crate::defect::{Defect, Planted};
-use crate::digest;
 use crate::entry::{Bans, Dot, Drain, Entry, Key, Word, Writer, MOST_NAME};
 use crate::link::Link;
 use crate::store::{Full, Store};
@@ -186,9 +185,9 @@
 
     /// Asks all members whether they have an entry as it is here; they answer under that number.
     pub fn ask(&mut self, number: u32, key: &Key) -> Vec<Output> {
-        let (name, mark) = (name(key), self.store.mark(key));
+        let mark = self.store.mark(key);
         let others: Vec<Seat> = self.members.keys().copied().filter(|s| *s != self.me).collect();
-        others.into_iter().for_each(|seat| self.send(seat, Body::Ask(number, name, mark)));
+        others.into_iter().for_each(|seat| self.send(seat, Body::Ask(number, key.clone(), mark)));
         std::mem::take(&mut self.out)
     }
 
@@ -232,7 +231,6 @@
         if !key.sound() || !entry.fits(&key) {
             return;
         }
-        // One that starts again under the life of the one before may find its own words.
         match self.store.take(&key, entry, self.planted.is(Defect::WallClock)) {
             Ok(taken) => {
                 if let Some(link) = from.and_then(|seat| self.links.get_mut(&seat)) {
@@ -316,7 +314,7 @@
         }
         match body {
             Body::Ask(number, key, mark) => {
-                let same = self.store.entries().any(|(k, _)| name(k) == key && self.store.mark(k) == mark);
+                let same = self.store.get(&key).is_some() && self.store.mark(&key) == mark;
                 self.send(at, Body::Answer(number, same));
             }
             Body::Answer(number, same) => self.out.push(Output::Has(at, number, same)),
@@ -325,11 +323,10 @@
     }
 
     fn hear_near(&mut self, now: Nanos, at: Seat, life: Life, body: Body) {
-        let root = self.store.root();
         let Some(link) = self.links.get_mut(&at).filter(|l| l.life == life) else { return };
         match body {
-            Body::Root(theirs) if theirs != root => link.differs(now),
-            Body::Took(number, lacking) => drop(link.took(number, lacking)),
+            Body::Root(theirs) if theirs != self.store.root() => link.differs(now),
+            Body::Took(number, lacking) => link.took(number, lacking),
             Body::Part(number, part, of, bytes) => {
                 let (answer, whole) = link.part(number, part, of, bytes);
                 if let Some(items) = whole.and_then(|whole| items(&whole)) {
@@ -367,8 +364,3 @@
         self.store.bans(host)
     }
 }
-
-/// Tells keys apart.
-fn name(key: &Key) -> u64 {
-    digest(key.host().as_bytes()) ^ digest(key.kind().as_bytes())
-}
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -1,7 +1,7 @@
 //! One node's copy of all entries.
 
 use crate::digest;
-use crate::entry::{Bans, Dot, Drain, Entry, Key, Word, Writer};
+use crate::entry::{Bans, Drain, Entry, Key, Word};
 use std::collections::BTreeMap;
 
 /// Entries of each kind at most.
@@ -163,19 +163,4 @@
         let mine = self.buckets();
         self.entries.keys().filter(move |key| theirs.get(bucket(key)) != Some(&mine[bucket(key)]))
     }
-
-    /// The largest number of a writer's words here.
-    pub fn last(&self, writer: Writer) -> u64 {
-        let words = self.entries().filter_map(|(_, e)| match e {
-            Entry::Bans(bans) => Some(bans.words()),
-            Entry::Drain(_) => None,
-        });
-        words
-            .flatten()
-            .map(|w| w.dot)
-            .filter(|d: &Dot| d.writer == writer)
-            .map(|d| d.number)
-            .max()
-            .unwrap_or(0)
-    }
 }
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -1,11 +1,10 @@
-//! Datagrams between replicas: postcard, at most [`MOST`] bytes; and batches of entries, which go in parts.
+//! Datagrams between replicas: postcard, no longer than the members' own; and batches of entries, which go in parts.
 
 use crate::entry::{Entry, Key};
+use laurelroute_membership::wire::{decode, encode};
 use laurelroute_membership::Seat;
 use serde::{Deserialize, Serialize};
 
-/// Bytes of a datagram at most, without what a carrier adds to tell that it is from one of us.
-pub const MOST: usize = 236;
 /// The first byte, which no datagram of the members' own begins with; raised when a program could not understand one of
 /// another version.
 pub const VERSION: u8 = 0x81;
@@ -44,8 +43,8 @@
     Took(u32, Vec<u8>),
     /// My copy, told from others.
     Root(u64),
-    /// Do you have this copy of that entry? Both by their marks, and with a number for the answer.
-    Ask(u32, u64, u64),
+    /// Do you have this entry with that mark? With a number for the answer.
+    Ask(u32, Key, u64),
     /// Yes, or no.
     Answer(u32, bool),
 }
@@ -62,12 +61,12 @@
 impl Datagram {
     /// As bytes; `None` where it would be too long, which no bound above allows.
     pub fn encode(&self) -> Option<Vec<u8>> {
-        postcard::to_allocvec(self).ok().filter(|bytes| bytes.len() <= MOST)
+        encode(self)
     }
 
     /// From bytes; `None` where they are none.
     pub fn decode(bytes: &[u8]) -> Option<Datagram> {
-        (bytes.len() <= MOST).then(|| postcard::from_bytes(bytes).ok()).flatten()
+        decode(bytes)
     }
 }
 
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -147,15 +147,8 @@
         /// Processes.
         #[arg(long, default_value_t = 12)]
         members: usize,
-        /// A schedule to play instead of drawn ones.
-        #[arg(long, value_name = "FILE")]
-        schedule: Option<PathBuf>,
-        /// Has all processes do something wrong: NoRefutation, NoSelfDoubt, LifeComesBack or SmallerCount.
-        #[arg(long, value_name = "DEFECT")]
-        planted: Option<String>,
-        /// Cuts the first schedule that breaks something down to the shortest that still does.
-        #[arg(long)]
-        shortest: bool,
+        #[command(flatten)]
+        faults: mesh::Faults,
         /// Beds at a time.
         #[arg(long, default_value_t = 2)]
         beds: usize,
@@ -173,15 +166,8 @@
         /// Processes.
         #[arg(long, default_value_t = 5)]
         members: usize,
-        /// A schedule to play instead of drawn ones.
-        #[arg(long, value_name = "FILE")]
-        schedule: Option<PathBuf>,
-        /// Has all processes do something wrong: WallClock, ForgetsEarly, SecondWriter or ReadyEarly.
-        #[arg(long, value_name = "DEFECT")]
-        planted: Option<String>,
-        /// Cuts the first schedule that breaks something down to the shortest that still does.
-        #[arg(long)]
-        shortest: bool,
+        #[command(flatten)]
+        faults: mesh::Faults,
         /// Beds at a time.
         #[arg(long, default_value_t = 4)]
         beds: usize,
@@ -256,11 +242,11 @@
         Command::Members { common, seeds, sizes, compare, svg } => {
             members::run(&common, &members::Wanted { seeds, sizes, compare, svg: svg.as_deref() })
         }
-        Command::Mesh { common, seeds, members, schedule, planted, shortest, beds } => {
-            mesh::run(&common, &mesh::Wanted { seeds, members, schedule, planted, shortest, beds })
+        Command::Mesh { common, seeds, members, faults, beds } => {
+            mesh::run(&common, &mesh::Wanted { seeds, members, faults, beds })
         }
-        Command::Replica { common, seeds, simulated, members, schedule, planted, shortest, beds } => {
-            let wanted = mesh::Wanted { seeds, members, schedule, planted, shortest, beds };
+        Command::Replica { common, seeds, simulated, members, faults, beds } => {
+            let wanted = mesh::Wanted { seeds, members, faults, beds };
             replica::run(&common, simulated, &wanted)
         }
         Command::Silence { common, rounds, output } => silence::run(&common, rounds, output.as_deref()),
--- a/crates/rig/src/mesh.rs
+++ b/crates/rig/src/mesh.rs
@@ -9,18 +9,29 @@
 use laurelroute_testkit::mesh::{play, Setup, Verdict};
 use std::path::{Path, PathBuf};
 
+/// What is done to real processes, beside what is drawn.
+#[derive(Debug, clap::Args)]
+pub struct Faults {
+    /// A schedule to play instead of drawn ones.
+    #[arg(long, value_name = "FILE")]
+    pub schedule: Option<PathBuf>,
+    /// Has all processes do something wrong. Of the members: NoRefutation, NoSelfDoubt, LifeComesBack or SmallerCount; of their
+    /// copies: WallClock, ForgetsEarly, SecondWriter or ReadyEarly.
+    #[arg(long, value_name = "DEFECT")]
+    pub planted: Option<String>,
+    /// Cuts the first schedule that breaks something down to the shortest that still does.
+    #[arg(long)]
+    pub shortest: bool,
+}
+
 /// What is to be played.
 pub struct Wanted {
     /// How many seeds.
     pub seeds: u64,
     /// Processes.
     pub members: usize,
-    /// A schedule instead of drawn ones.
-    pub schedule: Option<PathBuf>,
-    /// A defect of all processes.
-    pub planted: Option<String>,
-    /// Cuts the first schedule that breaks something down.
-    pub shortest: bool,
+    /// What is done to them.
+    pub faults: Faults,
     /// Beds at a time.
     pub beds: usize,
 }
@@ -54,15 +65,15 @@
         .map(|d| format!("{d:?}"))
         .chain(copies::Defect::ALL.iter().map(|d| format!("{d:?}")))
         .collect();
-    if let Some(name) = wanted.planted.as_ref().filter(|n| !defects.contains(n)) {
+    if let Some(name) = wanted.faults.planted.as_ref().filter(|n| !defects.contains(n)) {
         return Err(Failure(format!("`{name}` is no defect; known are {}", defects.join(", "))));
     }
-    let named = match &wanted.schedule {
+    let named = match &wanted.faults.schedule {
         Some(file) => Some(read(&std::fs::read_to_string(file)?)?),
         None => None,
     };
     let schedule = |seed| named.clone().unwrap_or_else(|| drawn(seed));
-    let setup = Setup { members: wanted.members, planted: wanted.planted.clone(), ..Setup::default() };
+    let setup = Setup { members: wanted.members, planted: wanted.faults.planted.clone(), ..Setup::default() };
     let played = at_a_time(wanted.beds.max(1), wanted.seeds, |k| {
         let seed = common.seed + k;
         let verdict = play(&program, &setup, seed, &schedule(seed));
@@ -89,7 +100,7 @@
     }
     outcome.close(name, common)?;
     let Some((seed, verdict)) = broken.first() else { return Ok(()) };
-    show(&program, &setup, *seed, schedule(*seed), wanted.shortest);
+    show(&program, &setup, *seed, schedule(*seed), wanted.faults.shortest);
     Err(Failure(format!("seed {seed}: {}", verdict.broken[0])))
 }
 
--- a/crates/testkit/src/mesh/copies.rs
+++ b/crates/testkit/src/mesh/copies.rs
@@ -2,10 +2,10 @@
 //! word is taken as its speaker wrote it down, with what it knew then; what all come to is worked out here anew.
 
 use super::check::Run;
+use crate::program::call_for_text;
 use serde_json::Value;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// All copies are equal so soon after all agree on the members.
@@ -39,24 +39,14 @@
     pub out: bool,
     /// The answer says that other members have the word.
     pub kept: bool,
-    /// The answer; empty where there was none.
-    pub text: String,
 }
 
 /// Says a word to a process.
 pub fn call(management: SocketAddr, seat: u64, host: String, out: bool) -> Answered {
     let path = format!("/_servers/{}/{host}", if out { "detach" } else { "attach" });
-    let ask = || {
-        let mut stream = TcpStream::connect(management)?;
-        stream.set_read_timeout(Some(Duration::from_secs(4)))?;
-        stream.write_all(format!("POST {path} HTTP/1.1\r\nHost: node\r\n\r\n").as_bytes())?;
-        let mut text = String::new();
-        stream.read_to_string(&mut text).map(|_| text)
-    };
-    let answer = ask().unwrap_or_default();
-    let text = answer.split_once("\r\n\r\n").map_or("", |(_, text)| text.trim()).to_owned();
-    let kept = answer.starts_with("HTTP/1.1 200") && text.contains("other member");
-    Answered { seat, host, out, kept, text }
+    let (status, text) = call_for_text(management, "POST", &path).unwrap_or_default();
+    let kept = status == 200 && text.contains("other member");
+    Answered { seat, host, out, kept }
 }
 
 /// A word: its speaker's seat and life, and its number.
--- a/crates/testkit/src/mesh/mod.rs
+++ b/crates/testkit/src/mesh/mod.rs
@@ -341,8 +341,7 @@
             self.gaps.iter().copied().filter(|g| g.killed || g.to - g.from > 1_000_000).collect();
         verdict.broken.extend(all.rash(&long, 2 * WAKES.as_micros() as u64));
         verdict.broken.extend(self.used_though_out(&all, &tallies));
-        let kept = |answer: &copies::Answered| answer.kept;
-        verdict.words = (answered.len(), answered.iter().filter(|a| kept(a)).count());
+        verdict.words = (answered.len(), answered.iter().filter(|a| a.kept).count());
         let kills = self.gaps.iter().filter(|g| g.killed).map(|g| (g.seat, g.from)).collect();
         let stops = self.gaps.iter().filter(|g| !g.killed).map(|g| (g.seat, g.from, g.to)).collect();
         let losses = copies::Losses { fresh: self.fresh.clone(), kills, stops };
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -177,13 +177,7 @@
 
     /// The same with what the answer says to people.
     pub fn call_for_text(&self, method: &str, path: &str) -> Option<(u16, String)> {
-        let mut stream = TcpStream::connect(self.management).ok()?;
-        stream.set_read_timeout(Some(crate::PATIENCE)).ok()?;
-        stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: node\r\n\r\n").as_bytes()).ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).ok()?;
-        let text = answer.split_once("\r\n\r\n").map_or("", |(_, text)| text).to_owned();
-        Some((answer.get(9..12)?.parse().ok()?, text))
+        call_for_text(self.management, method, path)
     }
 
     fn up(&self) -> bool {
@@ -242,6 +236,17 @@
     }
 }
 
+/// A call on a second address: the status, and what the answer says to people; `None` where it gets none.
+pub fn call_for_text(management: SocketAddr, method: &str, path: &str) -> Option<(u16, String)> {
+    let mut stream = TcpStream::connect(management).ok()?;
+    stream.set_read_timeout(Some(crate::PATIENCE)).ok()?;
+    stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: node\r\n\r\n").as_bytes()).ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).ok()?;
+    let text = answer.split_once("\r\n\r\n").map_or("", |(_, text)| text).to_owned();
+    Some((answer.get(9..12)?.parse().ok()?, text))
+}
+
 impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
