--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -90,15 +90,23 @@
 }
 
 impl Client {
+    /// Where it stands: an answer is on its way until the kernel has all of it, whatever hyper has taken.
+    fn stage(&self) -> Stage {
+        match self.stage.get() {
+            Stage::Idle if self.socket.unsent.get() => Stage::Writing,
+            stage => stage,
+        }
+    }
+
     /// Nothing is lost when it is closed now: it is between requests, and no further one has come.
     fn idle(&self) -> bool {
-        self.stage.get() == Stage::Idle && !self.socket.heard.get() && self.socket.quiet()
+        self.stage() == Stage::Idle && !self.socket.heard.get() && self.socket.quiet()
     }
 
     /// It has stopped in the middle of a head.
     fn stopped(&self, now: Nanos) -> bool {
         let still = !self.socket.moved.get() && now.saturating_sub(self.came_at.get()) >= STOPPED;
-        self.stage.get() == Stage::Idle && self.head_since.get().is_some() && still
+        self.stage() == Stage::Idle && self.head_since.get().is_some() && still
     }
 
     fn stop(&self, cut: bool) {
@@ -110,7 +118,7 @@
     /// Closes it if it has stood still for too long.
     fn sweep(&self, now: Nanos, idle: Nanos) {
         let age = now.saturating_sub(self.since.get());
-        match self.stage.get() {
+        match self.stage() {
             Stage::Idle if self.socket.heard.get() => {
                 let head = self.head_since.get().unwrap_or(now);
                 self.head_since.set(Some(head));
@@ -141,6 +149,9 @@
     /// Connections on which a request is under way.
     busy: Cell<usize>,
     left: Notify,
+    /// Connections go over to another process of the node as they come to rest, and one has.
+    handing: Cell<bool>,
+    rested: Notify,
 }
 
 impl Clients {
@@ -152,6 +163,8 @@
             next: Cell::new(0),
             busy: Cell::new(0),
             left: Notify::new(),
+            handing: Cell::new(false),
+            rested: Notify::new(),
         })
     }
 
@@ -164,7 +177,7 @@
         let talked = |c: &Client| c.requests.get() > 0;
         let spare = |c: &&Rc<Client>| {
             let rested = talked(c) || now.saturating_sub(c.since.get()) >= SILENT;
-            c.stage.get() == Stage::Idle && !c.closing.get() && rested
+            c.stage() == Stage::Idle && !c.closing.get() && rested
         };
         let mut idle: Vec<_> = open.values().filter(spare).collect();
         idle.sort_unstable_by_key(|c| (talked(c), c.since.get()));
@@ -193,6 +206,7 @@
     /// Gives connections that are between requests to another process of the node, by `give`, until that has no room;
     /// the number of those that are left. A client notices nothing: its next request finds the other process.
     pub fn hand_over(&self, give: impl Fn(BorrowedFd<'_>) -> bool) -> usize {
+        self.handing.set(true);
         let open = self.open.borrow();
         // What has been read of a further request cannot go over: that one is served here.
         let rests = |c: &&Rc<Client>| !c.closing.get() && c.idle() && c.socket.between();
@@ -205,6 +219,12 @@
         open.len()
     }
 
+    /// Waits until a connection comes to rest after [`Clients::hand_over`] has gone over them: a client that asks without a
+    /// pause rests for some tens of microseconds between two requests, which no clock's tick meets.
+    pub async fn rested(&self) {
+        self.rested.notified().await;
+    }
+
     /// Closes all connections that are between requests; the number of those that are left.
     pub fn close_idle(&self) -> usize {
         let open = self.open.borrow();
@@ -286,6 +306,10 @@
         self.client.stage.set(Stage::Idle);
         self.client.since.set(self.clients.gateway.clock.now());
         self.client.socket.heard.set(false);
+        self.client.socket.unsent.set(true);
+        if self.clients.handing.get() {
+            self.clients.rested.notify_one();
+        }
     }
 }
 
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -24,6 +24,8 @@
     given: Cell<bool>,
     /// Something has gone either way since the node last cleared this.
     pub moved: Cell<bool>,
+    /// An answer has been given to hyper, and the kernel may not have all of it yet.
+    pub unsent: Cell<bool>,
     outgoing: Cell<Outgoing>,
     incoming: Option<Cell<Incoming>>,
 }
@@ -208,6 +210,7 @@
             heard: Cell::new(false),
             given: Cell::new(false),
             moved: Cell::new(true),
+            unsent: Cell::new(false),
             outgoing: Cell::default(),
             incoming,
         })
@@ -327,6 +330,8 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // hyper asks for this once it has written all that it holds.
+        self.0.unsent.set(false);
         Poll::Ready(Ok(()))
     }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -33,6 +33,8 @@
 /// A new configuration that cannot be read may still be on its way to the disk.
 const RELOAD_TRIES: u32 = 5;
 const RELOAD_PAUSE: Duration = Duration::from_millis(100);
+/// A process that was stopped may read the order to end and an heir's first words at the same moment.
+const HEIR_AT_THE_DOOR: Duration = Duration::from_millis(20);
 /// Requests of clients that talk without a pause are answered with a close from then on.
 const HAND_OVER: Duration = Duration::from_millis(2600);
 const LEAVE_WITHIN: Duration = Duration::from_millis(3600);
@@ -211,9 +213,9 @@
 
     terminate.recv().await;
     let told = Instant::now();
-    // An heir is given the clients' connections as they come to rest; what stays is told to come back.
-    let waits = || succession.yielded() && (clients.number() > 0 || !succession.heir_serves());
-    while waits() && told.elapsed() < HAND_OVER {
+    // An heir is given the clients' connections as they come to rest, once it takes clients; what stays is told to come back.
+    let waits = || succession.has_heir() && (clients.number() > 0 || !succession.heir_serves());
+    while told.elapsed() < HEIR_AT_THE_DOOR || waits() && told.elapsed() < HAND_OVER {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     gateway.leaving.set(true);
@@ -221,7 +223,9 @@
         tokio::time::sleep(STILL_ACCEPT).await;
         succession.shut().await;
     }
-    let open = || clients.close_idle() + front.as_ref().map_or(0, |f| f.close_idle());
+    // To close one that rests may cross its next request: an heir that takes clients gets it instead.
+    let of_http = || if succession.heir_serves() { clients.number() } else { clients.close_idle() };
+    let open = || of_http() + front.as_ref().map_or(0, |f| f.close_idle());
     while open() > 0 && told.elapsed() < LEAVE_WITHIN {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
--- a/crates/node/src/upgrade/succession.rs
+++ b/crates/node/src/upgrade/succession.rs
@@ -88,14 +88,15 @@
         gateway.ready.get() && !gateway.leaving.get() && *self.gate.borrow() == Gate::Open
     }
 
-    /// An heir takes all new clients, or would if it were not silent.
-    pub(crate) fn yielded(&self) -> bool {
-        self.elder.borrow().yielded()
+    /// An heir is there, whether it takes clients by now or not.
+    pub(crate) fn has_heir(&self) -> bool {
+        !self.elder.borrow().alone()
     }
 
     /// An heir takes all new clients now.
     pub(crate) fn heir_serves(&self) -> bool {
-        self.yielded() && !self.elder.borrow().covering()
+        let elder = self.elder.borrow();
+        elder.yielded() && !elder.covering()
     }
 
     /// No more clients: what waits is still taken, unless an heir takes it. Over once that has been done.
@@ -302,10 +303,20 @@
                         self.hand_over(link);
                     }
                 }
+                _ = self.rested(), if self.heir_serves() => self.hand_over(link),
             }
         }
     }
 
+    /// A client's connection has come to rest.
+    async fn rested(&self) {
+        let clients = self.clients.borrow().clone();
+        match clients {
+            Some(clients) => clients.rested().await,
+            None => std::future::pending().await,
+        }
+    }
+
     fn hand_over(&self, link: &Link) {
         let (clients, rest) = (self.clients.borrow(), self.rest.borrow());
         let Some(clients) = &*clients else { return };
--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -217,6 +217,96 @@
     assert_eq!(failed, 0, "{served} served");
 }
 
+/// Bytes that stand in the kernel's queues between these two ends of a connection, as proc(5) tells.
+fn queued(from: std::net::SocketAddr, to: std::net::SocketAddr) -> usize {
+    let table = std::fs::read_to_string("/proc/self/net/tcp").unwrap();
+    let end = |port: u16| format!("0100007F:{port:04X}");
+    let queue = |local: u16, remote: u16, which: usize| {
+        let wanted = [end(local), end(remote)];
+        let mut rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+        let row = rows.find(|row| row.get(1..3).is_some_and(|ends| ends == wanted));
+        let queues = row.and_then(|row| row.get(4)?.split(':').nth(which).map(str::to_owned));
+        queues.map_or(0, |q| usize::from_str_radix(&q, 16).unwrap())
+    };
+    queue(from.port(), to.port(), 0) + queue(to.port(), from.port(), 1)
+}
+
+/// A client that does not read its answer yet has all of it in the end. The kernel has no room for the last bytes, while
+/// the node has taken them all and the request is over for it: until they are gone the connection does not go over.
+#[test]
+fn an_answer_that_waits_for_its_client_stays_with_the_old_process() {
+    const WHOLE: usize = 12_000_000;
+    let server = FakeServer::start(|seen, stream| {
+        let length = seen.head.split(['=', ' ']).nth(2).and_then(|n| n.parse().ok()).unwrap_or(1);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+        stream.write_all(&[head.as_bytes(), &vec![b'x'; length]].concat()).is_ok()
+    });
+    let discovery = Discovery::start(&[host("s1", server.address)]);
+    let mut program = managed(&discovery);
+    until("the list has come", || program.ask().starts_with("HTTP/1.1 200"));
+    let ask = |length: usize| {
+        let mut client = program.connect();
+        let request = safe_request(&fresh_id()).replace("/read", &format!("/read?length={length}"));
+        client.write_all(request.as_bytes()).unwrap();
+        client
+    };
+    // How much the kernel takes of an answer that nobody reads.
+    let unread = ask(WHOLE);
+    let ends = (program.http, unread.local_addr().unwrap());
+    let mut room = 0;
+    until("the kernel takes no more", || {
+        let before = std::mem::replace(&mut room, queued(ends.0, ends.1));
+        thread::sleep(Duration::from_millis(50));
+        room > 1_000 && room == before
+    });
+    drop(unread);
+    let lengths = [0, 1, 2, 4, 8, 16, 32, 64].map(|more| room + more * 1_000);
+    let clients = lengths.map(&ask);
+    until("all answers have begun", || clients.iter().all(|c| c.peek(&mut [0]).is_ok()));
+    thread::sleep(Duration::from_millis(200));
+    let next = started_again(&program);
+    thread::sleep(Duration::from_millis(50));
+    for (mut client, length) in clients.into_iter().zip(lengths) {
+        let answer = read_message(&mut client);
+        assert_eq!(answer.map(|a| a.body.len()), Some(length), "{room} bytes stand in the kernel");
+    }
+    program.signal("TERM");
+    until("the old process ends", || !program.running());
+    drop(next);
+}
+
+/// The old process is told to end while the new one has no list yet: it goes on until that takes clients.
+#[test]
+fn an_old_process_told_to_end_waits_for_a_new_one_that_is_still_starting() {
+    let (_servers, _, discovery, mut program) = two_servers();
+    let quiet = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut kept = program.connect();
+    let served = |kept: &mut TcpStream| {
+        kept.write_all(safe_request(&fresh_id()).as_bytes()).unwrap();
+        let answer = read_message(kept).expect("an answer");
+        answer.head.starts_with("HTTP/1.1 200") && !answer.head.to_lowercase().contains("connection: close")
+    };
+    assert!(served(&mut kept));
+    program.configure(quiet.local_addr().unwrap());
+    let next = program.successor();
+    until("the new process asks for a list", || {
+        quiet.set_nonblocking(true).is_ok() && quiet.accept().is_ok()
+    });
+    program.signal("TERM");
+    let told = Instant::now();
+    while told.elapsed() < Duration::from_millis(1_200) {
+        assert!(served(&mut kept) && program.running(), "after {:?}", told.elapsed());
+        assert!(program.ask().starts_with("HTTP/1.1 200"), "after {:?}", told.elapsed());
+        thread::sleep(Duration::from_millis(20));
+    }
+    next.configure(discovery.address);
+    next.signal("HUP");
+    until("the new process takes clients", || next.call("GET", "/_ready") == Some(200));
+    until("the old process ends", || !program.running());
+    assert!(told.elapsed() < Duration::from_millis(3_000), "{:?}", told.elapsed());
+    assert!(served(&mut kept));
+}
+
 #[test]
 fn bans_outlive_the_process_and_reach_both_while_two_run() {
     let (_servers, _, _discovery, mut program) = two_servers();
--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -59,6 +59,16 @@
         self.answer()
     }
 
+    /// The node has said that it closes after the last answer.
+    pub fn told_to_close(&self) -> bool {
+        self.conn.told_to_close
+    }
+
+    /// Why there was no answer; `None` also where the node has simply closed.
+    pub fn fault(&self) -> Option<std::io::ErrorKind> {
+        self.conn.fault
+    }
+
     /// Whether nothing more comes for a while: not one answer too many.
     pub fn silent_for(&mut self, pause: Duration) -> bool {
         let _ = self.conn.stream.set_read_timeout(Some(pause));
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -5,6 +5,7 @@
 use crate::discovery::{Discovery, Entry};
 use crate::levels::{Levels, Upper};
 use crate::port::Port;
+use crate::process;
 use crate::wire::{Answer, Ask, Class, Wire};
 use crate::{fresh, until};
 use laurelroute_thrift::codec::Form;
@@ -87,6 +88,8 @@
     wishes: Wishes,
     files: [PathBuf; 2],
     command: Vec<OsString>,
+    /// The name of the thread that started it, which is its own until it has begun.
+    starter: Option<String>,
     /// What the processes of this node share, kept while any of them runs.
     place: Arc<Place>,
     _own: Port,
@@ -160,14 +163,15 @@
             }
             None => Stdio::null(),
         };
-        let mut process = Command::new(&command[0]);
-        process.args(&command[1..]).env("GW_CONFIG", &files[0]).env("TMPDIR", &place.folder);
-        process.envs(wishes.environment.iter().map(|(key, value)| (key, value)));
+        let mut child = Command::new(&command[0]);
+        child.args(&command[1..]).env("GW_CONFIG", &files[0]).env("TMPDIR", &place.folder);
+        child.envs(wishes.environment.iter().map(|(key, value)| (key, value)));
         if wishes.managed {
-            process.env("GW_MANAGEMENT", management.to_string());
+            child.env("GW_MANAGEMENT", management.to_string());
         }
-        let child = process.stdout(sink()).stderr(sink()).spawn().expect("the program starts");
-        Program { child, http, thrift, management, wishes, files, command, place, _own: own }
+        let starter = process::name("thread-self");
+        let child = child.stdout(sink()).stderr(sink()).spawn().expect("the program starts");
+        Program { child, http, thrift, management, wishes, files, command, starter, place, _own: own }
     }
 
     /// The status of a call on the second address; `None` where it gets none.
@@ -212,6 +216,15 @@
         self.child.id()
     }
 
+    /// Descriptors that it holds; none before it has begun, when it still has those of the process that started it, and none
+    /// once it has ended.
+    pub fn descriptors(&self) -> usize {
+        match process::name(&self.pid().to_string()) == self.starter {
+            true => 0,
+            false => process::descriptors(self.pid()),
+        }
+    }
+
     /// Whether it still runs.
     pub fn running(&mut self) -> bool {
         self.child.try_wait().expect("it can be asked").is_none()
--- a/crates/testkit/src/silence.rs
+++ b/crates/testkit/src/silence.rs
@@ -4,7 +4,6 @@
 use crate::boxes::{ran, Act};
 use crate::client::Client;
 use crate::load::Load;
-use crate::process::descriptors;
 use crate::program::{Bed, Program, Wishes};
 use crate::wire::{Answer, Ask, Class, Wire};
 use crate::{lock, those};
@@ -165,7 +164,7 @@
     let probes = Probes::start(bed.node.http);
     let (mut ready, mut most) = (None, 0);
     while Instant::now() < until {
-        most = most.max([bed.node.pid(), heir.pid()].into_iter().map(descriptors).sum());
+        most = most.max([&bed.node, &heir].map(Program::descriptors).into_iter().sum());
         // A stopped process answers nobody, and would be waited for.
         if ready.is_none() && stop.who == Who::Elder && heir.call("GET", "/_ready") == Some(200) {
             ready = Some(begun.elapsed());
@@ -196,7 +195,7 @@
     elder.signal("TERM");
     let end = Instant::now() + Duration::from_millis(3_700);
     while Instant::now() < end && elder.running() {
-        *most = (*most).max([elder.pid(), heir.pid()].into_iter().map(descriptors).sum());
+        *most = (*most).max([&elder, heir].map(Program::descriptors).into_iter().sum());
         thread::sleep(Duration::from_millis(5));
     }
     thread::sleep(Duration::from_millis(300));
--- a/crates/testkit/src/takeover.rs
+++ b/crates/testkit/src/takeover.rs
@@ -2,7 +2,6 @@
 
 use crate::boxes::{ran, Act, StandIn};
 use crate::load::{Load, Tally};
-use crate::process::descriptors;
 use crate::program::{Bed, Program, Wishes};
 use crate::wire::{Class, Wire};
 use crate::{those, until, Random};
@@ -138,7 +137,7 @@
     let mut begun = Instant::now();
     node.start();
     while begun.elapsed() < after {
-        let held = node.running.iter().map(|p| descriptors(p.pid())).sum();
+        let held = node.running.iter().map(|p| p.descriptors()).sum();
         seen.descriptors.0 = seen.descriptors.0.max(held);
     }
     match victim {
