--- a/crates/handover/src/message.rs
+++ b/crates/handover/src/message.rs
@@ -105,6 +105,9 @@
         number: u64,
         /// Descriptors that it holds.
         held: usize,
+        /// Clients at rest that it has picked up so far. Older programs do not say.
+        #[serde(default)]
+        picked: Option<usize>,
     },
     /// The elder is there, and the heir may hold so many.
     Part {
--- a/crates/handover/src/share.rs
+++ b/crates/handover/src/share.rs
@@ -16,12 +16,21 @@
     part.min(held + SLACK)
 }
 
-/// An heir may have opened this many since its last beat.
-const SINCE_BEAT: usize = 32;
+/// An heir opens this many beyond what a beat has told, and no more until the elder has answered a later one: in a storm
+/// of new clients it could otherwise hold all of its part within a moment of which the elder hears nothing.
+pub fn since_beat(total: usize) -> usize {
+    (total / 8).max(32)
+}
+
+/// The most that an heir holds after a beat that told of so many, whatever its part.
+pub fn most_after(total: usize, told: usize) -> usize {
+    (told + since_beat(total)).max(LEAST).min(total)
+}
 
-/// The elder's part while it accepts beside an heir that is silent: all that the heir cannot be holding.
-pub fn covering(total: usize, part: usize, heir_held: usize) -> usize {
-    part.max(total.saturating_sub((heir_held + SINCE_BEAT).max(LEAST)))
+/// The elder's part while it accepts beside an heir that is silent: all that the heir, which holds this many at most, cannot
+/// be holding.
+pub fn covering(total: usize, part: usize, heir_most: usize) -> usize {
+    part.max(total.saturating_sub(heir_most))
 }
 
 /// An heir's part when it can no longer count on what it was told: what it holds, and the least to serve with.
--- a/crates/handover/src/states.rs
+++ b/crates/handover/src/states.rs
@@ -28,7 +28,8 @@
     Offer(usize),
     /// Take clients, or take none; the listening sockets stay open either way.
     Accept(bool),
-    /// Take back the clients that were put down for the heir and that it has not picked up.
+    /// Take back the clients that were put down for the heir and that it has not picked up, and say how many
+    /// ([`Elder::took_back`]).
     Reclaim,
     /// Hold no more descriptors than this.
     Hold(usize),
@@ -73,9 +74,12 @@
     /// How long it has not, in time that this process has run.
     silence: Nanos,
     ticked: Option<Nanos>,
-    /// The heir's last beat: its number, and the descriptors that it held.
+    /// The heir's last beat: its number, what it holds at most from then on ([`base`]), and how many clients it had picked up.
     heard: u64,
-    heir_held: usize,
+    heir_base: isize,
+    heir_picked: usize,
+    /// Clients that were put down for it so far.
+    given: usize,
 }
 
 impl Elder {
@@ -89,7 +93,9 @@
             silence: 0,
             ticked: None,
             heard: 0,
-            heir_held: 0,
+            heir_base: 0,
+            heir_picked: 0,
+            given: 0,
         }
     }
 
@@ -121,7 +127,7 @@
                 self.beats = beats;
                 self.part = share::serving(self.total, held);
                 // Until it says otherwise.
-                self.heir_held = self.total - self.part;
+                self.heir_base = base(self.total, self.total - self.part, 0);
                 vec![Effect::Hold(self.part), Effect::Offer(self.total - self.part)]
             }
             (Message::Take { .. }, _) => vec![Effect::Foreign],
@@ -130,8 +136,11 @@
                 self.silence = 0;
                 vec![Effect::Accept(false)]
             }
-            (Message::Beat { number, held }, stage) => {
-                (self.heard, self.heir_held, self.silence) = (number, held, 0);
+            (Message::Beat { number, held, picked }, stage) => {
+                (self.heard, self.silence) = (number, 0);
+                // An older program does not say: it is taken to have all.
+                self.heir_picked = picked.unwrap_or(self.given);
+                self.heir_base = base(self.total, held, self.heir_picked);
                 // What went before does not count as silence, either.
                 self.ticked = None;
                 let mut effects = vec![self.part_of_heir()];
@@ -152,13 +161,7 @@
             self.silence += ran;
             if self.beats && self.silence > PATIENCE {
                 self.stage = Stage::Covering;
-                self.part = share::covering(self.total, self.part, self.heir_held);
-                return vec![
-                    Effect::Hold(self.part),
-                    Effect::Accept(true),
-                    Effect::Reclaim,
-                    self.part_of_heir(),
-                ];
+                return vec![Effect::Accept(true), Effect::Reclaim];
             }
             let part = share::yielded(self.part, held);
             if part != self.part {
@@ -169,8 +172,32 @@
         Vec::new()
     }
 
+    /// So many clients at rest have been put down for the heir: they are no longer of this process's part, and the heir has
+    /// them beyond the part that it was told.
+    pub fn gave(&mut self, clients: usize) -> Vec<Effect> {
+        self.given += clients;
+        self.part = self.part.saturating_sub(clients);
+        vec![Effect::Hold(self.part)]
+    }
+
+    /// So many of them have been taken back ([`Effect::Reclaim`]).
+    pub fn took_back(&mut self, clients: usize) -> Vec<Effect> {
+        if self.stage != Stage::Covering {
+            return Vec::new();
+        }
+        self.given = self.given.saturating_sub(clients);
+        let most = with(self.heir_base, self.given);
+        self.part = share::covering(self.total, self.part + clients, most);
+        vec![Effect::Hold(self.part), self.part_of_heir()]
+    }
+
     fn part_of_heir(&self) -> Effect {
-        Effect::Say(Message::Part { part: self.total - self.part, beat: self.heard })
+        // It may find this many at rest beside what it opens itself.
+        let resting = self.given.saturating_sub(self.heir_picked);
+        Effect::Say(Message::Part {
+            part: (self.total - self.part).saturating_sub(resting),
+            beat: self.heard,
+        })
     }
 
     /// The heir has gone: this process serves on as if there had been none.
@@ -191,10 +218,34 @@
     number: u64,
     /// Words on its part count from the answer to this beat on: earlier ones may be from before a pause.
     valid: u64,
-    /// When those beats went out that have had no answer yet, the oldest first.
-    open: VecDeque<(u64, Nanos)>,
+    /// The beats that have had no answer yet, the oldest first.
+    open: VecDeque<Beat>,
     /// When the newest one went out that has.
     answered: Nanos,
+    /// The least that may be held after it or any later one that is not in `open` ([`base`]).
+    least: isize,
+    /// Clients at rest that this process has picked up.
+    picked: usize,
+    /// What it may hold, as last said.
+    holds: usize,
+}
+
+/// A beat that has gone out: its number, when, and what may be held after it ([`base`]).
+#[derive(Clone, Copy, Debug)]
+struct Beat {
+    number: u64,
+    at: Nanos,
+    base: isize,
+}
+
+/// What an heir holds at most after a beat that told of so many descriptors and picked up clients, but for all clients that it
+/// has picked up by then: the elder counts those itself, as it puts them down.
+fn base(total: usize, held: usize, picked: usize) -> isize {
+    share::most_after(total, held) as isize - picked as isize
+}
+
+fn with(base: isize, clients: usize) -> usize {
+    usize::try_from(base + clients as isize).unwrap_or(0)
 }
 
 impl Heir {
@@ -202,7 +253,20 @@
     pub fn new(total: usize, part: usize, beats: bool, now: Nanos) -> (Heir, Vec<Effect>) {
         let part = part.clamp(share::LEAST.min(total), total);
         let open = VecDeque::with_capacity(OPEN_BEATS);
-        (Heir { total, part, beats, number: 0, valid: 0, open, answered: now }, vec![Effect::Hold(part)])
+        let least = base(total, part, 0);
+        let heir = Heir {
+            total,
+            part,
+            beats,
+            number: 0,
+            valid: 0,
+            open,
+            answered: now,
+            least,
+            picked: 0,
+            holds: part,
+        };
+        (heir, vec![Effect::Hold(part)])
     }
 
     /// Takes what the elder says, while this process holds so many descriptors.
@@ -213,12 +277,12 @@
             Message::Part { part, beat } => {
                 let counts = if self.beats { beat >= self.valid } else { part > self.part };
                 if counts {
-                    while let Some((_, at)) = self.open.front().filter(|(number, _)| *number <= beat) {
-                        self.answered = *at;
+                    while let Some(answered) = self.open.front().filter(|b| b.number <= beat) {
+                        (self.answered, self.least) = (answered.at, answered.base);
                         self.open.pop_front();
                     }
                     self.part = part.min(self.total);
-                    effects.push(Effect::Hold(self.part));
+                    effects.extend(self.hold());
                 }
             }
             message => effects.extend(words(message)),
@@ -226,16 +290,41 @@
         effects
     }
 
+    /// This process has picked up so many clients at rest, which the elder knows of.
+    pub fn pick_up(&mut self, clients: usize) -> Vec<Effect> {
+        self.picked += clients;
+        self.hold().into_iter().collect()
+    }
+
+    /// Its part, as far as the elder cannot be counting on less: of the beats from the last answered one on it may have
+    /// heard any.
+    fn hold(&mut self) -> Option<Effect> {
+        let holds = match self.beats {
+            true => {
+                let most = self.open.iter().map(|b| b.base).fold(self.least, isize::min);
+                self.part.min(with(most, self.picked))
+            }
+            false => self.part,
+        };
+        (std::mem::replace(&mut self.holds, holds) != holds).then_some(Effect::Hold(holds))
+    }
+
     /// To be called each [`BEAT`]: says that this process is there.
     pub fn tick(&mut self, now: Nanos, held: usize) -> Vec<Effect> {
         let mut effects = self.doubt(now, held);
         if self.beats {
             self.number += 1;
             if self.open.len() == OPEN_BEATS {
-                self.open.pop_front();
+                let unanswered = self.open.pop_front().map_or(self.least, |b| b.base);
+                self.least = self.least.min(unanswered);
             }
-            self.open.push_back((self.number, now));
-            effects.push(Effect::Say(Message::Beat { number: self.number, held }));
+            self.open.push_back(Beat {
+                number: self.number,
+                at: now,
+                base: base(self.total, held, self.picked),
+            });
+            effects.extend(self.hold());
+            effects.push(Effect::Say(Message::Beat { number: self.number, held, picked: Some(self.picked) }));
         }
         effects
     }
@@ -249,12 +338,12 @@
         self.answered = now;
         self.valid = self.number + 1;
         self.part = share::doubted(self.part, held);
-        vec![Effect::Hold(self.part)]
+        self.hold().into_iter().collect()
     }
 
     /// The elder has gone.
     pub fn lost(&mut self) -> Vec<Effect> {
-        (self.part, self.beats) = (self.total, false);
+        (self.part, self.beats, self.holds) = (self.total, false, self.total);
         vec![Effect::Hold(self.total)]
     }
 }
--- a/crates/handover/tests/states.rs
+++ b/crates/handover/tests/states.rs
@@ -2,7 +2,7 @@
 
 use laurelroute_handover::bans::{Bans, Word, MOST};
 use laurelroute_handover::message::{Door, Message, MOST_PACKET, VERSION};
-use laurelroute_handover::share::LEAST;
+use laurelroute_handover::share::{most_after, LEAST};
 use laurelroute_handover::states::{Effect, Elder, Heir, BEAT, LEASE, PATIENCE};
 use laurelroute_policy::interface::{Endpoint, Phase, Server};
 use proptest::prelude::*;
@@ -70,7 +70,7 @@
     let messages = [
         Message::Take { version: VERSION, beats: true },
         Message::Offer { version: VERSION, doors: vec![Door::Http, Door::Rest], part: 7, beats: true },
-        Message::Beat { number: 9, held: 60 },
+        Message::Beat { number: 9, held: 60, picked: Some(5) },
         Message::Part { part: 7, beat: 9 },
         Message::Ready,
         Message::Bans { mark: 3, words: vec![word] },
@@ -163,7 +163,7 @@
         assert!(now - silent_from <= PATIENCE + 5 * MS);
     }
     assert!(elder.covering() && elder.yielded());
-    assert_eq!(accepts(&elder.hear(Message::Beat { number: 99, held: 60 }, 10)), Some(false));
+    assert_eq!(accepts(&elder.hear(Message::Beat { number: 99, held: 60, picked: None }, 10)), Some(false));
     assert!(!elder.covering());
 }
 
@@ -186,52 +186,88 @@
     }
 }
 
-/// Pauses and losses in either direction, drawn: what both may hold never exceeds the whole, but for the moment in which an
-/// heir that has just woken hears the first word.
+/// One side in the drawn test: what it may hold, and what it does hold, which falls only by itself.
+#[derive(Debug)]
+struct Holder {
+    may: usize,
+    holds: usize,
+    said: Vec<Message>,
+}
+
+impl Holder {
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Hold(part) => self.may = part,
+                Effect::Say(message) => self.said.push(message),
+                _ => {}
+            }
+        }
+    }
+
+    /// As in a storm, all that it may; or it lets some go.
+    fn open(&mut self, storm: bool, leaves: usize) {
+        self.holds = if storm { self.holds.max(self.may) } else { self.holds.saturating_sub(leaves) };
+    }
+}
+
+/// Pauses and silence in either direction, drawn, while each side opens as many connections as it may or lets some go, and the
+/// elder puts clients down for the heir: what both hold never exceeds the whole.
 #[test]
-fn parts_never_exceed_the_whole_through_pauses() {
-    // A step is 5 ms: who is paused, and which way the link carries.
-    let step = (0u8..3, 0u8..4, 1u8..60);
-    proptest!(|(total in 200usize..2048, held in 0usize..400, steps in prop::collection::vec(step, 1..30))| {
-        let (mut elder, mut heir) = pair(total, held, 0);
-        let mut own = laurelroute_handover::share::serving(total, held);
-        let mut other = total - own;
-        let held = held.min(total / 2);
-        let (mut to_heir, mut to_elder, mut now) = (Vec::new(), Vec::new(), 0u64);
-        let mut beat = 0;
-        for (paused, link, long) in steps {
+fn both_never_hold_more_than_the_whole_through_pauses_and_storms() {
+    // Who is paused, which way the link carries, for how many steps of 5 ms, and who is in a storm.
+    let step = (0u8..3, 0u8..4, 1u8..60, 0u8..4, 0usize..40);
+    let steps = prop::collection::vec(step, 1..30);
+    let config = ProptestConfig { cases: 2_000, ..ProptestConfig::default() };
+    proptest!(config, |(total in 200usize..2048, held in 40usize..400, steps in steps)| {
+        let (mut elder, mut heir) = pair(total, held.min(total / 2), 0);
+        let may = laurelroute_handover::share::serving(total, held.min(total / 2));
+        let mut one = Holder { may, holds: held.min(total / 2), said: Vec::new() };
+        let mut other = Holder { may: total - may, holds: 36, said: Vec::new() };
+        // Clients at rest that neither has in hand.
+        let mut rest = 0usize;
+        let (mut now, mut beat) = (0u64, 0);
+        for (paused, link, long, storm, leaves) in steps {
             for _ in 0..long {
                 now += 5 * MS;
                 if paused != 1 {
-                    // What is taken in at once is what the heir has in hand; it opens nothing while it is silent.
-                    let heard = if link & 1 == 0 { std::mem::take(&mut to_elder) } else { Vec::new() };
-                    let mut effects: Vec<_> = heard.into_iter().flat_map(|m| elder.hear(m, held)).collect();
-                    effects.extend(elder.tick(now, held));
-                    for effect in effects {
-                        match effect {
-                            Effect::Hold(part) => own = part,
-                            Effect::Say(message) => to_heir.push(message),
-                            _ => {}
-                        }
+                    let heard = if link & 1 == 0 { std::mem::take(&mut other.said) } else { Vec::new() };
+                    for message in heard {
+                        one.carry_out(elder.hear(message, one.holds));
+                    }
+                    let covered = elder.covering();
+                    one.carry_out(elder.tick(now, one.holds));
+                    if elder.covering() && !covered {
+                        let effects = elder.took_back(rest);
+                        one.carry_out(effects);
+                        one.holds += std::mem::take(&mut rest);
+                    }
+                    if !elder.covering() {
+                        let give = leaves.min(one.holds.saturating_sub(36)).min(16);
+                        one.carry_out(elder.gave(give));
+                        one.holds -= give;
+                        rest += give;
+                    } else {
+                        one.open(storm & 1 != 0, leaves);
                     }
                 }
                 if paused != 2 {
-                    let heard = if link & 2 == 0 { std::mem::take(&mut to_heir) } else { Vec::new() };
-                    let mut effects: Vec<_> = heard.into_iter().flat_map(|m| heir.hear(m, now, 48)).collect();
+                    let picked = heir.pick_up(rest);
+                    other.holds += std::mem::take(&mut rest);
+                    other.carry_out(picked);
+                    let heard = if link & 2 == 0 { std::mem::take(&mut one.said) } else { Vec::new() };
+                    for message in heard {
+                        other.carry_out(heir.hear(message, now, other.holds));
+                    }
                     // A timer that fell due in a pause fires at its end.
                     if now - beat >= BEAT {
                         beat = now;
-                        effects.extend(heir.tick(now, 48));
+                        other.carry_out(heir.tick(now, other.holds));
                     }
-                    for effect in effects {
-                        match effect {
-                            Effect::Hold(part) => other = part,
-                            Effect::Say(message) => to_elder.push(message),
-                            _ => {}
-                        }
-                    }
-                    prop_assert!(own + other <= total, "{own} + {other} > {total} at {} ms", now / MS);
+                    other.open(storm & 2 != 0, leaves);
                 }
+                let sum = one.holds + other.holds;
+                prop_assert!(sum <= total, "{one:?} and {other:?} of {total} at {} ms", now / MS);
             }
         }
     });
@@ -242,11 +278,20 @@
 fn an_heir_that_was_stopped_gives_up_its_part_until_it_is_told_anew() {
     let (_, mut heir) = pair(400, 50, 0);
     heir.tick(BEAT, 50);
-    assert_eq!(heir.hear(Message::Part { part: 300, beat: 1 }, BEAT + MS, 50), vec![Effect::Hold(300)]);
+    // However large its part, it goes only so far beyond what the elder knows.
+    let most = |told| most_after(400, told);
+    assert_eq!(heir.hear(Message::Part { part: 300, beat: 1 }, BEAT + MS, 50), vec![]);
     let woken = BEAT + MS + LEASE + BEAT + MS;
     assert_eq!(heir.hear(Message::Part { part: 350, beat: 1 }, woken, 60), vec![Effect::Hold(68)]);
     heir.tick(woken, 60);
-    assert_eq!(heir.hear(Message::Part { part: 310, beat: 2 }, woken + MS, 60), vec![Effect::Hold(310)]);
+    assert_eq!(heir.hear(Message::Part { part: 310, beat: 2 }, woken + MS, 60), vec![Effect::Hold(most(60))]);
+    heir.tick(woken + BEAT, 90);
+    assert_eq!(
+        heir.hear(Message::Part { part: 310, beat: 3 }, woken + BEAT, 90),
+        vec![Effect::Hold(most(90))]
+    );
+    // The elder knows of clients that it has put down itself.
+    assert_eq!(heir.pick_up(7), vec![Effect::Hold(most(97))]);
 }
 
 /// Two processes take calls at the same time; whatever is told in whatever order and however often, they agree.
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -59,6 +59,9 @@
 /// those that pause for longer, but only where there is no other place left.
 const STOPPED: Nanos = 700_000_000;
 
+/// Connections that go over to another process before those that went are closed here.
+const AT_ONCE: usize = 16;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     /// Between requests, or in a head.
@@ -204,19 +207,25 @@
     }
 
     /// Gives connections that are between requests to another process of the node, by `give`, until that has no room;
-    /// the number of those that are left. A client notices nothing: its next request finds the other process.
+    /// how many. Some at a time: what is given is closed here only when its task has run, and until then both hold it.
+    /// A client notices nothing: its next request finds the other process.
     pub fn hand_over(&self, give: impl Fn(BorrowedFd<'_>) -> bool) -> usize {
         self.handing.set(true);
         let open = self.open.borrow();
         // What has been read of a further request cannot go over: that one is served here.
         let rests = |c: &&Rc<Client>| !c.closing.get() && c.idle() && c.socket.between();
-        for client in open.values().filter(rests) {
+        let mut given = 0;
+        for client in open.values().filter(rests).take(AT_ONCE) {
             if !client.socket.give(&give) {
-                break;
+                return given;
             }
             client.stop(true);
+            given += 1;
         }
-        open.len()
+        if given == AT_ONCE {
+            self.rested.notify_one();
+        }
+        given
     }
 
     /// Waits until a connection comes to rest after [`Clients::hand_over`] has gone over them: a client that asks without a
--- a/crates/node/src/upgrade/succession.rs
+++ b/crates/node/src/upgrade/succession.rs
@@ -186,13 +186,11 @@
     /// Has what the elder has offered, and says so once there is a list.
     async fn take_over(self: &Rc<Self>, gateway: &Rc<Gateway>, link: Link, mut offer: Offer) {
         let (heir, effects) = Heir::new(self.sockets, offer.part, offer.beats, gateway.clock.now());
-        if let Some(rest) = offer.rest() {
-            spawn_local(self.clone().pick_up(rest));
-        }
+        let rest = offer.rest();
         let link = Rc::new(link);
         self.carry_out(gateway, &link, effects);
         self.links.borrow_mut().push(link.clone());
-        spawn_local(self.clone().follow_elder(gateway.clone(), link.clone(), heir));
+        spawn_local(self.clone().follow_elder(gateway.clone(), link.clone(), rest, heir));
         gateway.listed().await;
         // Of the servers in the list, and no others.
         gateway.take_over(offer.learnt);
@@ -222,21 +220,22 @@
         }
     }
 
-    /// Clients at rest, as the elder puts them down; over once the elder has ended and none is left.
-    async fn pick_up(self: Rc<Self>, rest: Link) {
-        while let Ok((_, clients)) = rest.receive().await {
-            clients.into_iter().for_each(|client| self.take_client(client));
-        }
-    }
-
-    async fn follow_elder(self: Rc<Self>, gateway: Rc<Gateway>, link: Rc<Link>, mut heir: Heir) {
+    /// Follows an elder to its end, and picks up the clients at rest that it puts down; over once none is left.
+    async fn follow_elder(
+        self: Rc<Self>,
+        gateway: Rc<Gateway>,
+        link: Rc<Link>,
+        mut rest: Option<Link>,
+        mut heir: Heir,
+    ) {
         let mut beat = tokio::time::interval(Duration::from_nanos(BEAT));
         beat.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         loop {
             tokio::select! {
                 packet = link.receive() => match packet {
                     Ok((Message::Client { door: Door::Http }, descriptors)) => {
-                        descriptors.into_iter().for_each(|client| self.take_client(client));
+                        let effects = heir.pick_up(self.take_clients(descriptors));
+                        self.carry_out(&gateway, &link, effects);
                     }
                     Ok((message, _)) => {
                         let effects = heir.hear(message, gateway.clock.now(), gateway.budget.held());
@@ -247,6 +246,13 @@
                         break;
                     }
                 },
+                picked = put_down(rest.as_ref()) => match picked {
+                    Ok((_, clients)) => {
+                        let effects = heir.pick_up(self.take_clients(clients));
+                        self.carry_out(&gateway, &link, effects);
+                    }
+                    Err(_) => rest = None,
+                },
                 _ = beat.tick() => {
                     let effects = heir.tick(gateway.clock.now(), gateway.budget.held());
                     self.carry_out(&gateway, &link, effects);
@@ -255,6 +261,17 @@
         }
         self.carry_out(&gateway, &link, heir.lost());
         self.drop_link(&link);
+        let Some(rest) = rest else { return };
+        while let Ok((_, clients)) = rest.receive().await {
+            self.take_clients(clients);
+        }
+    }
+
+    /// Takes these clients' connections; how many.
+    fn take_clients(&self, clients: Vec<OwnedFd>) -> usize {
+        let number = clients.len();
+        clients.into_iter().for_each(|client| self.take_client(client));
+        number
     }
 
     fn take_client(&self, client: OwnedFd) {
@@ -300,10 +317,14 @@
                         tracing::warn!("takeover: the new process is silent; this one accepts beside it");
                     }
                     if self.heir_serves() {
-                        self.hand_over(link);
+                        self.hand_over(gateway, link);
                     }
                 }
-                _ = self.rested(), if self.heir_serves() => self.hand_over(link),
+                _ = self.rested(), if self.heir_serves() => {
+                    self.hand_over(gateway, link);
+                    // What went is closed here before more of them go.
+                    tokio::task::yield_now().await;
+                }
             }
         }
     }
@@ -317,13 +338,17 @@
         }
     }
 
-    fn hand_over(&self, link: &Link) {
+    fn hand_over(&self, gateway: &Rc<Gateway>, link: &Rc<Link>) {
         let (clients, rest) = (self.clients.borrow(), self.rest.borrow());
         let Some(clients) = &*clients else { return };
-        clients.hand_over(|client| match &*rest {
+        let given = clients.hand_over(|client| match &*rest {
             Some(rest) => rest.put(client),
             None => link.try_send(&Message::Client { door: Door::Http }, &[client]).unwrap_or(false),
         });
+        if given > 0 {
+            let effects = self.elder.borrow_mut().gave(given);
+            self.carry_out(gateway, link, effects);
+        }
     }
 
     fn carry_out(&self, gateway: &Rc<Gateway>, link: &Rc<Link>, effects: Vec<Effect>) {
@@ -344,6 +369,8 @@
             Effect::Hold(sockets) => gateway.resize(sockets),
             Effect::Reclaim => {
                 let clients = self.rest.borrow().as_ref().map_or_else(Vec::new, Rest::reclaim);
+                let effects = self.elder.borrow_mut().took_back(clients.len());
+                self.carry_out(gateway, link, effects);
                 clients.into_iter().for_each(|client| self.take_client(client));
             }
             Effect::Merge(mark, words) => {
@@ -443,6 +470,14 @@
     }
 }
 
+/// What the elder has put down, where it does so at a place for it; else nothing, ever.
+async fn put_down(rest: Option<&Link>) -> Result<(Message, Vec<OwnedFd>), LinkError> {
+    match rest {
+        Some(rest) => rest.receive().await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Descriptors that another process of this user holds; `None` where the kernel does not say.
 fn descriptors(pid: u32) -> Option<usize> {
     std::fs::read_dir(format!("/proc/{pid}/fd")).ok().map(Iterator::count)
--- a/crates/node/tests/takeover.rs
+++ b/crates/node/tests/takeover.rs
@@ -1,4 +1,4 @@
-//! Takeovers under load with a kill at some step of each, from seeds. Many more: `rig kills`.
+//! Takeovers under load with a kill, a stop or a one-sided silence at some step of each, from seeds. Many more: `rig kills`.
 
 use laurelroute_testkit::silence::{self, Stop, Who};
 use laurelroute_testkit::takeover;
@@ -6,16 +6,16 @@
 use std::thread;
 use std::time::Duration;
 
-/// Enough that every kind of kill is among them; `LAURELROUTE_SEED` plays another one alone.
-const SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
+/// Enough that every kind of strike is among them; `LAURELROUTE_SEED` plays another one alone.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=24;
 
 #[test]
-fn kills_at_any_step_forget_no_ban_and_run_nothing_twice() {
+fn strikes_at_any_step_forget_no_ban_run_nothing_twice_and_leave_somebody_who_answers() {
     let named: Option<u64> = std::env::var("LAURELROUTE_SEED").ok().and_then(|s| s.parse().ok());
     let seeds: Vec<u64> = named.map_or(SEEDS.collect(), |seed| vec![seed]);
     let mut broken = Vec::new();
     // A few at a time: each starts three or four processes.
-    for some in seeds.chunks(3) {
+    for some in seeds.chunks(4) {
         let plays: Vec<_> = some
             .iter()
             .map(|&seed| {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -112,13 +112,16 @@
         #[arg(long, default_value_t = 200)]
         body: usize,
     },
-    /// Takeovers under load with a kill at some step of each: real processes.
+    /// Takeovers under load with a kill, a stop or a one-sided silence at some step of each: real processes.
     Kills {
         #[command(flatten)]
         common: Common,
         /// How many seeds, from `--seed` on.
         #[arg(long, default_value_t = 100)]
         seeds: u64,
+        /// How many play at a time.
+        #[arg(long, default_value_t = 1)]
+        beds: usize,
     },
     /// Members of a fleet under drawn faults in simulated time; what noticing a kill takes and costs by their number.
     Members {
@@ -238,7 +241,7 @@
         Command::Faults { common, seeds } => levels::faults(&common, seeds),
         Command::Outage { common, seeds, forwarders } => levels::outage(&common, seeds, forwarders),
         Command::Upgrade { common, upgrades, body } => upgrade::run(&common, upgrades, body),
-        Command::Kills { common, seeds } => upgrade::kills(&common, seeds),
+        Command::Kills { common, seeds, beds } => upgrade::kills(&common, seeds, beds),
         Command::Members { common, seeds, sizes, compare, svg } => {
             members::run(&common, &members::Wanted { seeds, sizes, compare, svg: svg.as_deref() })
         }
--- a/crates/rig/src/upgrade.rs
+++ b/crates/rig/src/upgrade.rs
@@ -2,6 +2,7 @@
 //! shared and nothing more, and against one that is closed and opened again.
 
 use crate::report::{median, table, Failure, Outcome};
+use crate::seeds::at_a_time;
 use crate::{Common, AS_PROGRAM};
 use laurelroute_testkit::load::{Load, Tally};
 use laurelroute_testkit::process::{descriptors, memory_kb, Memory};
@@ -201,34 +202,53 @@
     broken.map_or(Ok(()), |wrong| Err(Failure(wrong)))
 }
 
-/// Takeovers with a kill at some step of each, seed after seed.
-pub fn kills(common: &Common, seeds: u64) -> Result<(), Failure> {
+/// Takeovers with a strike at some step of each, seed after seed, so many at a time.
+pub fn kills(common: &Common, seeds: u64, beds: usize) -> Result<(), Failure> {
     std::env::set_var(AS_PROGRAM, "1");
     let program = std::env::current_exe()?;
-    let (mut broken, mut counts, mut ready, mut served) =
-        (Vec::new(), Victim::ALL.map(|_| 0usize), Vec::new(), 0);
-    for seed in common.seed..common.seed + seeds {
-        let seen = takeover::run(&program, seed);
-        counts[seen.victim as usize] += 1;
+    let plays = at_a_time(beds, seeds, |k| {
+        let seen = takeover::run(&program, common.seed + k);
         println!(
-            "seed {seed}: {:?} killed after {:.1} ms, {} served, {} lost, clients taken after {:.0} ms",
-            seen.victim,
-            seen.after.as_secs_f64() * 1e3,
+            "seed {}: {:?} {:?} after {:.1} ms, {:?}: {} served, {} lost, {} of {} new clients unanswered, silence {:.0} ms, \
+             clients taken after {:.0} ms",
+            common.seed + k,
+            seen.strike.victim,
+            seen.strike.blow,
+            seen.strike.after.as_secs_f64() * 1e3,
+            seen.strike.beside,
             seen.served,
             seen.lost,
+            seen.heard.unanswered,
+            seen.heard.came,
+            seen.heard.longest.as_secs_f64() * 1e3,
             seen.ready.as_secs_f64() * 1e3
         );
-        ready.push(seen.ready.as_secs_f64());
-        served += seen.served;
-        broken.extend(seen.broken.into_iter().map(|b| format!("seed {seed}: {b}")));
-    }
-    let row = counts.map(|n| n.to_string()).to_vec();
-    table(&["nobody killed", "elder", "heir", "both"], &[row]);
+        seen
+    });
+    let rows: Vec<Vec<String>> = ["killed", "stopped", "deaf"]
+        .iter()
+        .map(|kind| {
+            let of =
+                |v| plays.iter().filter(|p| p.strike.blow.name() == *kind && p.strike.victim == v).count();
+            let counts = Victim::ALL.iter().skip(1).map(|v| of(*v).to_string());
+            [(*kind).to_owned()].into_iter().chain(counts).collect()
+        })
+        .collect();
+    table(&["", "elder", "heir", "both"], &rows);
+    let numbered = plays.iter().zip(common.seed..);
+    let broken: Vec<String> =
+        numbered.flat_map(|(p, seed)| p.broken.iter().map(move |b| format!("seed {seed}: {b}"))).collect();
     broken.iter().take(10).for_each(|b| println!("BROKEN {b}"));
+    let slowest =
+        |of: fn(&takeover::Seen) -> Duration| plays.iter().map(of).max().unwrap_or_default().as_secs_f64();
     let mut outcome = Outcome::default();
     outcome.put("seeds", seeds as f64);
-    outcome.put("served", served as f64);
-    outcome.put("ready_s_slowest", ready.iter().copied().fold(0.0, f64::max));
+    outcome.put("served", plays.iter().map(|p| p.served).sum::<usize>() as f64);
+    let unkilled = plays.iter().filter(|p| !p.strike.kills());
+    outcome.put("lost_unkilled", unkilled.map(|p| p.lost).sum::<usize>() as f64);
+    outcome.put("ready_s_slowest", slowest(|p| p.ready));
+    outcome.put("silence_s_longest", slowest(|p| p.heard.longest));
+    outcome.put("descriptors_most", plays.iter().map(|p| p.descriptors.0).max().unwrap_or(0) as f64);
     outcome.put("broken", broken.len() as f64);
     outcome.close("kills", common)?;
     broken.into_iter().next().map_or(Ok(()), |first| Err(Failure(first)))
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -19,10 +19,11 @@
     status.lines().find_map(|l| l.strip_prefix(key)?.trim().strip_suffix(" kB")?.parse().ok())
 }
 
-/// The name that the kernel shows of a process (proc(5)): its starter's until its own program has begun, which is after the
-/// starter's descriptors are closed in it. `None` where it has ended.
-pub fn name(pid: &str) -> Option<String> {
-    std::fs::read_to_string(format!("/proc/{pid}/comm")).ok()
+/// Whether a process has begun as the command that has this argument (proc(5)). Before that it is a copy of the one that
+/// starts it, with its arguments and all of its descriptors: those are closed before the new arguments are in place.
+pub fn begun(pid: u32, argument: &[u8]) -> bool {
+    let arguments = std::fs::read(format!("/proc/{pid}/cmdline")).unwrap_or_default();
+    arguments.split(|byte| *byte == 0).any(|a| a == argument)
 }
 
 /// Descriptors that a process holds; none where it has ended.
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -88,8 +88,6 @@
     wishes: Wishes,
     files: [PathBuf; 2],
     command: Vec<OsString>,
-    /// The name of the thread that started it, which is its own until it has begun.
-    starter: Option<String>,
     /// What the processes of this node share, kept while any of them runs.
     place: Arc<Place>,
     _own: Port,
@@ -169,9 +167,8 @@
         if wishes.managed {
             child.env("GW_MANAGEMENT", management.to_string());
         }
-        let starter = process::name("thread-self");
         let child = child.stdout(sink()).stderr(sink()).spawn().expect("the program starts");
-        Program { child, http, thrift, management, wishes, files, command, starter, place, _own: own }
+        Program { child, http, thrift, management, wishes, files, command, place, _own: own }
     }
 
     /// The status of a call on the second address; `None` where it gets none.
@@ -219,9 +216,9 @@
     /// Descriptors that it holds; none before it has begun, when it still has those of the process that started it, and none
     /// once it has ended.
     pub fn descriptors(&self) -> usize {
-        match process::name(&self.pid().to_string()) == self.starter {
-            true => 0,
-            false => process::descriptors(self.pid()),
+        match process::begun(self.pid(), self.files[1].as_os_str().as_encoded_bytes()) {
+            true => process::descriptors(self.pid()),
+            false => 0,
         }
     }
 
