Strain the bed: slow links, lost disks, no descriptors; write what a disk has missed

Need: the members' bed lacked limited rates, a disk that is gone and descriptors that run out. Links carry so many bytes a second now, the same in simulated time; a process's folder is taken away for a time; its limit of descriptors is set to what it holds.

Found: what a member could not write was only written with the next change (copy.rs, keep): a word said while the disk was full was on no disk an hour later. It is tried again each second. The new test waits for ever without that.

Found in the checker: it excused every member put out in a schedule with a cut anywhere in it, and every pause of 2 s, as the time to wake was counted to it. Now a cut excuses only while it lasts and until all agree after it, and a pause its own length.

--- a/crates/node/src/fleet/copy.rs
+++ b/crates/node/src/fleet/copy.rs
@@ -21,6 +21,8 @@
 const KEPT: Duration = Duration::from_millis(300);
 /// How long members are waited for that are asked what they have.
 const ANSWERS: Duration = Duration::from_millis(1000);
+/// What could not be written is tried again after this.
+const WRITE_AGAIN: Duration = Duration::from_secs(1);
 /// Those who have not said yes by then are asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 /// Looks at whether others have a word, in between.
@@ -87,7 +89,12 @@
     async fn keep(self: Rc<Self>) {
         let Some(path) = self.path.clone() else { return };
         loop {
-            self.write.notified().await;
+            if self.kept.borrow().1.is_some() {
+                // A disk that was full or gone has all of it once it is well again, whether or not anything changes.
+                let _ = tokio::time::timeout(WRITE_AGAIN, self.write.notified()).await;
+            } else {
+                self.write.notified().await;
+            }
             let changes = self.changes.get();
             let bytes = disk::encode(self.machine.borrow().store());
             let path = path.clone();
@@ -98,7 +105,7 @@
                 Ok(Err(error)) => Some(error.to_string()),
                 Err(_) => Some("the writer has ended early".to_owned()),
             };
-            if let Some(error) = &error {
+            if let Some(error) = error.as_ref().filter(|e| self.kept.borrow().1.as_ref() != Some(*e)) {
                 tracing::warn!("what the fleet knows is not kept on this node's disk: {error}");
             }
             self.kept.send_replace((changes, error));
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Members of a fleet as real processes, joined by relays that lose, delay, spoil and cut. Many more: `rig mesh`.
 
-use laurelroute_simulation::schedule::{drawn, read, spoken, write, Fault};
+use laurelroute_simulation::schedule::{read, spoken, strained, write, Fault};
 use laurelroute_testkit::mesh::{play, Mesh, Setup};
 use laurelroute_testkit::until;
 use std::path::Path;
@@ -61,7 +61,7 @@
     let program = Path::new(PROGRAM);
     let named = "500ms pause 1 2000ms\n3500ms cut 2 0,1,3,4\n3500ms cut 0,1,3,4 2\n8000ms mend\n";
     let mut schedules = vec![(0, read(named).expect("a schedule"))];
-    schedules.extend([3, 10].map(|seed| (seed, drawn(seed, 5))));
+    schedules.extend([3, 10, 12].map(|seed| (seed, strained(seed, 5))));
     std::thread::scope(|scope| {
         let plays: Vec<_> = schedules
             .iter()
@@ -135,6 +135,23 @@
     });
 }
 
+/// A word that no disk could take is on all of them soon after they are well again, though nothing else changes: else all
+/// nodes started anew would have forgotten it.
+#[test]
+fn a_word_that_the_disks_missed_is_written_once_they_are_well() {
+    let mesh = Mesh::start(Path::new(PROGRAM), &small(3), 5);
+    let lost: Vec<_> = (0..3).map(|k| mesh.process(k).lose_disk()).collect();
+    let (code, said) = servers(&mesh, 0, &["detach", "box-1"]);
+    assert!(code == 0 && said.contains("forgotten when this process is killed"), "{code}: {said}");
+    drop(lost);
+    let written = |k: usize| {
+        let files = std::fs::read_dir(mesh.process(k).folder()).expect("a folder").filter_map(Result::ok);
+        let mut copies = files.map(|f| f.path()).filter(|p| p.extension().is_some_and(|e| e == "replica"));
+        copies.any(|p| std::fs::read(p).is_ok_and(|b| b.windows(5).any(|w| w == b"box-1")))
+    };
+    until("the word is on all disks", || (0..3).all(written));
+}
+
 /// The bed's own checks find what is wrong: a cut that nobody mends does not end in agreement.
 #[test]
 fn a_broken_promise_is_found() {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -155,6 +155,9 @@
         /// Beds at a time.
         #[arg(long, default_value_t = 2)]
         beds: usize,
+        /// Measures what a member costs at rest instead, for `--seconds` at each size.
+        #[arg(long)]
+        rest: bool,
     },
     /// What all members of a fleet know alike: real processes under drawn faults with staff's words in them, and simulated time.
     Replica {
@@ -245,7 +248,8 @@
         Command::Members { common, seeds, sizes, compare, svg } => {
             members::run(&common, &members::Wanted { seeds, sizes, compare, svg: svg.as_deref() })
         }
-        Command::Mesh { common, seeds, members, faults, beds } => {
+        Command::Mesh { common, rest: true, .. } => mesh::rest(&common),
+        Command::Mesh { common, seeds, members, faults, beds, rest: false } => {
             mesh::run(&common, &mesh::Wanted { seeds, members, faults, beds })
         }
         Command::Replica { common, seeds, simulated, members, faults, beds } => {
--- a/crates/rig/src/members.rs
+++ b/crates/rig/src/members.rs
@@ -42,7 +42,13 @@
     if fleet.settle(30 * S).is_none() {
         return MEMBERS;
     }
-    fleet.apply(&Fault::Network(Network { loss, doubled: 0.0, flipped: 0.0, delay: (MS / 5, 20 * MS) }));
+    fleet.apply(&Fault::Network(Network {
+        loss,
+        doubled: 0.0,
+        flipped: 0.0,
+        delay: (MS / 5, 20 * MS),
+        rate: None,
+    }));
     for k in 0..6 {
         fleet.run(3 * S);
         let lasts = (seed * 37 + k * 331) % 2_000 * MS;
--- a/crates/rig/src/mesh.rs
+++ b/crates/rig/src/mesh.rs
@@ -1,13 +1,17 @@
 //! `rig mesh`: several real processes joined by relays, under schedules of faults, with a checker over what they wrote.
 
-use crate::report::{median, Failure, Outcome};
+use crate::report::{median, table, Failure, Outcome};
 use crate::seeds::at_a_time;
 use crate::{Common, AS_PROGRAM};
 use laurelroute_membership::defect::Defect;
 use laurelroute_replica::defect as copies;
-use laurelroute_simulation::schedule::{drawn, read, shortest, write, Schedule};
-use laurelroute_testkit::mesh::{play, Setup, Verdict};
+use laurelroute_simulation::schedule::{read, shortest, strained, write, Schedule};
+use laurelroute_testkit::mesh::{play, Mesh, Setup, Verdict};
+use laurelroute_testkit::process::processor;
+use laurelroute_testkit::program::{Bed, Wishes};
+use laurelroute_testkit::wire::Wire;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// What is done to real processes, beside what is drawn.
 #[derive(Debug, clap::Args)]
@@ -45,9 +49,49 @@
     )
 }
 
+/// Sizes of fleets whose processor time is taken.
+const SIZES: [usize; 4] = [3, 6, 12, 24];
+
+/// What a member costs while nothing is done to the fleet and nobody asks it for anything: processor time and datagrams a
+/// second, beside a node that is no member.
+pub fn rest(common: &Common) -> Result<(), Failure> {
+    std::env::set_var(AS_PROGRAM, "1");
+    let program = std::env::current_exe()?;
+    let lasts = Duration::from_secs_f64(common.seconds);
+    let alone = Bed::wishing(&program, Wire::Http, 4, Wishes::default());
+    let before = processor(alone.node.pid());
+    std::thread::sleep(lasts);
+    let taken = processor(alone.node.pid()).saturating_sub(before);
+    let none = taken.as_secs_f64() * 1e3 / lasts.as_secs_f64();
+    drop(alone);
+    let mut outcome = Outcome::default();
+    outcome.put("no_member_ms_a_s", none);
+    let mut rows = vec![vec!["no member".to_owned(), format!("{none:.2}"), "-".to_owned(), "-".to_owned()]];
+    for members in SIZES {
+        let mut mesh = Mesh::start(&program, &Setup { members, clients: 0, ..Setup::default() }, common.seed);
+        // What follows from the founding is over.
+        mesh.run(Duration::from_secs(3));
+        let carried = mesh.relays.carried();
+        let taken = mesh.processor(lasts);
+        let datagrams = (mesh.relays.carried() - carried) as f64 / members as f64 / lasts.as_secs_f64();
+        let millis: Vec<f64> = taken.iter().map(|t| t.as_secs_f64() * 1e3).collect();
+        let most = millis.iter().copied().fold(0.0, f64::max);
+        rows.push(vec![
+            members.to_string(),
+            format!("{:.2}", median(millis.clone())),
+            format!("{most:.2}"),
+            format!("{datagrams:.0}"),
+        ]);
+        outcome.put(format!("members_{members}_ms_a_s"), median(millis));
+        outcome.put(format!("members_{members}_datagrams_a_s"), datagrams);
+    }
+    table(&["members", "processor ms a s", "most", "datagrams a s"], &rows);
+    outcome.close("mesh-rest", common)
+}
+
 /// Plays the seeds.
 pub fn run(common: &Common, wanted: &Wanted) -> Result<(), Failure> {
-    play_all(common, wanted, |seed| drawn(seed, wanted.members), Outcome::default(), "mesh")
+    play_all(common, wanted, |seed| strained(seed, wanted.members), Outcome::default(), "mesh")
 }
 
 /// Plays the seeds with schedules drawn like this.
--- a/crates/simulation/src/members/mod.rs
+++ b/crates/simulation/src/members/mod.rs
@@ -4,7 +4,7 @@
 pub mod copies;
 
 use crate::draw::Draw;
-use crate::schedule::{Fault, Network};
+use crate::schedule::{Fault, Line, Network};
 use crate::{Nanos, MS, S};
 use laurelroute_membership::defect::Planted;
 use laurelroute_membership::{Life, Machine, Output, Roster, Seat, View, TICK};
@@ -56,6 +56,7 @@
     count: u64,
     cut: BTreeSet<(Seat, Seat)>,
     network: Network,
+    lines: BTreeMap<(Seat, Seat), Line>,
     draw: Draw,
     planted: Planted,
     seen: BTreeMap<(u16, u64), View>,
@@ -86,6 +87,7 @@
             count: 0,
             cut: BTreeSet::new(),
             network: Network::default(),
+            lines: BTreeMap::new(),
             draw: Draw::new(seed, 77),
             planted,
             seen: BTreeMap::new(),
@@ -152,6 +154,8 @@
                 let pairs = from.iter().flat_map(|f| to.iter().map(move |t| (*f, *t)));
                 self.cut.extend(pairs.filter(|(f, t)| f != t));
             }
+            // A process here has neither.
+            Fault::NoDisk(..) | Fault::NoDescriptors(..) => {}
             Fault::Mend => self.cut.clear(),
             Fault::Network(network) => self.network = *network,
         }
@@ -247,10 +251,12 @@
         if self.cut.contains(&(from, to)) || self.draw.chance(self.network.loss + self.network.flipped) {
             return;
         }
+        let line = self.lines.entry((from, to)).or_default();
+        let Some(takes) = line.takes(self.now, bytes.len(), self.network.rate) else { return };
         let copies = if self.draw.chance(self.network.doubled) { 2 } else { 1 };
         for _ in 0..copies {
             let (low, high) = self.network.delay;
-            let at = self.now + self.draw.between(low, high);
+            let at = self.now + takes + self.draw.between(low, high);
             self.push(at, Event::Deliver { from, to, bytes: bytes.clone() });
         }
     }
--- a/crates/simulation/src/schedule.rs
+++ b/crates/simulation/src/schedule.rs
@@ -21,11 +21,37 @@
     pub flipped: f64,
     /// Delay from ... to.
     pub delay: (Nanos, Nanos),
+    /// Bytes a second that each direction of each link carries; `None` where there is no limit. What would have to wait for
+    /// longer than [`BACKLOG`] is lost.
+    pub rate: Option<u64>,
+}
+
+/// How long a datagram waits before a link of limited rate at most.
+pub const BACKLOG: Nanos = 200 * MS;
+
+/// One direction of a link of limited rate.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Line {
+    free_at: Nanos,
+}
+
+impl Line {
+    /// How long a datagram of so many bytes is under way that comes now; `None` where it is lost.
+    pub fn takes(&mut self, now: Nanos, bytes: usize, rate: Option<u64>) -> Option<Nanos> {
+        let Some(rate) = rate else { return Some(0) };
+        let waits = self.free_at.saturating_sub(now);
+        if waits > BACKLOG {
+            return None;
+        }
+        let takes = (bytes as u64).saturating_mul(S) / rate.max(1);
+        self.free_at = now + waits + takes;
+        Some(waits + takes)
+    }
 }
 
 impl Default for Network {
     fn default() -> Self {
-        Network { loss: 0.0, doubled: 0.0, flipped: 0.0, delay: (MS / 5, 2 * MS) }
+        Network { loss: 0.0, doubled: 0.0, flipped: 0.0, delay: (MS / 5, 2 * MS), rate: None }
     }
 }
 
@@ -42,6 +68,10 @@
     Say(Seat, u16, bool),
     /// It does not run for so long.
     Pause(Seat, Nanos),
+    /// Nothing can be written or read where it keeps what it knows, for so long.
+    NoDisk(Seat, Nanos),
+    /// It gets no further descriptor for so long.
+    NoDescriptors(Seat, Nanos),
     /// From each of these nothing comes to any of those.
     Cut(Vec<Seat>, Vec<Seat>),
     /// All links carry again.
@@ -103,6 +133,7 @@
                     doubled: 0.1 * draw.unit(),
                     flipped: 0.02 * draw.unit(),
                     delay: (MS / 5, high),
+                    rate: None,
                 };
                 faults.push((now, Fault::Network(network)));
             }
@@ -117,9 +148,35 @@
     faults
 }
 
+/// The same, with disks and descriptors that run out for a while at some, and links that carry little. Only real processes have
+/// disks and descriptors.
+pub fn strained(seed: u64, members: usize) -> Schedule {
+    let mut faults = drawn(seed, members);
+    strain(seed, members, &mut faults);
+    faults
+}
+
+fn strain(seed: u64, members: usize, faults: &mut Schedule) {
+    let mut draw = Draw::new(seed, 84);
+    let end = faults.last().map_or(0, |(at, _)| *at).saturating_sub(10 * S);
+    for _ in 0..draw.below(4) {
+        let (at, seat) = (draw.between(0, end + S), draw.below(members) as Seat);
+        let lasts = draw.between(200 * MS, 4 * S);
+        match draw.below(3) {
+            0 => faults.push((at, Fault::NoDisk(seat, lasts))),
+            1 => faults.push((at, Fault::NoDescriptors(seat, lasts))),
+            _ => {
+                let rate = Some(draw.between(1_000, 8_000));
+                faults.push((at, Fault::Network(Network { rate, ..Network::default() })));
+            }
+        }
+    }
+    faults.sort_by_key(|(at, _)| *at);
+}
+
 /// The same, with staff's words on a few servers all the while, and some that start again without what they kept.
 pub fn spoken(seed: u64, members: usize, servers: u16) -> Schedule {
-    let mut faults = drawn(seed, members);
+    let mut faults = strained(seed, members);
     let mut draw = Draw::new(seed, 82);
     let end = faults.last().map_or(0, |(at, _)| *at);
     for (_, fault) in &mut faults {
@@ -165,6 +222,8 @@
             Fault::Say(seat, server, true) => write!(f, "ban {seat} {server}"),
             Fault::Say(seat, server, false) => write!(f, "back {seat} {server}"),
             Fault::Pause(seat, lasts) => write!(f, "pause {seat} {}ms", lasts / MS),
+            Fault::NoDisk(seat, lasts) => write!(f, "nodisk {seat} {}ms", lasts / MS),
+            Fault::NoDescriptors(seat, lasts) => write!(f, "nodescriptors {seat} {}ms", lasts / MS),
             Fault::Cut(from, to) => write!(f, "cut {} {}", list(from), list(to)),
             Fault::Mend => f.write_str("mend"),
             Fault::Network(n) => write!(
@@ -175,7 +234,8 @@
                 n.flipped,
                 n.delay.0 / 1_000,
                 n.delay.1 / 1_000
-            ),
+            )
+            .and_then(|()| n.rate.map_or(Ok(()), |rate| write!(f, " {rate}B/s"))),
         }
     }
 }
@@ -204,6 +264,10 @@
     text?.strip_suffix(unit)?.parse().ok()
 }
 
+fn millis(text: Option<&str>) -> Option<Nanos> {
+    Some(number::<Nanos>(text, "ms")? * MS)
+}
+
 fn seats(text: Option<&str>) -> Option<Vec<Seat>> {
     text?.split(',').map(|seat| seat.parse().ok()).collect()
 }
@@ -217,7 +281,9 @@
         "fresh" => Fault::Fresh(number(words.next(), "")?),
         "ban" => Fault::Say(number(words.next(), "")?, number(words.next(), "")?, true),
         "back" => Fault::Say(number(words.next(), "")?, number(words.next(), "")?, false),
-        "pause" => Fault::Pause(number(words.next(), "")?, number::<Nanos>(words.next(), "ms")? * MS),
+        "pause" => Fault::Pause(number(words.next(), "")?, millis(words.next())?),
+        "nodisk" => Fault::NoDisk(number(words.next(), "")?, millis(words.next())?),
+        "nodescriptors" => Fault::NoDescriptors(number(words.next(), "")?, millis(words.next())?),
         "cut" => Fault::Cut(seats(words.next())?, seats(words.next())?),
         "mend" => Fault::Mend,
         "network" => Fault::Network(Network {
@@ -228,6 +294,10 @@
                 number::<Nanos>(words.next(), "us")? * 1_000,
                 number::<Nanos>(words.next(), "us")? * 1_000,
             ),
+            rate: match words.next() {
+                Some(rate) => Some(number(Some(rate), "B/s")?),
+                None => None,
+            },
         }),
         _ => return None,
     };
@@ -279,9 +349,22 @@
             read("# all\n\n5ms kill x\n").unwrap_err().to_string(),
             "line 3: `5ms kill x` is no fault"
         );
+        let strained =
+            "5ms nodisk 3 200ms\n6ms nodescriptors 1 50ms\n7ms network 0 0 0 200us 2000us 900B/s\n";
+        assert_eq!(write(&read(strained).unwrap()), strained);
+        assert!(read("7ms network 0 0 0 200us 2000us 900").is_err() && read("5ms nodisk 3").is_err());
         assert!(read("5ms mend 3").is_err() && read("mend").is_err());
     }
 
+    #[test]
+    fn a_line_of_limited_rate_carries_no_more() {
+        let mut line = Line::default();
+        let came: usize = (0..1_000).filter(|k| line.takes(k * MS, 100, Some(1_000)).is_some()).count();
+        // A second's worth, and what still waits at its end.
+        assert!((9..=13).contains(&came), "{came} of 100 bytes each in a second at 1,000");
+        assert_eq!(line.takes(0, 1 << 20, None), Some(0));
+    }
+
     #[test]
     fn the_shortest_that_breaks_is_found() {
         let schedule = drawn(7, 12);
--- a/crates/simulation/tests/members.rs
+++ b/crates/simulation/tests/members.rs
@@ -166,6 +166,7 @@
             doubled: 0.1,
             flipped: 0.0,
             delay: (MS, 200 * MS),
+            rate: None,
         }));
         fleet.run(60 * S);
         none_removed(&fleet, seed);
--- a/crates/testkit/src/mesh/mod.rs
+++ b/crates/testkit/src/mesh/mod.rs
@@ -8,7 +8,8 @@
 use crate::boxes::{ran, Act, StandIn};
 use crate::discovery::{Discovery, Entry};
 use crate::load::{Load, Tally};
-use crate::program::{Program, Wishes};
+use crate::process::processor;
+use crate::program::{Lost, Program, Wishes};
 use crate::wire::{Class, Wire};
 use crate::{fresh, those, until};
 use check::{Gap, Histories};
@@ -62,11 +63,20 @@
     calls: Vec<thread::JoinHandle<copies::Answered>>,
     begun: (Instant, u64),
     loads: Vec<[Load; 2]>,
-    cut: bool,
+    /// Stretches of time in which something was cut.
+    cuts: Vec<(u64, u64)>,
+    wants: Vec<(usize, Want, Instant, Lost)>,
     folder: PathBuf,
     _discovery: Discovery,
 }
 
+/// What a process may be without for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Want {
+    Disk,
+    Descriptors,
+}
+
 struct Member {
     program: Program,
     /// Those before, whose addresses and files it has.
@@ -159,7 +169,8 @@
             calls: Vec::new(),
             begun: (Instant::now(), micros()),
             loads,
-            cut: false,
+            cuts: Vec::new(),
+            wants: Vec::new(),
             folder,
             _discovery: discovery,
         };
@@ -172,6 +183,17 @@
         &self.members[k].program
     }
 
+    /// Time that each of them takes of a processor in a second, while nothing is done to them.
+    pub fn processor(&mut self, lasts: Duration) -> Vec<Duration> {
+        let taken = |mesh: &Mesh| -> Vec<Duration> {
+            mesh.members.iter().map(|m| processor(m.program.pid())).collect()
+        };
+        let (before, begun) = (taken(self), Instant::now());
+        self.run(lasts);
+        let took = begun.elapsed().as_secs_f64();
+        taken(self).into_iter().zip(before).map(|(now, then)| (now - then).div_f64(took)).collect()
+    }
+
     /// What all have written so far.
     pub fn histories(&self) -> Histories {
         Histories::read(self.members.iter().map(|m| m.history.as_path()))
@@ -191,16 +213,23 @@
             Fault::Fresh(seat) => self.restart(usize::from(*seat), true),
             Fault::Say(seat, server, out) => self.say(usize::from(*seat), usize::from(*server), *out),
             Fault::Pause(seat, lasts) => self.pause(usize::from(*seat), *lasts),
+            Fault::NoDisk(seat, lasts) => self.want(usize::from(*seat), Want::Disk, *lasts),
+            Fault::NoDescriptors(seat, lasts) => self.want(usize::from(*seat), Want::Descriptors, *lasts),
             Fault::Cut(from, to) => {
-                self.cut = true;
+                self.cuts.push((micros(), u64::MAX));
                 self.relays.cut(from, to);
             }
-            Fault::Mend => self.relays.mend(),
+            Fault::Mend => {
+                self.cuts.iter_mut().for_each(|(_, to)| *to = (*to).min(micros()));
+                self.relays.mend();
+            }
             Fault::Network(network) => self.relays.network(*network),
         }
     }
 
     fn kill(&mut self, k: usize) {
+        // Its folder is there for the next one.
+        self.wants.retain(|(seat, ..)| *seat != k);
         let member = &mut self.members[k];
         if !member.runs {
             return;
@@ -248,6 +277,19 @@
         self.gaps.push(Gap { seat: k as u64, from, to, killed: false });
     }
 
+    /// Something that a process needs is not there for so long.
+    fn want(&mut self, k: usize, what: Want, lasts: Nanos) {
+        let program = &self.members[k].program;
+        let mended = match what {
+            _ if !self.members[k].runs || self.wants.iter().any(|(seat, w, ..)| (*seat, *w) == (k, what)) => {
+                return
+            }
+            Want::Disk => program.lose_disk(),
+            Want::Descriptors => program.lose_descriptors(),
+        };
+        self.wants.push((k, what, Instant::now() + Duration::from_nanos(lasts), mended));
+    }
+
     /// Staff take a box out of use at a process, or put it back; where it does not run there is nobody to tell.
     fn say(&mut self, k: usize, server: usize, out: bool) {
         let member = &self.members[k];
@@ -268,6 +310,8 @@
                 member.wakes = None;
                 member.program.signal("CONT");
             }
+            // Dropped, it is there again.
+            self.wants.retain(|(.., until, _)| *until > now);
             if now >= end {
                 return;
             }
@@ -386,16 +430,16 @@
         broken
     }
 
-    /// Members that were put out though they ran and could be reached; under cuts nobody can be told.
+    /// Members that were put out though they ran and could be reached; under cuts, and until all agree after them, nobody can
+    /// be told.
     fn wrongful(&self, all: &Histories) -> Vec<String> {
-        if self.cut {
-            return Vec::new();
-        }
+        let after = AGREE.as_micros() as u64;
         let excused = |at: u64, seat: u64| {
-            let long =
-                |g: &&Gap| g.seat == seat && g.from <= at && g.to.saturating_sub(g.from) > LONGEST_PAUSE;
+            let cut = self.cuts.iter().any(|(from, to)| *from <= at && at < to.saturating_add(after));
+            let longest = LONGEST_PAUSE + WAKES.as_micros() as u64;
+            let long = |g: &&Gap| g.seat == seat && g.from <= at && g.to.saturating_sub(g.from) > longest;
             let dead = |g: &&Gap| g.seat == seat && g.from <= at && self.members[seat as usize].killed;
-            self.gaps.iter().any(|g| long(&g) || dead(&g))
+            cut || self.gaps.iter().any(|g| long(&g) || dead(&g))
         };
         let removals = all.removals().into_iter().filter(|(at, (seat, _))| !excused(*at, *seat));
         removals.map(|(_, (seat, _))| format!("seat {seat} was put out though it ran")).collect()
--- a/crates/testkit/src/mesh/relay.rs
+++ b/crates/testkit/src/mesh/relay.rs
@@ -3,11 +3,11 @@
 
 use crate::lock;
 use laurelroute_simulation::draw::Draw;
-use laurelroute_simulation::schedule::Network;
+use laurelroute_simulation::schedule::{Line, Network};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::task::{spawn_local, LocalSet};
@@ -20,6 +20,9 @@
     size: usize,
     /// From ... to ..., row by row: nothing comes through.
     cut: Vec<bool>,
+    /// Likewise: when each is free again where the network's rate is limited.
+    lines: Vec<Line>,
+    begun: Instant,
     network: Network,
     draw: Draw,
     carried: u64,
@@ -42,6 +45,8 @@
         let links = Links {
             size,
             cut: vec![false; size * size],
+            lines: vec![Line::default(); size * size],
+            begun: Instant::now(),
             network: Network { delay: (0, 0), ..Network::default() },
             draw: Draw::new(seed, 79),
             carried: 0,
@@ -158,6 +163,9 @@
         if self.cut[from * self.size + to] || self.draw.chance(network.loss) {
             return Vec::new();
         }
+        let now = self.begun.elapsed().as_nanos() as u64;
+        let line = &mut self.lines[from * self.size + to];
+        let Some(takes) = line.takes(now, datagram.len(), network.rate) else { return Vec::new() };
         self.carried += 1;
         if self.draw.chance(network.flipped) && !datagram.is_empty() {
             let bit = self.draw.below(8 * datagram.len());
@@ -166,6 +174,6 @@
         let copies = if self.draw.chance(network.doubled) { 2 } else { 1 };
         let (low, high) = network.delay;
         let delay = |draw: &mut Draw| if high == 0 { 0 } else { draw.between(low, high) };
-        (0..copies).map(|_| Duration::from_nanos(delay(&mut self.draw))).collect()
+        (0..copies).map(|_| Duration::from_nanos(takes + delay(&mut self.draw))).collect()
     }
 }
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -1,5 +1,7 @@
 //! What the kernel says of a process.
 
+use std::time::Duration;
+
 /// What is told of a process's memory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Memory {
@@ -19,6 +21,16 @@
     status.lines().find_map(|l| l.strip_prefix(key)?.trim().strip_suffix(" kB")?.parse().ok())
 }
 
+/// Time that a process has had a processor, over all of its threads; none where it has ended.
+pub fn processor(pid: u32) -> Duration {
+    let nanos = |task: std::fs::DirEntry| -> Option<u64> {
+        // The first number is nanoseconds on a processor (the kernel's sched-stats.rst).
+        std::fs::read_to_string(task.path().join("schedstat")).ok()?.split(' ').next()?.parse().ok()
+    };
+    let tasks = std::fs::read_dir(format!("/proc/{pid}/task")).into_iter().flatten().filter_map(Result::ok);
+    Duration::from_nanos(tasks.filter_map(nanos).sum())
+}
+
 /// Whether a process has begun as the command that has this argument (proc(5)). Before that it is a copy of the one that
 /// starts it, with its arguments and all of its descriptors: those are closed before the new arguments are in place.
 pub fn begun(pid: u32, argument: &[u8]) -> bool {
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -9,6 +9,7 @@
 use crate::wire::{Answer, Ask, Class, Wire};
 use crate::{fresh, until};
 use laurelroute_thrift::codec::Form;
+use rustix::process::{Resource, Rlimit};
 use std::collections::HashMap;
 use std::ffi::OsString;
 use std::io::{Read, Write};
@@ -93,6 +94,15 @@
     _own: Port,
 }
 
+/// Something that a process is without until this is dropped.
+pub struct Lost(Box<dyn Fn() + Send>);
+
+impl Drop for Lost {
+    fn drop(&mut self) {
+        (self.0)();
+    }
+}
+
 #[derive(Debug)]
 struct Place {
     folder: PathBuf,
@@ -203,6 +213,25 @@
         assert!(kill.expect("kill runs").success());
     }
 
+    /// Takes away the folder that its processes share until that is dropped: they neither read nor write there.
+    pub fn lose_disk(&self) -> Lost {
+        let (here, away) = (self.place.folder.clone(), self.place.folder.with_extension("away"));
+        std::fs::rename(&here, &away).expect("the folder can be moved");
+        Lost(Box::new(move || std::fs::rename(&away, &here).expect("the folder can be moved back")))
+    }
+
+    /// The process gets no descriptor beyond those that it has, until that is dropped.
+    pub fn lose_descriptors(&self) -> Lost {
+        let pid = rustix::process::Pid::from_raw(self.pid() as i32);
+        let limit = move |current| {
+            let whole = rustix::process::getrlimit(Resource::Nofile);
+            let _ = rustix::process::prlimit(pid, Resource::Nofile, Rlimit { current, ..whole });
+        };
+        let whole = rustix::process::getrlimit(Resource::Nofile).current;
+        limit(Some(self.descriptors() as u64));
+        Lost(Box::new(move || limit(whole)))
+    }
+
     /// What its processes share.
     pub fn folder(&self) -> &Path {
         &self.place.folder
