Have a member that starts with nothing go by what a neighbour has learnt of servers

Need: a node whose disk is new takes all servers for equal and all answer times for a guess, while its neighbours know better. What was learnt was handed over in an upgrade only.

The decision module gets it by the event that an heir's has. Nothing waits for it; older members do not answer. In `[fleet]` only.

--- a/crates/node/src/fleet/cli.rs
+++ b/crates/node/src/fleet/cli.rs
@@ -164,7 +164,10 @@
     };
     let head = format!("{:<24} {:<22} {:<4} {:>9}", "name", "address", "", "silent");
     let rows = rows(fleet).iter().map(row);
-    [standing(fleet), head].into_iter().chain(rows).collect::<Vec<_>>().join("\n")
+    let learnt = fleet["learnt"]["servers"].as_u64();
+    let learnt = learnt
+        .map(|n| format!("began with what {} had learnt of {n} servers", text(&fleet["learnt"]["from"])));
+    [standing(fleet), head].into_iter().chain(rows).chain(learnt).collect::<Vec<_>>().join("\n")
 }
 
 fn explain(fleet: &Value, name: &str) -> Result<String, String> {
@@ -201,13 +204,14 @@
         let fleet = serde_json::json!({"me": "a", "view": 3, "rooted": true, "since_ms": 1500, "lease": true, "share": 0.46,
             "members": [{"name": "a", "address": "127.0.0.1:1", "member": true, "life": 7, "watched_here": false,
             "silent_ms": null, "accused_by": []}, {"name": "b", "address": "127.0.0.1:2", "member": false, "life": null,
-            "watched_here": true, "silent_ms": 2300, "accused_by": ["a"]}]});
+            "watched_here": true, "silent_ms": 2300, "accused_by": ["a"]}], "learnt": {"from": "b", "servers": 7}});
         let shown = members(&fleet);
         assert!(
             shown.starts_with("view 3 at a, for 1.5 s; lease: held; part of what is shared: 0.4600"),
             "{shown}"
         );
         assert!(shown.lines().nth(3).unwrap().contains("out") && shown.contains("2300 ms"), "{shown}");
+        assert!(shown.ends_with("\nbegan with what b had learnt of 7 servers"), "{shown}");
         let why = explain(&fleet, "b").unwrap();
         assert!(why.contains("no member") && why.contains("for 2300 ms") && why.contains("by a"), "{why}");
         assert!(explain(&fleet, "c").is_err());
--- a/crates/node/src/fleet/copy.rs
+++ b/crates/node/src/fleet/copy.rs
@@ -2,13 +2,13 @@
 //!
 //! How copies are brought in line stands in `laurelroute-replica`.
 
-use super::Member;
+use super::{lesson, Member};
 use crate::files;
 use laurelroute_core::fleet::Entry as Listed;
 use laurelroute_core::gateway::Gateway;
 use laurelroute_membership::{Nanos, Seat, MS};
 use laurelroute_policy::interface::{ListKind, Phase};
-use laurelroute_replica::{disk, Drain, Entry, Key, Machine, Output, SayError};
+use laurelroute_replica::{disk, Drain, Entry, Key, Lesson, Machine, Output, SayError};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -23,6 +23,9 @@
 const ANSWERS: Duration = Duration::from_millis(1000);
 /// What could not be written is tried again after this.
 const WRITE_AGAIN: Duration = Duration::from_secs(1);
+/// What was learnt is told as it was for so long: to one that has a part of it, and to one that has none.
+const TAUGHT: Nanos = 3_000 * MS;
+const FRESH: Nanos = 500 * MS;
 /// Those who have not said yes by then are asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(100);
 /// Looks at whether others have a word, in between.
@@ -50,6 +53,10 @@
     root: Cell<u64>,
     /// It has said that it may be behind.
     behind: Cell<bool>,
+    /// What it has learnt of servers, as last told to one that has asked, and when that was.
+    lesson: RefCell<(Nanos, Lesson)>,
+    /// From whom it has learnt itself, and of how many servers.
+    pub(super) learnt: RefCell<Option<(String, usize)>>,
 }
 
 fn load(path: &Path) -> Vec<(Key, Entry)> {
@@ -82,6 +89,8 @@
             version: Cell::default(),
             root: Cell::default(),
             behind: Cell::default(),
+            lesson: RefCell::default(),
+            learnt: RefCell::default(),
         }
     }
 
@@ -160,6 +169,8 @@
                     let reason = laurelroute_membership::Reason::Version(version);
                     self.refuse(gateway.clock.now(), seat, reason);
                 }
+                Output::Asked(seat, number, first) => self.teach(gateway, seat, number, first),
+                Output::Learnt(seat, lesson) => self.take_lesson(gateway, seat, lesson),
                 Output::NoPlace(key) => {
                     tracing::warn!("fleet: no place for what others say of server {}", key.host());
                 }
@@ -167,6 +178,39 @@
         }
     }
 
+    /// Tells a member that starts what this one has learnt of servers. Rows that go together are of one moment.
+    fn teach(&self, gateway: &Rc<Gateway>, to: Seat, number: u32, first: u32) {
+        let now = gateway.clock.now();
+        let old = |(at, lesson): &(Nanos, Lesson)| {
+            let lasts = if lesson.number == number { TAUGHT } else { FRESH };
+            lesson.number == 0 || now.saturating_sub(*at) > lasts
+        };
+        if old(&self.copy.lesson.borrow()) {
+            let number = self.copy.lesson.borrow().1.number.wrapping_add(1).max(1);
+            self.copy.lesson.replace((now, lesson::told(number, &gateway.learnt())));
+        }
+        let outputs = {
+            let lesson = &self.copy.lesson.borrow().1;
+            self.copy.machine.borrow_mut().teach(to, lesson, first)
+        };
+        self.carry_out_copy(gateway, outputs);
+    }
+
+    /// Goes by what another member has learnt, as soon as there is a list of servers.
+    fn take_lesson(&self, gateway: &Rc<Gateway>, from: Seat, lesson: Lesson) {
+        let name = self.site.roster.name(from).to_owned();
+        tracing::info!("fleet: learnt of {} servers from {name}", lesson.rows.len());
+        self.note("learnt", &name);
+        *self.copy.learnt.borrow_mut() = Some((name, lesson.rows.len()));
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            gateway.listed().await;
+            // How much comes here this node knows best itself.
+            let rate = gateway.learnt().rate;
+            gateway.take_over(lesson::heard(rate, &lesson));
+        });
+    }
+
     /// An entry is another one: the gateway goes by it, and the disk has to have it.
     fn follow(&self, gateway: &Rc<Gateway>, key: &Key) {
         self.copy.changes.set(self.copy.changes.get() + 1);
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod cli;
 pub(crate) mod copy;
 mod history;
+mod lesson;
 pub mod table;
 
 use copy::Copy;
@@ -128,7 +129,10 @@
             self.waits.set(true);
             tokio::time::sleep(BIND_AGAIN).await;
         };
-        self.waits.set(false);
+        if !self.waits.replace(false) {
+            // Nobody has handed over what this node had learnt.
+            self.copy.machine.borrow_mut().learn();
+        }
         self.socket.replace(Some(socket.clone()));
         // The process before has ended, and writes its file no longer.
         self.remember(&gateway);
@@ -312,6 +316,7 @@
             "lease": machine.attached(now),
             "share": machine.share(now),
             "pauses": machine.pauses(),
+            "learnt": self.copy.learnt.borrow().as_ref().map(|(from, servers)| serde_json::json!({"from": from, "servers": servers})),
             "members": rows,
         })
     }
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -2,7 +2,9 @@
 
 use laurelroute_simulation::schedule::{read, spoken, strained, write, Fault};
 use laurelroute_testkit::mesh::{play, Mesh, Setup};
+use laurelroute_testkit::program::Bed;
 use laurelroute_testkit::until;
+use laurelroute_testkit::wire::Wire;
 use std::path::Path;
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -152,6 +154,48 @@
     until("the word is on all disks", || (0..3).all(written));
 }
 
+/// A node that is started anew without its disk goes by what a neighbour has learnt of the servers.
+#[test]
+fn one_that_starts_with_nothing_learns_from_a_neighbour() {
+    let mut mesh = Mesh::start(Path::new(PROGRAM), &small(3), 6);
+    let learnt = |mesh: &Mesh| {
+        let (_, text) = fleet(mesh, 2, &["members", "--json"]);
+        let all: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+        all["learnt"].clone()
+    };
+    mesh.run(Duration::from_secs(1));
+    mesh.apply(&Fault::Kill(2));
+    until("the others are of one view", || mesh.agreed());
+    mesh.apply(&Fault::Fresh(2));
+    until("it has learnt", || !learnt(&mesh).is_null());
+    let from = learnt(&mesh);
+    assert!(from["servers"] == 2 && from["from"] != "node-002", "{from}");
+    let agreed = mesh.settle();
+    let verdict = mesh.finish(agreed);
+    assert!(verdict.broken.is_empty(), "{verdict:#?}");
+}
+
+/// Where the platform does not allow talk between nodes, a file that names a fleet is refused, and says why.
+#[test]
+fn a_fleet_is_refused_where_nodes_may_not_talk() {
+    let bed = Bed::new(Path::new(PROGRAM), Wire::Http, 1);
+    let site = bed.node.folder().join("fleet.toml");
+    let member = |k: u8| {
+        format!("[[fleet.member]]\nname = \"node-{k}\"\naddress = \"127.0.0.1:{}\"\n", 7_000 + u16::from(k))
+    };
+    let text = format!(
+        "[fleet]\nsite = \"s\"\nname = \"node-1\"\nlisten = \"127.0.0.1:7001\"\n{}{}",
+        member(1),
+        member(2)
+    );
+    std::fs::write(&site, text).expect("the file can be written");
+    let mut command = Command::new(PROGRAM);
+    command.arg("--site").arg(&site).env("GW_CONFIG", bed.node.folder().join("config.json"));
+    let output = command.env("TMPDIR", bed.node.folder().join("none")).output().expect("the program ends");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success() && said.contains("caps.peers"), "{said}");
+}
+
 /// The bed's own checks find what is wrong: a cut that nobody mends does not end in agreement.
 #[test]
 fn a_broken_promise_is_found() {
--- a/crates/replica/src/machine.rs
+++ b/crates/replica/src/machine.rs
@@ -2,6 +2,7 @@
 
 use crate::defect::{Defect, Planted};
 use crate::entry::{Bans, Dot, Drain, Entry, Key, Word, Writer, MOST_NAME};
+use crate::lesson::{Lesson, Step, Student};
 use crate::link::Link;
 use crate::store::{Full, Store};
 use crate::wire::{items, Body, Datagram, Head, Item, VERSION};
@@ -46,6 +47,10 @@
     Version(Seat, u8),
     /// An entry has no place here.
     NoPlace(Key),
+    /// A member asks what this one has learnt: the lesson that it has in part, and from which row on ([`Machine::teach`]).
+    Asked(Seat, u32, u32),
+    /// That one has told all that it has learnt.
+    Learnt(Seat, Lesson),
 }
 
 /// A replica.
@@ -68,6 +73,8 @@
     allowance: (Nanos, u64),
     /// Batches that went to anybody: a link that is made anew goes on from there.
     batches: u32,
+    /// As long as it wants to learn from others.
+    student: Option<Student>,
     /// Words of its own that were told of as lost.
     lost: BTreeSet<Dot>,
     planted: Planted,
@@ -92,6 +99,7 @@
             rooted: None,
             allowance: (0, BURST),
             batches: 0,
+            student: None,
             lost: BTreeSet::new(),
             planted: Planted::default(),
             out: Vec::new(),
@@ -191,6 +199,35 @@
         std::mem::take(&mut self.out)
     }
 
+    /// This member starts with nothing, and asks others what they have learnt.
+    pub fn learn(&mut self) {
+        self.student = Some(Student::default());
+    }
+
+    /// Tells a member that has asked what this one has learnt, from that row on; as far as the allowance goes, and it asks
+    /// again.
+    pub fn teach(&mut self, to: Seat, lesson: &Lesson, first: u32) -> Vec<Output> {
+        for piece in lesson.pieces(first) {
+            if self.allowance.1 == 0 {
+                break;
+            }
+            self.send(to, piece);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn study(&mut self, step: Step) {
+        match step {
+            Step::Ask(seat, question) => self.send(seat, question),
+            Step::Wait => {}
+            Step::Learnt(seat, lesson) => {
+                self.student = None;
+                self.out.push(Output::Learnt(seat, lesson));
+            }
+            Step::Alone => self.student = None,
+        }
+    }
+
     fn catch_up(&mut self) {
         if !std::mem::replace(&mut self.caught_up, true) {
             self.out.push(Output::CaughtUp);
@@ -263,6 +300,9 @@
         if self.planted.is(Defect::ForgetsEarly) {
             self.forget_early();
         }
+        if let Some(step) = self.student.as_mut().map(|s| s.tick(now, self.me, &self.members)) {
+            self.study(step);
+        }
         self.flush(now);
         std::mem::take(&mut self.out)
     }
@@ -318,6 +358,12 @@
                 self.send(at, Body::Answer(number, same));
             }
             Body::Answer(number, same) => self.out.push(Output::Has(at, number, same)),
+            Body::Learn(number, first) => self.out.push(Output::Asked(at, number, first)),
+            body @ (Body::Usual(..) | Body::Rows(..)) => {
+                if let Some(step) = self.student.as_mut().map(|s| s.hear(now, at, life, body)) {
+                    self.study(step);
+                }
+            }
             body => self.hear_near(now, at, life, body),
         }
     }
--- a/crates/replica/src/wire.rs
+++ b/crates/replica/src/wire.rs
@@ -1,6 +1,7 @@
 //! Datagrams between replicas: postcard, no longer than the members' own; and batches of entries, which go in parts.
 
 use crate::entry::{Entry, Key};
+use crate::lesson::{Row, Usual};
 use laurelroute_membership::wire::{decode, encode};
 use laurelroute_membership::Seat;
 use serde::{Deserialize, Serialize};
@@ -47,6 +48,12 @@
     Ask(u32, Key, u64),
     /// Yes, or no.
     Answer(u32, bool),
+    /// What have you learnt of servers? I have this lesson up to this row, or none yet.
+    Learn(u32, u32),
+    /// Of that lesson, which has so many rows: what is usual.
+    Usual(u32, u32, Usual),
+    /// Of that lesson, which has so many rows: those from this one on.
+    Rows(u32, u32, u32, Vec<Row>),
 }
 
 /// A datagram.
--- a/crates/simulation/src/members/copies.rs
+++ b/crates/simulation/src/members/copies.rs
@@ -114,6 +114,8 @@
                 Output::Send(to, bytes) => self.send(seat, to, bytes),
                 Output::Changed(_) => changed = true,
                 Output::CaughtUp => self.look_at_caught_up(seat),
+                // Nobody here has servers to learn of.
+                Output::Asked(..) | Output::Learnt(..) => {}
                 Output::Lost(_) => self.copies.iter_mut().for_each(|c| c.lost += 1),
                 Output::Has(..) | Output::Version(..) | Output::NoPlace(_) => {}
             }
