--- a/crates/handover/src/share.rs
+++ b/crates/handover/src/share.rs
@@ -18,7 +18,7 @@
 
 /// An heir opens this many beyond what a beat has told, and no more until the elder has answered a later one: in a storm
 /// of new clients it could otherwise hold all of its part within a moment of which the elder hears nothing.
-pub fn since_beat(total: usize) -> usize {
+fn since_beat(total: usize) -> usize {
     (total / 8).max(32)
 }
 
--- a/crates/node/src/fleet/copy.rs
+++ b/crates/node/src/fleet/copy.rs
@@ -21,15 +21,15 @@
 const KEPT: Duration = Duration::from_millis(300);
 /// How long members are waited for that are asked what they have.
 const ANSWERS: Duration = Duration::from_millis(1000);
+/// Those who have not said yes by then are asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+/// Looks at whether others have a word, in between.
+const LOOK: Duration = Duration::from_millis(10);
 /// What could not be written is tried again after this.
 const WRITE_AGAIN: Duration = Duration::from_secs(1);
 /// What was learnt is told as it was for so long: to one that has a part of it, and to one that has none.
 const TAUGHT: Nanos = 3_000 * MS;
 const FRESH: Nanos = 500 * MS;
-/// Those who have not said yes by then are asked again.
-const ASK_AGAIN: Duration = Duration::from_millis(100);
-/// Looks at whether others have a word, in between.
-const LOOK: Duration = Duration::from_millis(10);
 /// A member that nobody brings up to date says that it is ready after this all the same.
 const BEHIND: Nanos = 3_000 * MS;
 /// A drain that only others have heard of counts for so long: the list has had its time to come here as well.
@@ -181,16 +181,13 @@
     /// Tells a member that starts what this one has learnt of servers. Rows that go together are of one moment.
     fn teach(&self, gateway: &Rc<Gateway>, to: Seat, number: u32, first: u32) {
         let now = gateway.clock.now();
-        let old = |(at, lesson): &(Nanos, Lesson)| {
-            let lasts = if lesson.number == number { TAUGHT } else { FRESH };
-            lesson.number == 0 || now.saturating_sub(*at) > lasts
-        };
-        if old(&self.copy.lesson.borrow()) {
-            let number = self.copy.lesson.borrow().1.number.wrapping_add(1).max(1);
-            self.copy.lesson.replace((now, lesson::told(number, &gateway.learnt())));
-        }
         let outputs = {
-            let lesson = &self.copy.lesson.borrow().1;
+            let (at, lesson) = &mut *self.copy.lesson.borrow_mut();
+            let lasts = if lesson.number == number { TAUGHT } else { FRESH };
+            if lesson.number == 0 || now.saturating_sub(*at) > lasts {
+                let number = lesson.number.wrapping_add(1).max(1);
+                (*at, *lesson) = (now, lesson::told(number, &gateway.learnt()));
+            }
             self.copy.machine.borrow_mut().teach(to, lesson, first)
         };
         self.carry_out_copy(gateway, outputs);
--- a/crates/rig/src/upgrade.rs
+++ b/crates/rig/src/upgrade.rs
@@ -5,7 +5,7 @@
 use crate::seeds::at_a_time;
 use crate::{Common, AS_PROGRAM};
 use laurelroute_testkit::load::{Load, Tally};
-use laurelroute_testkit::process::{descriptors, memory_kb, Memory};
+use laurelroute_testkit::process::{memory_kb, Memory};
 use laurelroute_testkit::program::{Bed, Program, Wishes};
 use laurelroute_testkit::takeover::{self, Victim};
 use laurelroute_testkit::until;
@@ -105,9 +105,9 @@
     let next = if way == Way::Shared { bed.node.stranger() } else { bed.node.successor() };
     takes_clients(&next);
     seen.ready.push(begun.elapsed().as_secs_f64());
-    let pids = [bed.node.pid(), next.pid()];
-    seen.memory = seen.memory.max(pids.into_iter().map(resident_mb).sum());
-    seen.descriptors = seen.descriptors.max(pids.into_iter().map(descriptors).sum());
+    let both = [&bed.node, &next];
+    seen.memory = seen.memory.max(both.map(|p| resident_mb(p.pid())).into_iter().sum());
+    seen.descriptors = seen.descriptors.max(both.map(Program::descriptors).into_iter().sum());
     if way != Way::Reopened {
         seen.ended.push(end(&mut bed.node));
     }
