Send nothing on for a client that has left while its request waited

Seen: with calling off forbidden by the settings, an attempt whose connection came up late was sent for a client long gone; with bytes of a further request behind the one that waits, a leaving was not noticed at all; a request that had waited in the kernel's queue was sent although its client's end was already there.

Ruled out: the module. It starts nothing for a request once it was told (`ClientGone`), and holds none back. The lines: `Gateway::client_gone` left open attempts alone unless `caps.cancelling` let the module call them off; hyper stops reading while its buffer holds anything (`mid_message_detect_eof`), and Thrift's front while its pipeline is full; both fronts handed a request over without looking whether anybody waits.

Changed: attempts of which the kernel does not have the last byte are withdrawn as never run once a client has left or has its answer; connections that wait are looked at every 0.1 s for the peer's end (EPOLLRDHUP), and before a request is handed over.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -145,6 +145,7 @@
         }
         let first = std::mem::replace(&mut live.owed, false);
         self.gateway.conclude(&mut state, self.id, Ending::Ok);
+        self.gateway.withdraw(&mut state, self.id.request);
         first
     }
 }
@@ -158,6 +159,13 @@
     task: Option<AbortHandle>,
 }
 
+impl Sent {
+    /// Its last byte is with the kernel: from here on it may run.
+    fn handed_over(&self) -> bool {
+        self.handed.borrow().as_ref().is_some_and(|h| h.handed_over())
+    }
+}
+
 struct Live {
     exchange: Rc<dyn Exchange>,
     request: Request,
@@ -209,6 +217,8 @@
     pub budget: Rc<Budget>,
     /// SIGTERM has come: no more requests on kept connections.
     pub leaving: Cell<bool>,
+    /// When the process ends at the latest: until then every request has its final answer.
+    ends_at: Cell<Nanos>,
     /// Discovery has told the list, so that new clients may come.
     pub ready: Cell<bool>,
     now_ready: Notify,
@@ -236,6 +246,7 @@
             budget: Budget::new(site.sockets, site.memory_mb, site.kept_sockets),
             clock: Clock::start(),
             leaving: Cell::new(false),
+            ends_at: Cell::new(Nanos::MAX),
             ready: Cell::new(false),
             now_ready: Notify::new(),
             list_calls,
@@ -245,6 +256,26 @@
         }))
     }
 
+    /// No request waits beyond this, however long its client would: the process ends soon after, and a connection that
+    /// ends with it gives no final answer.
+    pub fn end_by(self: &Rc<Self>, at: Nanos) {
+        self.ends_at.set(at);
+        let mut state = self.state.borrow_mut();
+        let beyond: Vec<_> =
+            state.live.iter().filter(|(_, l)| l.give_up_at > at).map(|(id, _)| *id).collect();
+        for id in beyond {
+            if let Some(live) = state.live.get_mut(&id) {
+                live.give_up_at = at;
+            }
+            self.start_timer(&mut state, at, Wake::Deadline(id));
+        }
+    }
+
+    /// The longest time that a client waits for an answer, over all classes.
+    pub fn longest_deadline(&self) -> Nanos {
+        self.site.settings.classes.iter().map(|c| c.give_up).max().unwrap_or(0)
+    }
+
     /// There is a list to go by.
     pub fn set_ready(&self) {
         self.ready.set(true);
@@ -290,8 +321,8 @@
         let mut state = self.state.borrow_mut();
         let id = state.next_id;
         state.next_id = id.wrapping_add(1);
-        let give_up_at = call.give_up_at;
-        let mut request = Request { id, ..call.request };
+        let give_up_at = call.give_up_at.min(self.ends_at.get());
+        let mut request = Request { id, give_up_at, ..call.request };
         if let Some(shift) = &mut state.shift {
             request.place = shift.place(&request);
             shift.came(&request);
@@ -306,11 +337,24 @@
         let mut state = self.state.borrow_mut();
         let Some(live) = state.live.get_mut(&request) else { return };
         if std::mem::replace(&mut live.owed, false) {
+            self.withdraw(&mut state, request);
             self.handle(&mut state, Event::ClientGone { request });
             self.forget(&mut state, request);
         }
     }
 
+    /// Nobody waits for the request any more. What of it no server can have begun is not sent on, whatever the settings
+    /// say of calling off: an attempt whose connection comes up late would else run for nobody.
+    fn withdraw(self: &Rc<Self>, state: &mut State, request: RequestId) {
+        let attempts = state.live.get(&request).map_or(0, |live| live.attempts.len());
+        for number in 0..attempts as u8 {
+            let attempt = state.live.get(&request).and_then(|l| l.attempts.get(usize::from(number)));
+            if attempt.is_some_and(|a| a.open && !a.handed_over()) {
+                self.conclude(state, AttemptId { request, number }, Ending::NotSent);
+            }
+        }
+    }
+
     /// Discovery has spoken. The node's own table is told first: what the module then sends must find it.
     pub fn list(self: &Rc<Self>, kind: ListKind, entries: Vec<Entry>) {
         let mut state = self.state.borrow_mut();
@@ -526,8 +570,10 @@
         for number in 0..live.attempts.len() as u8 {
             self.conclude(state, AttemptId { request, number }, Ending::TimedOut);
         }
-        // The module answers the last time-out. Should it not, the client still must hear something.
+        // The module answers the last time-out. Should it not, or should it count on more time than this process has, the
+        // client still must hear something, and what it sends again has no use.
         if self.answer(state, request, GivenUp::Failed { late: true }) {
+            self.withdraw(state, request);
             self.handle(state, Event::ClientGone { request });
         }
         self.forget(state, request);
@@ -552,11 +598,10 @@
             ending,
             report: None,
         };
-        if matches!(ending, Ending::TimedOut | Ending::Cancelled) {
+        if matches!(ending, Ending::TimedOut | Ending::Cancelled | Ending::NotSent) {
             if let Some(task) = attempt.task.take() {
-                let written = attempt.handed.borrow().as_ref().is_some_and(|h| h.handed_over());
                 // Cut off before its last byte it never begins; after that the server does the work anyway.
-                if written {
+                if attempt.handed_over() {
                     state.lingering.push_back((self.clock.now() + LINGER, task));
                 } else {
                     task.abort();
@@ -698,6 +743,7 @@
     pub fn complete(&self, give_up_at: Nanos) {
         let mut state = self.gateway.state.borrow_mut();
         let Some(live) = state.live.get_mut(&self.id) else { return };
+        let give_up_at = give_up_at.min(self.gateway.ends_at.get());
         live.give_up_at = give_up_at;
         let now = self.gateway.clock.now();
         live.attempts.iter_mut().filter(|a| a.open).for_each(|a| a.sent_at = now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod gateway;
 mod ids;
+pub mod leaving;
 pub mod line;
 pub mod payload;
 pub mod tally;
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -16,6 +16,7 @@
 use laurelroute_core::budget::Slot;
 use laurelroute_core::call::{Call, GivenUp, Reply, Verdict};
 use laurelroute_core::gateway::{route_key, Gateway};
+use laurelroute_core::leaving::LOOK;
 use laurelroute_policy::interface::{self, Effect, Nanos};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -37,7 +38,7 @@
 /// The longest id of a request.
 const MOST_ID: usize = 128;
 /// How often connections are looked at.
-pub const SWEEP: Duration = Duration::from_millis(100);
+pub const SWEEP: Duration = LOOK;
 /// No client may hold a descriptor for good, be it silent, slow or out to do harm. A connection without a
 /// request is closed after `IDLE`, one with a part of a head after `HEAD` more, however it trickles in; a body
 /// has a pace of its own (`intake.rs`), and an answer may stand still for `STUCK`. Clients that talk at all
@@ -138,6 +139,8 @@
             Stage::Idle if age >= idle && self.socket.quiet() => self.stop(false),
             Stage::Writing if self.socket.moved.replace(false) => self.since.set(now),
             Stage::Writing if age >= STUCK => self.stop(true),
+            // Whoever has sent more than the request that waits is not read on, and its end is seen only here.
+            Stage::Waiting if self.socket.left() => self.stop(true),
             // What is read has its own limit, and what waits has the gateway's.
             _ => {}
         }
@@ -387,6 +390,8 @@
     Body(#[from] IntakeError),
     #[error("no room")]
     NoRoom,
+    #[error("nobody waits for the answer")]
+    Left,
 }
 
 impl Fault {
@@ -471,6 +476,11 @@
         // So many are under way that new ones find no place: better told than left to wait for one.
         return Err(Fault::NoRoom);
     }
+    // What has waited in the kernel's queue, or for the end of its body, is not sent on for one that has gone meanwhile.
+    let first = client.requests.get() == 1;
+    if client.socket.left() || first && client.socket.left_in_the_queue().await {
+        return Err(Fault::Left);
+    }
     client.stage.set(Stage::Waiting);
     let now = gateway.clock.now();
     let give_up_at = now + head.wait + if whole { 0 } else { UPLOAD };
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -3,7 +3,7 @@
 
 use crate::body::MOST_BODY;
 use laurelroute_core::call::HandOver;
-use laurelroute_core::tally;
+use laurelroute_core::{leaving, tally};
 use std::cell::Cell;
 use std::io;
 use std::mem::MaybeUninit;
@@ -227,6 +227,16 @@
         self.incoming.as_ref().is_none_or(|i| between(i.get()))
     }
 
+    /// The peer has closed or reset the connection, whatever is still unread.
+    pub fn left(&self) -> bool {
+        leaving::closed(&self.stream)
+    }
+
+    /// The same of a connection whose first request has just been read.
+    pub async fn left_in_the_queue(&self) -> bool {
+        leaving::closed_in_the_queue(&self.stream).await
+    }
+
     /// A request with a body of this length is about to be written; one of no known length tells its end.
     pub fn expect_request(&self, body: Option<u64>) {
         self.outgoing.set(Outgoing { body_left: body.unwrap_or(u64::MAX), ..Outgoing::default() });
--- a/crates/testkit/src/boxes.rs
+++ b/crates/testkit/src/boxes.rs
@@ -2,11 +2,12 @@
 
 use crate::lock;
 use crate::wire::{Conn, Say, Seen, Wire};
+use crate::PATIENCE;
 use laurelroute_thrift::codec::Form;
 use std::collections::{HashMap, VecDeque};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,8 @@
     After(Duration),
     /// Reads it and never says anything.
     Stall,
+    /// Reads it, and turns it away once the plan is told to go on.
+    TurnAwayWhenTold,
     /// Resets the connection at the request's first byte.
     ResetBefore,
     /// Reads it whole and resets the connection.
@@ -46,23 +49,41 @@
     pub connection: usize,
 }
 
-/// What all boxes of a fleet share: the acts for the next requests, whichever box they come to.
+/// What all boxes of a fleet share: the acts for the next requests, whichever box they come to, and the word to go on.
 #[derive(Debug, Default)]
-pub struct Plan(Mutex<VecDeque<Act>>);
+pub struct Plan {
+    acts: Mutex<VecDeque<Act>>,
+    /// How often they were told to go on.
+    told: Mutex<usize>,
+    go_on: Condvar,
+}
 
 impl Plan {
     /// The next requests are treated like this, in turn.
     pub fn next(&self, acts: &[Act]) {
-        lock(&self.0).extend(acts);
+        lock(&self.acts).extend(acts);
     }
 
     /// How many acts are left.
     pub fn left(&self) -> usize {
-        lock(&self.0).len()
+        lock(&self.acts).len()
+    }
+
+    /// All boxes that wait to be told go on.
+    pub fn go_on(&self) {
+        *lock(&self.told) += 1;
+        self.go_on.notify_all();
+    }
+
+    /// Waits for the next word to go on, within the patience of a test.
+    fn wait(&self) {
+        let told = lock(&self.told);
+        let before = *told;
+        let _ = self.go_on.wait_timeout_while(told, PATIENCE, |told| *told == before);
     }
 
     fn take(&self) -> Option<Act> {
-        lock(&self.0).pop_front()
+        lock(&self.acts).pop_front()
     }
 }
 
@@ -104,6 +125,82 @@
     gone: AtomicBool,
 }
 
+impl Shared {
+    fn new(plan: Arc<Plan>) -> Arc<Shared> {
+        Arc::new(Shared {
+            came: Mutex::default(),
+            ramp: Mutex::default(),
+            plan,
+            usual: Mutex::new(Act::Say(Say::Served)),
+            connections: AtomicUsize::new(0),
+            open: AtomicUsize::new(0),
+            most_open: AtomicUsize::new(0),
+            gone: AtomicBool::new(false),
+        })
+    }
+}
+
+/// A listener whose queue is full: connecting to it neither works nor fails.
+#[derive(Debug)]
+pub struct Full {
+    /// Where it is.
+    pub address: SocketAddr,
+    listener: TcpListener,
+    waiting: Vec<TcpStream>,
+}
+
+impl Full {
+    /// Listens, and fills its queue.
+    #[allow(clippy::new_without_default)]
+    pub fn new() -> Full {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
+        socket.listen(0).expect("a queue");
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().expect("an address");
+        // Until no further one comes up.
+        let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
+        let waiting = std::iter::from_fn(connect).take(64).collect();
+        Full { address, listener, waiting }
+    }
+
+    /// Connections to it that are under way.
+    fn connecting(&self) -> usize {
+        let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+        // Of the kernel's table: the peer's address and port, and the state, of which 02 is SYN_SENT.
+        let peer = format!("0100007F:{:04X}", self.address.port());
+        let row = |line: &&str| {
+            let mut fields = line.split_ascii_whitespace().skip(2);
+            fields.next() == Some(&peer) && fields.next() == Some("02")
+        };
+        table.lines().filter(row).count()
+    }
+}
+
+/// Connections to a box that has not come up yet.
+pub struct Late {
+    shared: Arc<Shared>,
+    form: Form,
+    http: Full,
+    thrift: Full,
+}
+
+impl Late {
+    /// Connections to the box that are under way.
+    pub fn connecting(&self) -> usize {
+        self.http.connecting() + self.thrift.connecting()
+    }
+
+    /// From now on they come up, as fast as the kernel tries again: after 1 s at the latest, where it has tried once.
+    pub fn come_up(self) {
+        for (full, form) in [(self.http, None), (self.thrift, Some(self.form))] {
+            drop(full.waiting);
+            listen(self.shared.clone(), full.listener, form);
+        }
+    }
+}
+
 /// A box.
 pub struct StandIn {
     /// Its name in the list.
@@ -118,21 +215,22 @@
 impl StandIn {
     /// Starts a box that follows the plan, speaks Thrift in this form, and serves at once what is not planned.
     pub fn start(name: &str, form: Form, plan: Arc<Plan>) -> StandIn {
-        let shared = Arc::new(Shared {
-            came: Mutex::default(),
-            ramp: Mutex::default(),
-            plan,
-            usual: Mutex::new(Act::Say(Say::Served)),
-            connections: AtomicUsize::new(0),
-            open: AtomicUsize::new(0),
-            most_open: AtomicUsize::new(0),
-            gone: AtomicBool::new(false),
-        });
-        let http = listen(shared.clone(), None);
-        let thrift = listen(shared.clone(), Some(form));
+        let shared = Shared::new(plan);
+        let listener = || TcpListener::bind("127.0.0.1:0").expect("a port");
+        let http = listen(shared.clone(), listener(), None);
+        let thrift = listen(shared.clone(), listener(), Some(form));
         StandIn { name: name.to_owned(), http, thrift, shared }
     }
 
+    /// The same, but connections to it come up only once that is told.
+    pub fn late(name: &str, form: Form, plan: Arc<Plan>) -> (StandIn, Late) {
+        let shared = Shared::new(plan);
+        let (http, thrift) = (Full::new(), Full::new());
+        let name = name.to_owned();
+        let stand_in = StandIn { name, http: http.address, thrift: thrift.address, shared: shared.clone() };
+        (stand_in, Late { shared, form, http, thrift })
+    }
+
     /// What it does where nothing is planned.
     pub fn usually(&self, act: Act) {
         *lock(&self.shared.usual) = act;
@@ -195,8 +293,7 @@
     ran
 }
 
-fn listen(shared: Arc<Shared>, form: Option<Form>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+fn listen(shared: Arc<Shared>, listener: TcpListener, form: Option<Form>) -> SocketAddr {
     let address = listener.local_addr().expect("an address");
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -240,7 +337,7 @@
         return false;
     }
     let Some(seen) = conn.request() else { return false };
-    let ran = act != Act::Say(Say::TurnedAway);
+    let ran = !matches!(act, Act::Say(Say::TurnedAway) | Act::TurnAwayWhenTold);
     lock(&shared.came).push(Came { id: Some(seen.ask.id.clone()), at, ran, connection });
     if pushed_over(shared) {
         shared.gone.store(true, Ordering::SeqCst);
@@ -249,6 +346,9 @@
     if seen.ask.oneway {
         return true;
     }
+    if act == Act::TurnAwayWhenTold {
+        shared.plan.wait();
+    }
     act_on(conn, &seen, act)
 }
 
@@ -262,6 +362,7 @@
 fn act_on(conn: &mut Conn, seen: &Seen, act: Act) -> bool {
     match act {
         Act::Say(say) => conn.write(&seen.answer(say)),
+        Act::TurnAwayWhenTold => conn.write(&seen.answer(Say::TurnedAway)),
         Act::After(pause) => {
             thread::sleep(pause);
             conn.write(&seen.answer(Say::Served))
--- a/crates/testkit/src/client.rs
+++ b/crates/testkit/src/client.rs
@@ -1,10 +1,24 @@
 //! A client on any wire, which sends one request at a time or many.
 
-use crate::wire::{Answer, Ask, Conn, Wire};
+use crate::wire::{Answer, Ask, Class, Conn, Wire};
 use crate::PATIENCE;
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+/// How a client goes away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leaving {
+    /// It closes its connection.
+    Close,
+    /// It resets it.
+    Reset,
+    /// It sends a part of a further request and closes.
+    More,
+}
+
+/// All ways.
+pub const LEAVINGS: [Leaving; 3] = [Leaving::Close, Leaving::Reset, Leaving::More];
+
 /// A connection to a node.
 #[derive(Debug)]
 pub struct Client {
@@ -43,6 +57,26 @@
         self.conn.write(bytes)
     }
 
+    /// Goes away.
+    pub fn leave(mut self, how: Leaving) {
+        match how {
+            Leaving::Close => {}
+            Leaving::Reset => {
+                let _ = socket2::SockRef::from(&self.conn.stream).set_linger(Some(Duration::ZERO));
+            }
+            Leaving::More => {
+                // A part of a further request, which is read by nobody.
+                self.conn.write(&self.beginning());
+            }
+        }
+    }
+
+    fn beginning(&self) -> Vec<u8> {
+        let mut bytes = Ask::new(Class::Read).bytes(self.wire, self.next);
+        bytes.truncate(bytes.len() - 2);
+        bytes
+    }
+
     /// The next answer; `None` where the connection ends first.
     pub fn answer(&mut self) -> Option<Answer> {
         self.conn.answer()
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -52,6 +52,16 @@
     pub peers: bool,
     /// Further variables of its environment.
     pub environment: Vec<(String, String)>,
+    /// How long a client of any class waits at most, in milliseconds.
+    pub give_up_ms: u64,
+    /// A connection to a server that is not up after so many milliseconds has failed.
+    pub connect_timeout_ms: u64,
+    /// Attempts may be called off.
+    pub cancelling: bool,
+    /// A slow safe request may be sent a second time.
+    pub second_copies: bool,
+    /// Lines for `[thrift]` in the operator's file.
+    pub thrift: String,
 }
 
 impl Default for Wishes {
@@ -72,6 +82,11 @@
             managed: false,
             peers: false,
             environment: Vec::new(),
+            give_up_ms: 5_000,
+            connect_timeout_ms: 1_000,
+            cancelling: true,
+            second_copies: false,
+            thrift: String::new(),
         }
     }
 }
@@ -299,9 +314,10 @@
         .map(|c| format!("[[thrift.method]]\nname = \"{0}\"\nclass = \"{0}\"\n", c.name()))
         .collect();
     format!(
-        "{}\n[thrift]\nlisten = \"{listen}\"\n[thrift.boxes]\nform = \"{}\"\n{}\n[thrift.facts]\n\
+        "{}\n[thrift]\nlisten = \"{listen}\"\n{}\n[thrift.boxes]\nform = \"{}\"\n{}\n[thrift.facts]\n\
          request_id = [\"field:1\"]\ndeadline = [\"field:2\"]\n{methods}",
         wishes.site,
+        wishes.thrift,
         form.name(),
         wishes.boxes
     )
@@ -309,7 +325,7 @@
 
 pub(crate) fn write_config(path: &Path, listen: SocketAddr, discovery: SocketAddr, wishes: &Wishes) {
     let class = |name: &str, effect: &str| {
-        serde_json::json!({"name": name, "aimNs": wishes.aim_ms * 1_000_000, "giveUpNs": 5_000_000_000u64, "worth": 1.0,
+        serde_json::json!({"name": name, "aimNs": wishes.aim_ms * 1_000_000, "giveUpNs": wishes.give_up_ms * 1_000_000, "worth": 1.0,
             "effect": effect, "group": wishes.group, "windowNs": 5_000_000_000u64})
     };
     let config = serde_json::json!({
@@ -319,9 +335,9 @@
             "classes": [class("read", "pure"), class("write", "side_effect"), class("keyed", "token")],
             "tenants": [], "zone": 0, "zones": ["a"], "skus": ["m"], "ordinal": 0, "groupSize": 1,
             "registryMode": "automatic",
-            "caps": {"maxAttempts": wishes.max_attempts, "secondCopies": false, "cancelling": true,
+            "caps": {"maxAttempts": wishes.max_attempts, "secondCopies": wishes.second_copies, "cancelling": wishes.cancelling,
                 "mayProbe": false, "peers": wishes.peers, "retryAfter": true, "maxRetryAfterNs": 2_000_000_000u64,
-                "connIdleNs": wishes.conn_idle_ms * 1_000_000, "connectTimeoutNs": 1_000_000_000u64},
+                "connIdleNs": wishes.conn_idle_ms * 1_000_000, "connectTimeoutNs": wishes.connect_timeout_ms * 1_000_000},
             "guarantees": {"coldFrom": wishes.cold.0, "rampTimeNs": wishes.cold.1 * 1_000_000,
                 "tipMultiple": 3.0, "fallNs": 2_000_000_000u64},
         },
--- a/crates/testkit/src/suite.rs
+++ b/crates/testkit/src/suite.rs
@@ -3,14 +3,14 @@
 //! A case asserts what the rules say and, where the fleet leaves the node a way, that it took it. What ran is told by
 //! the boxes' own records.
 
-use crate::boxes::{Act, Ramp};
+use crate::boxes::{Act, Full, Ramp};
 use crate::discovery::{Discovery, Entry};
 use crate::levels::Levels;
 use crate::load::{Load, Tally};
 use crate::program::{Bed, Wishes};
 use crate::wire::{Answer, Ask, Class, Say, Wire, CLASSES};
 use crate::{until, Random, PATIENCE};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -250,32 +250,10 @@
     }
 }
 
-/// A listener whose queue is full: connecting to it neither works nor fails.
-struct Unreachable {
-    address: SocketAddr,
-    _listener: TcpListener,
-    _waiting: Vec<TcpStream>,
-}
-
-impl Unreachable {
-    fn new() -> Unreachable {
-        let socket =
-            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("a port");
-        socket.listen(0).expect("a queue");
-        let listener = TcpListener::from(socket);
-        let address = listener.local_addr().expect("an address");
-        // Until no further one comes up.
-        let connect = || TcpStream::connect_timeout(&address, Duration::from_millis(100)).ok();
-        let waiting = std::iter::from_fn(connect).take(64).collect();
-        Unreachable { address, _listener: listener, _waiting: waiting }
-    }
-}
-
 /// The deadline passes while a connection does not come up.
 pub fn deadline_while_connecting(ground: &Ground) {
     let bed = ground.quick(1);
-    let far = Unreachable::new();
+    let far = Full::new();
     let entry = Entry { http: far.address, thrift: Some(far.address), ..Entry::of(&bed.boxes[0]) };
     bed.discovery.tell(&[Entry { name: "far".into(), ..entry }]);
     until("the reachable box is out of use", || {
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -12,6 +12,7 @@
 use laurelroute_core::budget::Slot;
 use laurelroute_core::call::{Call, GivenUp, Reply, Verdict};
 use laurelroute_core::gateway::{route_key, Claim, Gateway};
+use laurelroute_core::leaving;
 use laurelroute_policy::interface::{Nanos, Request};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -120,8 +121,10 @@
     }
 
     /// Takes what was read. `None` where no answer is owed.
-    fn take(self: &Rc<Self>, item: Item) -> Option<Owed> {
+    fn take(self: &Rc<Self>, item: Item, left: bool) -> Option<Owed> {
         match item {
+            // Nobody waits for its answer any more: what has waited to be read is not sent on.
+            Item::Message(message) if message.head.kind == Kind::Call && left => None,
             Item::Message(message) => self.call(message),
             // Nobody waits for an answer to a oneway call, sound or not.
             Item::Malformed(Malformed { call: Some((_, head, _)), fault, .. })
@@ -319,14 +322,18 @@
     let (settings, gateway) = (&front.settings, &front.gateway);
     let mut decoder = Decoder::new(settings.accept, settings.limits);
     let mut owed: VecDeque<Owed> = VecDeque::new();
-    let mut reading = true;
+    let (mut reading, mut first) = (true, true);
     // Since when the message that is under way is awaited.
     let mut begun = None;
     loop {
         while reading && owed.len() < settings.pipeline {
             let Some(item) = decoder.take_item() else { break };
             reading = !matches!(&item, Item::Malformed(m) if !m.in_step);
-            owed.extend(front.take(item));
+            let left = match std::mem::take(&mut first) {
+                true => leaving::closed_in_the_queue(&stream).await,
+                false => leaving::closed(&stream),
+            };
+            owed.extend(front.take(item, left));
             begun = None;
         }
         let room = reading && owed.len() < settings.pipeline;
@@ -368,6 +375,10 @@
                 }
                 client.closing.set(false);
             }
+            // What is not read does not tell of its end: with its claims dropped, what is under way is called off.
+            _ = tokio::time::sleep(leaving::LOOK), if !room => if leaving::closed(&stream) {
+                return;
+            },
             _ = tokio::time::sleep_until(patience) => return,
         }
     }
