Give every request its final answer before SIGKILL, whatever the deadlines are

Ruled out by a probe that listed the clients each 0.25 s after SIGTERM: nothing was ended early, and none was accepted and forgotten. Requests simply still waited when the process ended after 3.6 s, for their class may wait 9.3 s there. The lines: `LEAVE_WITHIN` and `HAND_OVER` in run.rs, fixed for deadlines of 2.5 s, and the loop that ended with what was owed.

Changed: SIGKILL may come after the longest deadline, of which 3 s count, and 0.7 s. All that ends is reckoned from that, and no request waits beyond 0.15 s ahead of it: then the gateway gives it its final answer.

--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -28,16 +28,28 @@
 pub(crate) const BACKLOG: u32 = 4096;
 /// From the start, a node with no word from discovery serves by the list in its configuration after this ...
 const READY_KNOWN: Duration = Duration::from_millis(700);
-/// At a planned restart new connections go on coming for a while, and SIGKILL follows the longest deadline.
+/// At a planned restart new connections go on coming for 0.2 to 0.4 s.
 const STILL_ACCEPT: Duration = Duration::from_millis(500);
 /// A new configuration that cannot be read may still be on its way to the disk.
 const RELOAD_TRIES: u32 = 5;
 const RELOAD_PAUSE: Duration = Duration::from_millis(100);
 /// A process that was stopped may read the order to end and an heir's first words at the same moment.
 const HEIR_AT_THE_DOOR: Duration = Duration::from_millis(20);
-/// Requests of clients that talk without a pause are answered with a close from then on.
-const HAND_OVER: Duration = Duration::from_millis(2600);
-const LEAVE_WITHIN: Duration = Duration::from_millis(3600);
+/// SIGKILL follows SIGTERM after the longest deadline in the settings, of which no more than this counts ...
+const DEADLINE_COUNTS: Duration = Duration::from_secs(3);
+/// ... and this (PROTOCOL, figures).
+const KILL_AFTER: Duration = Duration::from_millis(700);
+/// So long ahead of it every request has its final answer, which has to be written and read.
+const LAST_ANSWERS: Duration = Duration::from_millis(150);
+/// So long ahead of it, requests of clients that talk without a pause are answered with a close, where an heir serves.
+const LAST_REQUESTS: Duration = Duration::from_millis(600);
+/// Where nobody ends the process, it ends by itself so long after: a client that does not read must not hold it.
+const OVERDUE: Duration = Duration::from_millis(400);
+
+/// When SIGKILL may come, counted from SIGTERM.
+fn killed_after(gateway: &Gateway) -> Duration {
+    Duration::from_nanos(gateway.longest_deadline()).min(DEADLINE_COUNTS) + KILL_AFTER
+}
 
 /// Why a node does not start.
 #[derive(Debug, thiserror::Error)]
@@ -213,9 +225,11 @@
 
     terminate.recv().await;
     let told = Instant::now();
+    let killed = killed_after(&gateway);
+    gateway.end_by(gateway.clock.now() + (killed - LAST_ANSWERS).as_nanos() as u64);
     // An heir is given the clients' connections as they come to rest, once it takes clients; what stays is told to come back.
     let waits = || succession.has_heir() && (clients.number() > 0 || !succession.heir_serves());
-    while told.elapsed() < HEIR_AT_THE_DOOR || waits() && told.elapsed() < HAND_OVER {
+    while told.elapsed() < HEIR_AT_THE_DOOR || waits() && told.elapsed() < killed - LAST_REQUESTS {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     gateway.leaving.set(true);
@@ -226,7 +240,7 @@
     // To close one that rests may cross its next request: an heir that takes clients gets it instead.
     let of_http = || if succession.heir_serves() { clients.number() } else { clients.close_idle() };
     let open = || of_http() + front.as_ref().map_or(0, |f| f.close_idle());
-    while open() > 0 && told.elapsed() < LEAVE_WITHIN {
+    while open() > 0 && told.elapsed() < killed + OVERDUE {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     Ok(())
