Send no keyed request again whose window has ended while its connection came up

`Lines::next` looked again at whether the server drains, and not at the window. Ruled out: the module's own reckoning, which counts from the first attempt.

Changed: an attempt knows by when it may be sent, and is told as never sent from then on.

Test: a window of 400 ms, a first attempt that failed, a second whose connection comes up after 1 s, on HTTP and Thrift.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -10,8 +10,8 @@
 use crate::ids::Ids;
 use laurelroute_handover::bans::{BanError, Bans, Word};
 use laurelroute_policy::interface::{
-    Action, Ending, Endpoint, Event, Guide, Learnt, ListKind, Nanos, Observed, Request, RequestId, Server,
-    Settings, SettingsError,
+    Action, Effect, Ending, Endpoint, Event, Guide, Learnt, ListKind, Nanos, Observed, Request, RequestId,
+    Server, Settings, SettingsError,
 };
 use laurelroute_policy::Balancer;
 use laurelroute_shift::course::{Change, Refused, Word as ShiftWord};
@@ -101,6 +101,7 @@
     id: AttemptId,
     server: Endpoint,
     give_up_at: Nanos,
+    send_by: Nanos,
     handed: Handed,
 }
 
@@ -120,8 +121,11 @@
         self.give_up_at.saturating_sub(self.gateway.clock.now()).div_ceil(1_000_000).max(1)
     }
 
-    /// Where the server listens on this wire, as long as it may be sent anything new.
+    /// Where the server listens on this wire, as long as it may be sent anything new, and this request again at all.
     pub fn dial(&self, wire: Wire) -> Option<SocketAddr> {
+        if self.gateway.clock.now() >= self.send_by {
+            return None;
+        }
         self.gateway.fleet(|f| f.dial(self.server, wire))
     }
 
@@ -173,6 +177,8 @@
     /// The client has had no final answer yet.
     owed: bool,
     attempts: Vec<Sent>,
+    /// A keyed request that may have run is sent again only within its window, which counts from that attempt's sending.
+    send_by: Nanos,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -327,7 +333,10 @@
             request.place = shift.place(&request);
             shift.came(&request);
         }
-        state.live.insert(id, Live { exchange, request, give_up_at, owed: true, attempts: Vec::new() });
+        state.live.insert(
+            id,
+            Live { exchange, request, give_up_at, owed: true, attempts: Vec::new(), send_by: Nanos::MAX },
+        );
         self.start_timer(&mut state, give_up_at, Wake::Deadline(id));
         self.handle(&mut state, Event::Request(request));
         Claim { gateway: self.clone(), id }
@@ -585,6 +594,10 @@
         let Some(attempt) = live.attempts.get_mut(usize::from(id.number)).filter(|a| a.open) else { return };
         attempt.open = false;
         let took = self.clock.now().saturating_sub(attempt.sent_at);
+        let class = self.site.settings.classes.get(usize::from(live.request.class));
+        if let Some(class) = class.filter(|c| c.effect == Effect::Keyed && !ending.never_ran()) {
+            live.send_by = live.send_by.min(attempt.sent_at.saturating_add(class.window));
+        }
         if let Some(shift) = &mut state.shift {
             let at = (attempt.server, usize::from(id.number));
             shift.ended(&live.request, at, (attempt.sent_at, took), ending);
@@ -668,7 +681,8 @@
             if let Some(shift) = &mut state.shift {
                 shift.sent(&live.request, server, live.attempts.len());
             }
-            let attempt = Attempt { gateway: self.clone(), id, server, give_up_at: live.give_up_at, handed };
+            let (give_up_at, send_by) = (live.give_up_at, live.send_by);
+            let attempt = Attempt { gateway: self.clone(), id, server, give_up_at, send_by, handed };
             sent.task = Some(live.exchange.clone().start(attempt));
         }
         live.attempts.push(sent);
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -1,10 +1,10 @@
 //! What is owed at the instant at which something ends: each crossing is forced by a barrier.
 
-use laurelroute_testkit::boxes::Act;
+use laurelroute_testkit::boxes::{Act, StandIn};
 use laurelroute_testkit::discovery::{Entry, Spoilt};
 use laurelroute_testkit::program::{Bed, Wishes};
 use laurelroute_testkit::until;
-use laurelroute_testkit::wire::{Ask, Class, Wire, CLASSES};
+use laurelroute_testkit::wire::{Ask, Class, Say, Wire, CLASSES};
 use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -97,6 +97,20 @@
     watch_spoilt(false, Spoilt::Endless);
 }
 
+/// A watch ends, and the call for the next one gets no answer: another one is made in time.
+#[test]
+fn a_call_for_a_watch_gets_no_answer() {
+    let bed = bed(Wire::Http, 2, Wishes { asked: true, give_up_ms: 9_000, ..Wishes::default() });
+    let watches = bed.discovery.watches.load(Ordering::SeqCst);
+    bed.discovery.cut(1);
+    until("a call waits", || bed.discovery.watches.load(Ordering::SeqCst) > watches);
+    let silent = Instant::now();
+    let entries = bed.entries();
+    let seq = bed.discovery.tell(&[entries[0].clone().leaving(), entries[1].clone()]);
+    let told = bed.discovery.told(seq);
+    assert!(told < silent + TOLD, "asked again only {:?} after the call began", told - silent);
+}
+
 /// What a pushed list has when discovery comes back counts at once: a watch is open again within the grace.
 #[test]
 fn discovery_comes_back_with_a_drain() {
@@ -134,3 +148,45 @@
     assert_eq!(bed.boxes[0].since(after), 0, "sent to a server that drains");
     assert_eq!(bed.discovery.watches.load(Ordering::SeqCst), watches, "the watch was given up");
 }
+
+/// A keyed request that may have run is on its way to another server, whose connection comes up only when the servers no
+/// longer drop repeats: it is not sent there.
+fn window_ends(wire: Wire) {
+    let wishes = Wishes { window_ms: 400, connect_timeout_ms: 3_000, ..Wishes::default() };
+    let bed = bed(wire, 1, wishes);
+    for _ in 0..3 {
+        assert!(bed.one(Class::Keyed).is_some_and(|a| a.served()));
+    }
+    let form = laurelroute_thrift::codec::FORMS[0].1;
+    let (stand_in, late) = StandIn::late("late", form, bed.plan.clone());
+    let seq = bed.discovery.tell(&[bed.entries(), vec![Entry::of(&stand_in)]].concat());
+    bed.discovery.told(seq);
+    bed.plan.next(&[Act::Say(Say::Error)]);
+    let (mut client, ask) = loop {
+        let (mut client, ask) = (bed.node.connect(wire), Ask::new(Class::Keyed));
+        client.send(&ask);
+        until("it is sent somewhere", || late.connecting() > 0 || bed.runs(&ask.id) > 0);
+        // Nothing else is planned: what has run first has failed and may be sent again.
+        if bed.runs(&ask.id) == 1 {
+            until("it is sent again", || late.connecting() > 0);
+            break (client, ask);
+        }
+        drop(client);
+        until("that one has gone", || late.connecting() == 0);
+    };
+    // The kernel tries again 1 s after the first time.
+    late.come_up();
+    let answer = client.answer();
+    assert!(answer.as_ref().is_some_and(|a| !a.served()), "{answer:?}");
+    assert_eq!(stand_in.arrivals(&ask.id), 0, "sent again after its window");
+}
+
+#[test]
+fn a_window_ends_while_connecting_http() {
+    window_ends(Wire::Http);
+}
+
+#[test]
+fn a_window_ends_while_connecting_thrift() {
+    window_ends(Wire::thrift("framed-binary"));
+}
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -54,6 +54,8 @@
     pub environment: Vec<(String, String)>,
     /// How long a client of any class waits at most, in milliseconds.
     pub give_up_ms: u64,
+    /// For how long servers drop the repeats of a keyed request, in milliseconds.
+    pub window_ms: u64,
     /// A connection to a server that is not up after so many milliseconds has failed.
     pub connect_timeout_ms: u64,
     /// Attempts may be called off.
@@ -85,6 +87,7 @@
             peers: false,
             environment: Vec::new(),
             give_up_ms: 5_000,
+            window_ms: 5_000,
             connect_timeout_ms: 1_000,
             cancelling: true,
             second_copies: false,
@@ -329,7 +332,7 @@
 pub(crate) fn write_config(path: &Path, listen: SocketAddr, discovery: SocketAddr, wishes: &Wishes) {
     let class = |name: &str, effect: &str| {
         serde_json::json!({"name": name, "aimNs": wishes.aim_ms * 1_000_000, "giveUpNs": wishes.give_up_ms * 1_000_000, "worth": 1.0,
-            "effect": effect, "group": wishes.group, "windowNs": 5_000_000_000u64})
+            "effect": effect, "group": wishes.group, "windowNs": wishes.window_ms * 1_000_000})
     };
     let config = serde_json::json!({
         "name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
