Expect the key of a class's aim to be named where it is zero

The adapter's test still looked for the former words (`aim` must be above zero), which named no key; the refusal now names `classes.0.aimNs` and what it may hold, and the test asks for both.

--- a/crates/benchlink/tests/benchlink.rs
+++ b/crates/benchlink/tests/benchlink.rs
@@ -163,7 +163,7 @@
         (conf("no pairs here"), "no `=`"),
         (conf(""), "is missing"),
         (conf(&CONF.replace("giveUpNs=800000000", "giveUpNs=soon")), "classes.0.giveUpNs"),
-        (conf(&CONF.replace("aimNs=400000000", "aimNs=0")), "`aim` must be above zero"),
+        (conf(&CONF.replace("aimNs=400000000", "aimNs=0")), "`classes.0.aimNs` is `0`; it has to be from 1"),
         (conf(&CONF.replace("effect=pure", "effect=odd")), "classes.0.effect"),
         (conf(&CONF.replace("zone=0", "zone=2")), "`zone` is 2"),
     ];
