Ask the kernel for a client's end ahead of every request, not only of the first

By reading: a connection is also read on the strength of what the poller said earlier, so that the end that came with a later request is known to the kernel alone; only a first request was asked for there.

Changed: one peek ahead of each request, on both fronts; the poller is still given a turn only for a first request with bytes behind it.

--- a/crates/core/src/leaving.rs
+++ b/crates/core/src/leaving.rs
@@ -26,10 +26,10 @@
     matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
 }
 
-/// The same of a connection whose first request has just been read. The runtime reads a new connection before the poller has
-/// said anything of it, so that the kernel is asked; where bytes are unread the end may be behind them, and the poller is
-/// given a turn.
-pub async fn closed_in_the_queue(stream: &TcpStream) -> bool {
+/// The same for a request that has just been read, as the kernel has it: the poller may not have come to say so. The runtime
+/// reads a new connection before it hears anything of it, and an old one on the strength of what it heard earlier. On a
+/// connection's first request an end may be behind bytes that are unread: there the poller is given a turn.
+pub async fn closed_behind(stream: &TcpStream, first: bool) -> bool {
     if closed(stream) {
         return true;
     }
@@ -37,10 +37,11 @@
     let seen = socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
     match seen {
         Ok(0) => true,
-        Ok(_) => {
+        Ok(_) if first => {
             tokio::time::sleep(TURN).await;
             closed(stream)
         }
+        Ok(_) => false,
         Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
     }
 }
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -477,8 +477,7 @@
         return Err(Fault::NoRoom);
     }
     // What has waited in the kernel's queue, or for the end of its body, is not sent on for one that has gone meanwhile.
-    let first = client.requests.get() == 1;
-    if client.socket.left() || first && client.socket.left_in_the_queue().await {
+    if client.socket.left_behind(client.requests.get() == 1).await {
         return Err(Fault::Left);
     }
     client.stage.set(Stage::Waiting);
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -232,9 +232,9 @@
         leaving::closed(&self.stream)
     }
 
-    /// The same of a connection whose first request has just been read.
-    pub async fn left_in_the_queue(&self) -> bool {
-        leaving::closed_in_the_queue(&self.stream).await
+    /// The same for a request that has just been read, the connection's first or a later one.
+    pub async fn left_behind(&self, first: bool) -> bool {
+        leaving::closed_behind(&self.stream, first).await
     }
 
     /// A request with a body of this length is about to be written; one of no known length tells its end.
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -329,10 +329,7 @@
         while reading && owed.len() < settings.pipeline {
             let Some(item) = decoder.take_item() else { break };
             reading = !matches!(&item, Item::Malformed(m) if !m.in_step);
-            let left = match std::mem::take(&mut first) {
-                true => leaving::closed_in_the_queue(&stream).await,
-                false => leaving::closed(&stream),
-            };
+            let left = leaving::closed_behind(&stream, std::mem::take(&mut first)).await;
             owed.extend(front.take(item, left));
             begun = None;
         }
