Ask the kernel, watch for moves and find the longest deadline in one place each

One place now serves what was written more than once, with no change of behaviour: - `leaving::quiet` and its one peek, for the HTTP socket, the Thrift front and upstream, and the look for a client's end; - `unless_moved`, for the watch and for a call for the whole list, which cut themselves off alike; - `Settings::longest_deadline`, for the module and for the reckoning of SIGKILL. Thrift needs socket2 no more.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -277,11 +277,6 @@
         }
     }
 
-    /// The longest time that a client waits for an answer, over all classes.
-    pub fn longest_deadline(&self) -> Nanos {
-        self.site.settings.classes.iter().map(|c| c.give_up).max().unwrap_or(0)
-    }
-
     /// There is a list to go by.
     pub fn set_ready(&self) {
         self.ready.set(true);
--- a/crates/core/src/leaving.rs
+++ b/crates/core/src/leaving.rs
@@ -1,4 +1,4 @@
-//! Whether a client is still there, found out without reading what it has sent.
+//! Whether a peer is still there, found out without reading what it has sent.
 //!
 //! Reading alone does not tell: with bytes of a further request unread, the end behind them is never come to while the
 //! request before them waits.
@@ -26,16 +26,26 @@
     matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
 }
 
-/// The same for a request that has just been read, as the kernel has it: the poller may not have come to say so. The runtime
+/// Bytes that have come and are unread, as far as one tells; none at the peer's end. This asks the kernel itself: what the
+/// runtime knows may be older.
+fn peek(stream: &TcpStream) -> io::Result<usize> {
+    crate::tally::peek();
+    socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()])
+}
+
+/// Nothing has come and the peer has not closed: a close now loses no request, and a request now meets no close.
+pub fn quiet(stream: &TcpStream) -> bool {
+    matches!(peek(stream), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
+
+/// The same as [`closed`] for a request that has just been read, as the kernel has it: the poller may not have come to say so. The runtime
 /// reads a new connection before it hears anything of it, and an old one on the strength of what it heard earlier. On a
 /// connection's first request an end may be behind bytes that are unread: there the poller is given a turn.
 pub async fn closed_behind(stream: &TcpStream, first: bool) -> bool {
     if closed(stream) {
         return true;
     }
-    crate::tally::peek();
-    let seen = socket2::SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
-    match seen {
+    match peek(stream) {
         Ok(0) => true,
         Ok(_) if first => {
             tokio::time::sleep(TURN).await;
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -6,7 +6,6 @@
 use laurelroute_core::{leaving, tally};
 use std::cell::Cell;
 use std::io;
-use std::mem::MaybeUninit;
 use std::os::fd::{AsFd, BorrowedFd};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -266,10 +265,7 @@
     /// Nothing has come and the peer has not closed. This asks the kernel itself: what the runtime knows may
     /// be older than a close that would lose the next request.
     pub fn quiet(&self) -> bool {
-        let mut byte = [MaybeUninit::uninit()];
-        tally::peek();
-        let seen = socket2::SockRef::from(&self.stream).peek(&mut byte);
-        matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+        leaving::quiet(&self.stream)
     }
 }
 
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -14,6 +14,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::Deserialize;
 use serde_json::Value;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -177,6 +178,18 @@
 /// Who is told what discovery says: what kind of list, its version and its entries.
 pub type Sink = Box<dyn Fn(ListKind, u64, Vec<Entry>)>;
 
+/// What goes on at discovery's address, to its end or until that is another one: a new configuration may come at any moment,
+/// also while a call hangs at the old address.
+async fn unless_moved(
+    mut moves: watch::Receiver<SocketAddr>,
+    work: impl Future<Output = Result<(), WatchError>>,
+) -> Result<(), WatchError> {
+    tokio::select! {
+        ended = work => ended,
+        _ = moves.changed() => Err(WatchError::Moved),
+    }
+}
+
 /// Follows discovery.
 pub struct Watcher {
     sink: Sink,
@@ -294,14 +307,9 @@
         }
     }
 
-    /// Asks for the whole list once; cut off where discovery moves.
+    /// Asks for the whole list once.
     async fn fetch(&mut self) -> Result<(), WatchError> {
-        self.address.mark_unchanged();
-        let mut moves = self.address.clone();
-        tokio::select! {
-            fetched = self.fetch_here() => fetched,
-            _ = moves.changed() => Err(WatchError::Moved),
-        }
+        unless_moved(self.moves(), self.fetch_here()).await
     }
 
     async fn fetch_here(&mut self) -> Result<(), WatchError> {
@@ -320,15 +328,15 @@
         }
     }
 
-    /// Watches until the watch ends or discovery moves. A new configuration may come at any moment, also while
-    /// a call hangs at the old address, so that the move cuts off whatever goes on.
+    /// Watches until the watch ends or discovery moves.
     async fn watch(&mut self) -> WatchError {
+        unless_moved(self.moves(), self.lines_of_watch()).await.err().unwrap_or(WatchError::Ended)
+    }
+
+    /// Tells of moves from now on.
+    fn moves(&mut self) -> watch::Receiver<SocketAddr> {
         self.address.mark_unchanged();
-        let mut moves = self.address.clone();
-        tokio::select! {
-            ended = self.lines_of_watch() => ended.err().unwrap_or(WatchError::Ended),
-            _ = moves.changed() => WatchError::Moved,
-        }
+        self.address.clone()
     }
 
     async fn lines_of_watch(&mut self) -> Result<(), WatchError> {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -48,7 +48,7 @@
 
 /// When SIGKILL may come, counted from SIGTERM.
 fn killed_after(gateway: &Gateway) -> Duration {
-    Duration::from_nanos(gateway.longest_deadline()).min(DEADLINE_COUNTS) + KILL_AFTER
+    Duration::from_nanos(gateway.site.settings.longest_deadline()).min(DEADLINE_COUNTS) + KILL_AFTER
 }
 
 /// Why a node does not start.
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -59,22 +59,31 @@
 /// How long a server may be sent something new after it was told that it drains.
 const GRACE: Duration = Duration::from_millis(250);
 
+/// The first box begins to drain; the version of the list that says so.
+fn drain_first(bed: &Bed) -> u64 {
+    let entries = bed.entries();
+    bed.discovery.tell(&[entries[0].clone().leaving(), entries[1].clone()])
+}
+
+/// Requests are served, and none of them by the first box.
+fn first_is_left_alone(bed: &Bed) {
+    let after = Instant::now();
+    for _ in 0..20 {
+        assert!(bed.one(Class::Read).is_some_and(|a| a.served()));
+    }
+    assert_eq!(bed.boxes[0].since(after), 0, "sent to a server that drains");
+}
+
 /// A watch brings nothing more, and servers begin to drain while it does not: a new one brings that in time.
 fn watch_spoilt(asked: bool, how: Spoilt) {
     // Long deadlines: what is asked for again after some of them comes too late.
     let bed = bed(Wire::Http, 2, Wishes { asked, give_up_ms: 9_000, ..Wishes::default() });
     bed.discovery.spoil(how);
     let spoilt = Instant::now();
-    let entries = bed.entries();
-    let seq = bed.discovery.tell(&[entries[0].clone().leaving(), entries[1].clone()]);
-    let told = bed.discovery.told(seq);
+    let told = bed.discovery.told(drain_first(&bed));
     assert!(told < spoilt + TOLD, "asked again only {:?} after the watch fell silent", told - spoilt);
     thread::sleep(GRACE);
-    let after = Instant::now();
-    for _ in 0..20 {
-        assert!(bed.one(Class::Read).is_some_and(|a| a.served()));
-    }
-    assert_eq!(bed.boxes[0].since(after), 0, "sent to a server that drains");
+    first_is_left_alone(&bed);
 }
 
 #[test]
@@ -105,9 +114,7 @@
     bed.discovery.cut(1);
     until("a call waits", || bed.discovery.watches.load(Ordering::SeqCst) > watches);
     let silent = Instant::now();
-    let entries = bed.entries();
-    let seq = bed.discovery.tell(&[entries[0].clone().leaving(), entries[1].clone()]);
-    let told = bed.discovery.told(seq);
+    let told = bed.discovery.told(drain_first(&bed));
     assert!(told < silent + TOLD, "asked again only {:?} after the call began", told - silent);
 }
 
@@ -136,16 +143,10 @@
 fn indented_lists_count() {
     let bed = bed(Wire::Http, 2, Wishes::default());
     bed.discovery.indent();
-    let entries = bed.entries();
-    let seq = bed.discovery.tell(&[entries[0].clone().leaving(), entries[1].clone()]);
-    let told = bed.discovery.told(seq);
+    let told = bed.discovery.told(drain_first(&bed));
     let watches = bed.discovery.watches.load(Ordering::SeqCst);
     thread::sleep((told + GRACE).saturating_duration_since(Instant::now()));
-    let after = Instant::now();
-    for _ in 0..20 {
-        assert!(bed.one(Class::Read).is_some_and(|a| a.served()));
-    }
-    assert_eq!(bed.boxes[0].since(after), 0, "sent to a server that drains");
+    first_is_left_alone(&bed);
     assert_eq!(bed.discovery.watches.load(Ordering::SeqCst), watches, "the watch was given up");
 }
 
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -21,8 +21,8 @@
 const ROUND: u64 = 200;
 const CLIENTS: usize = 12;
 
-fn wires() -> [Wire; 2] {
-    [Wire::Http, Wire::thrift("framed-binary")]
+fn thrift() -> Wire {
+    Wire::thrift("framed-binary")
 }
 
 fn bed(wire: Wire, boxes: usize, wishes: Wishes) -> Bed {
@@ -64,8 +64,8 @@
     }
 
     /// None of them came to a box too late; there were as many as this at least.
-    fn check(&self, boxes: &[&StandIn], least: usize) {
-        let came: Vec<_> = boxes.iter().flat_map(|b| b.came()).collect();
+    fn check(&self, boxes: &[StandIn], least: usize) {
+        let came: Vec<_> = boxes.iter().flat_map(StandIn::came).collect();
         let late = |l: &&Left| came.iter().any(|c| c.id.as_ref() == Some(&l.id) && c.at > l.at + SENT_ON);
         let late = self.left.iter().filter(late).count();
         println!("{:?}, {}: {} left, {late} sent on late", self.wire, self.place, self.left.len());
@@ -119,17 +119,17 @@
         // Those under way now come up when the kernel tries again, after 1 s at the latest.
         thread::sleep(Duration::from_millis(1_100));
     }
-    tally.check(&met.iter().collect::<Vec<_>>(), 5 * CLIENTS);
+    tally.check(&met, 5 * CLIENTS);
 }
 
 #[test]
 fn late_connections_http() {
-    late_connection(wires()[0]);
+    late_connection(Wire::Http);
 }
 
 #[test]
 fn late_connections_thrift() {
-    late_connection(wires()[1]);
+    late_connection(thrift());
 }
 
 /// The kernel's queue, where clients wait for a place or for a process that does not run.
@@ -153,23 +153,23 @@
         bed.node.signal("CONT");
         until("the node answers again", || bed.one(Class::Read).is_some_and(|a| a.served()));
     }
-    tally.check(&bed.boxes.iter().collect::<Vec<_>>(), 5 * CLIENTS);
+    tally.check(&bed.boxes, 5 * CLIENTS);
 }
 
 #[test]
 fn in_the_queue_http() {
-    queue(wires()[0]);
+    queue(Wire::Http);
 }
 
 #[test]
 fn in_the_queue_thrift() {
-    queue(wires()[1]);
+    queue(thrift());
 }
 
 /// A first attempt is out and is then turned away: there is no further one. On Thrift also where the connection takes no
 /// further call before it has answered.
-fn before_another(wire: Wire, thrift: &str) {
-    let bed = bed(wire, 2, Wishes { thrift: thrift.to_owned(), ..Wishes::default() });
+fn before_another(wire: Wire, lines: &str) {
+    let bed = bed(wire, 2, Wishes { thrift: lines.to_owned(), ..Wishes::default() });
     let mut tally = Tally::new("before a further attempt", wire);
     for _ in 0..5 {
         bed.plan.next(&[Act::TurnAwayWhenTold; CLIENTS]);
@@ -180,22 +180,22 @@
         // Whatever else would go out has gone out before this, and a node that has met refusals lets clients in again.
         until("the node serves", || bed.one(Class::Read).is_some_and(|a| a.served()));
     }
-    tally.check(&bed.boxes.iter().collect::<Vec<_>>(), 5 * CLIENTS);
+    tally.check(&bed.boxes, 5 * CLIENTS);
 }
 
 #[test]
 fn before_another_attempt_http() {
-    before_another(wires()[0], "");
+    before_another(Wire::Http, "");
 }
 
 #[test]
 fn before_another_attempt_thrift() {
-    before_another(wires()[1], "");
+    before_another(thrift(), "");
 }
 
 #[test]
 fn before_another_attempt_thrift_with_no_room_to_read() {
-    before_another(wires()[1], "pipeline = 1");
+    before_another(thrift(), "pipeline = 1");
 }
 
 /// A second copy goes out after half of the aim: not for one that has left by then.
@@ -213,7 +213,7 @@
         bed.plan.go_on();
         until("the node serves", || bed.one(Class::Read).is_some_and(|a| a.served()));
     }
-    tally.check(&bed.boxes.iter().collect::<Vec<_>>(), 2 * CLIENTS);
+    tally.check(&bed.boxes, 2 * CLIENTS);
     // One that stays does get a copy: the place is a real one.
     bed.plan.next(&[Act::Stall]);
     let (mut client, ask) = send(&bed, 1).remove(0);
@@ -223,10 +223,10 @@
 
 #[test]
 fn before_a_second_copy_http() {
-    before_copy(wires()[0]);
+    before_copy(Wire::Http);
 }
 
 #[test]
 fn before_a_second_copy_thrift() {
-    before_copy(wires()[1]);
+    before_copy(thrift());
 }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -191,7 +191,7 @@
     /// A balancer without any servers yet. The seed settles all its random draws.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let longest = settings.classes.iter().map(|c| c.give_up).max().unwrap_or(1);
+        let longest = settings.longest_deadline();
         Ok(Balancer {
             rng: Pcg64Mcg::seed_from_u64(seed),
             nodes: Vec::new(),
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -229,6 +229,11 @@
         }
     }
 
+    /// The longest time that a client waits for an answer, over all classes.
+    pub fn longest_deadline(&self) -> Nanos {
+        self.classes.iter().map(|c| c.give_up).max().unwrap_or(1)
+    }
+
     /// Refuses settings that no node could act on, naming the one at fault.
     pub fn validate(&self) -> Result<(), SettingsError> {
         if self.classes.is_empty() {
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -7,7 +7,7 @@
 use crate::codec::message::{Encoded, Message};
 use crate::codec::{Form, Kind, Limits, Protocol, Transport};
 use crate::table::{BadFact, Table};
-use crate::upstream::{read, silent, write, Boxes, Served, ThriftExchange, READ};
+use crate::upstream::{read, write, Boxes, Served, ThriftExchange, READ};
 use laurelroute_core::accept::Door;
 use laurelroute_core::budget::Slot;
 use laurelroute_core::call::{Call, GivenUp, Reply, Verdict};
@@ -355,7 +355,7 @@
                     }
                 }
                 client.since.set(gateway.clock.now());
-                if gateway.leaving.get() && owed.is_empty() && !decoder.partial() && silent(&stream) {
+                if gateway.leaving.get() && owed.is_empty() && !decoder.partial() && leaving::quiet(&stream) {
                     return;
                 }
             }
@@ -367,7 +367,7 @@
             }
             _ = client.close.notified(), if owed.is_empty() && !partial => {
                 // What has come in the meantime is still read, and answered.
-                if silent(&stream) {
+                if leaving::quiet(&stream) {
                     return;
                 }
                 client.closing.set(false);
--- a/crates/thrift/src/upstream.rs
+++ b/crates/thrift/src/upstream.rs
@@ -10,12 +10,12 @@
 use laurelroute_core::connect::{connect, Held, NoLink};
 use laurelroute_core::fleet::Kept;
 use laurelroute_core::gateway::Attempt;
+use laurelroute_core::leaving;
 use laurelroute_core::line::Lines;
 use laurelroute_core::tally;
 use laurelroute_policy::interface::Ending;
 use std::cell::Cell;
 use std::io;
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -126,18 +126,10 @@
 
 impl Kept for Link {
     fn quiet(&self) -> bool {
-        !self.decoder.partial() && silent(&self.stream)
+        !self.decoder.partial() && leaving::quiet(&self.stream)
     }
 }
 
-/// Nothing has come and the peer has not closed; this asks the kernel itself.
-pub(crate) fn silent(stream: &TcpStream) -> bool {
-    tally::peek();
-    let mut byte = [MaybeUninit::uninit()];
-    let seen = socket2::SockRef::from(stream).peek(&mut byte);
-    matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
-}
-
 /// Reads once into the decoder; 0 where the peer has closed.
 pub(crate) async fn read(stream: &mut TcpStream, decoder: &mut Decoder) -> io::Result<usize> {
     decoder.buffer().reserve(READ);
