--- a/crates/channel/src/hello.rs
+++ b/crates/channel/src/hello.rs
@@ -18,6 +18,8 @@
     pub life: u64,
     /// Its zone.
     pub zone: u8,
+    /// It goes by services.
+    pub services: bool,
 }
 
 impl Identity {
@@ -31,6 +33,7 @@
             site: self.site.clone(),
             life: self.life,
             zone: self.zone.into(),
+            services: self.services,
         }
     }
 }
@@ -119,7 +122,7 @@
     use super::*;
 
     fn identity(role: Role, name: &str, site: &str) -> Identity {
-        Identity { role, name: name.into(), site: site.into(), life: 1, zone: 0 }
+        Identity { role, name: name.into(), site: site.into(), life: 1, zone: 0, services: false }
     }
 
     fn meet(mut hello: Hello) -> (Result<Hello, HelloError>, Option<Body>) {
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -44,14 +44,17 @@
     let path = site.ok_or(LevelError::Missing("peers"))?;
     let peers = Site::load(path, None)?.levels.peers.ok_or(LevelError::Missing("peers"))?;
     let tls = peers.tls().map_err(LevelError::from)?;
-    let identity = Identity { role: Role::Asker, name: peers.name, site: peers.site, life: 0, zone: 0 };
+    let identity =
+        Identity { role: Role::Asker, name: peers.name, site: peers.site, life: 0, zone: 0, services: false };
     let asking = async {
         let connect = |e| AskError::Connect(planner, e);
         let stream = TcpStream::connect(planner).await.map_err(connect)?;
         let mut stream = tls.connect(stream).await.map_err(connect)?;
         hello::greet(&mut stream, &identity, Role::Planner).await.map_err(|e| AskError::Hello(planner, e))?;
         let broken = |e| AskError::Frame(planner, e);
-        frames::write(&mut stream, Body::Ask(Ask { server, class })).await.map_err(broken)?;
+        frames::write(&mut stream, Body::Ask(Ask { server, class, ..Ask::default() }))
+            .await
+            .map_err(broken)?;
         match frames::read(&mut stream).await.map_err(broken)? {
             Some(Body::Told(told)) => Ok(told.text),
             _ => Err(AskError::Odd(planner)),
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -103,6 +103,7 @@
             site: self.peers.site.clone(),
             life: now / 1_000_000,
             zone: gateway.site.settings.zone,
+            services: false,
         };
         let forwarder = Rc::new(Forwarder {
             gateway: gateway.clone(),
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`follower`]: several planners' plans in, one view out, ageing with the silence.
 //! - [`lead`]: from that view to the decision module's events.
 //! - [`reporter`]: what a forwarder has met, as changes within a budget of bytes.
+//! - [`services`]: the same where the service is the unit, by subscription.
 //! - [`wire`]: the messages.
 
 pub mod follower;
@@ -17,6 +18,7 @@
 pub mod member;
 pub mod planner;
 pub mod reporter;
+pub mod services;
 pub mod share;
 pub mod subset;
 pub mod wire;
--- /dev/null
+++ b/crates/plan/src/services/digest.rs
@@ -0,0 +1,22 @@
+//! Whether two copies of a service name the same servers in the same state.
+//!
+//! The digest of a set is the sum of its members' hashes, so that one change costs one subtraction and one addition. It
+//! guards against copies that have come to differ, not against those who would make them so: peers are authenticated.
+
+use crate::member::Member;
+use crate::mix;
+use crate::wire;
+use laurelroute_policy::interface::Phase;
+use prost::Message;
+
+/// One member's part of the digest. A member that is gone has none.
+pub fn of(member: &Member) -> u64 {
+    match member.server.phase {
+        Phase::Gone => 0,
+        Phase::Ready | Phase::Draining => of_facts(&member.name, &member.facts()),
+    }
+}
+
+fn of_facts(name: &str, facts: &wire::Facts) -> u64 {
+    mix(mix(7, name.as_bytes()), &facts.encode_to_vec())
+}
--- a/crates/plan/src/wire.rs
+++ b/crates/plan/src/wire.rs
@@ -16,7 +16,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// What it is.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<Body>,
 }
 
@@ -44,6 +44,15 @@
     /// Last word before the connection is closed, for the other side's log.
     #[prost(message, tag = "7")]
     Refusal(Refusal),
+    /// Forwarder to planner: the services that it uses, and those that it uses no longer.
+    #[prost(message, tag = "8")]
+    Subscribe(Subscribe),
+    /// Planner to forwarder: what has changed in the services that it uses.
+    #[prost(message, tag = "9")]
+    Update(Update),
+    /// Forwarder to planner: an update was taken in, service by service, or not.
+    #[prost(message, tag = "10")]
+    Acknowledge(Acknowledge),
 }
 
 impl From<Body> for Frame {
@@ -90,6 +99,9 @@
     /// A forwarder's zone, by its place in the settings.
     #[prost(uint32, tag = "7")]
     pub zone: u32,
+    /// This peer goes by services: a forwarder that subscribes, a planner that lets it.
+    #[prost(bool, tag = "8")]
+    pub services: bool,
 }
 
 impl Hello {
@@ -313,6 +325,12 @@
     /// Of this class.
     #[prost(string, tag = "2")]
     pub class: String,
+    /// Of this change of the list, by its version: where it is in force; 0 for none.
+    #[prost(uint64, tag = "3")]
+    pub change: u64,
+    /// Of this service.
+    #[prost(string, optional, tag = "4")]
+    pub service: Option<String>,
 }
 
 /// A planner's answer.
@@ -330,3 +348,150 @@
     #[prost(string, tag = "1")]
     pub reason: String,
 }
+
+// ---- Services by subscription: see `services` ----
+
+/// The services that a forwarder uses, and those that it uses no longer. Each interest replaces the one before in the
+/// same service.
+#[derive(Clone, PartialEq, Message)]
+pub struct Subscribe {
+    /// What has changed of its interests.
+    #[prost(message, repeated, tag = "1")]
+    pub interests: Vec<Interest>,
+    /// Drains and leavings that it knows of by a later list than its planner's.
+    #[prost(message, repeated, tag = "2")]
+    pub closed: Vec<Closed>,
+    /// It goes to another planner: nothing of it lags here any longer.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
+}
+
+/// A forwarder's interest in one service, and what it holds of it.
+#[derive(Clone, PartialEq, Message)]
+pub struct Interest {
+    /// The service; empty for the one that has no name.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// It is no longer wanted.
+    #[prost(bool, tag = "2")]
+    pub unwanted: bool,
+    /// The planner's life whose version is held; 0 where nothing is.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+    /// The version held.
+    #[prost(uint64, tag = "4")]
+    pub version: u64,
+    /// The version of the list that it was made from.
+    #[prost(uint64, tag = "5")]
+    pub source: u64,
+    /// The digest of the servers held.
+    #[prost(fixed64, tag = "6")]
+    pub digest: u64,
+    /// Which slice of the service is held, of how many; 0 of 0 for none.
+    #[prost(uint32, tag = "7")]
+    pub slice: u32,
+    /// See `slice`.
+    #[prost(uint32, tag = "8")]
+    pub slices: u32,
+}
+
+/// What has changed in the services that a forwarder uses. One without services says that all stands.
+#[derive(Clone, PartialEq, Message)]
+pub struct Update {
+    /// The installation it is for.
+    #[prost(string, tag = "1")]
+    pub site: String,
+    /// The life of the planner that says it.
+    #[prost(fixed64, tag = "2")]
+    pub life: u64,
+    /// The version of the list that the planner goes by.
+    #[prost(uint64, tag = "3")]
+    pub source: u64,
+    /// Its number on this connection, from 1; 0 for one that needs no acknowledgement.
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
+    /// The services.
+    #[prost(message, repeated, tag = "5")]
+    pub services: Vec<Changes>,
+}
+
+/// What has changed in one service.
+#[derive(Clone, PartialEq, Message)]
+pub struct Changes {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// The version that these build on; 0 where a whole begins or goes on.
+    #[prost(uint64, tag = "2")]
+    pub base: u64,
+    /// The version that is held once the last piece is taken in.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// Servers that are new or have changed.
+    #[prost(message, repeated, tag = "4")]
+    pub rows: Vec<Row>,
+    /// Servers that have left the service.
+    #[prost(string, repeated, tag = "5")]
+    pub removed: Vec<String>,
+    /// How these stand to the version.
+    #[prost(enumeration = "Piece", tag = "6")]
+    pub piece: i32,
+    /// The version of the list that last changed the service's servers.
+    #[prost(uint64, tag = "7")]
+    pub source: u64,
+    /// Forwarders of this planner that use the slice.
+    #[prost(uint32, tag = "8")]
+    pub subscribers: u32,
+    /// The digest of the servers that are held once the last piece is taken in.
+    #[prost(fixed64, tag = "9")]
+    pub digest: u64,
+    /// Which slice of the service this is, of how many.
+    #[prost(uint32, tag = "10")]
+    pub slice: u32,
+    /// See `slice`.
+    #[prost(uint32, tag = "11")]
+    pub slices: u32,
+}
+
+/// How changes of a service stand to its version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Piece {
+    /// The last or only piece: the version is held once it is taken in.
+    Last = 0,
+    /// The first piece of a whole; what is held stands until the last one.
+    First = 1,
+    /// A further piece.
+    More = 2,
+    /// Drains and leavings ahead of their turn, or hints: they move no version.
+    Aside = 3,
+    /// What is held is what the planner has, by its digest: only the version is new.
+    Same = 4,
+    /// There is no such service.
+    Unknown = 5,
+}
+
+/// An update was taken in, service by service, or not.
+#[derive(Clone, PartialEq, Message)]
+pub struct Acknowledge {
+    /// The planner's life that it answers.
+    #[prost(fixed64, tag = "1")]
+    pub life: u64,
+    /// The number of the update.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// Services whose changes were not taken in, and why.
+    #[prost(message, repeated, tag = "3")]
+    pub refused: Vec<Refused>,
+}
+
+/// Changes of a service that were not taken in.
+#[derive(Clone, PartialEq, Message)]
+pub struct Refused {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Why not.
+    #[prost(enumeration = "Because", tag = "2")]
+    pub because: i32,
+}
