--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -14,6 +14,7 @@
 mod replica;
 mod report;
 mod scale;
+mod scale_out;
 mod seeds;
 mod shift;
 mod silence;
@@ -193,6 +194,13 @@
     Bulk(Common),
     /// What a planner costs as forwarders and boxes grow.
     Scale(Common),
+    /// The size of two years from now: real planners and forwarders, hollow nodes beside them, a day in minutes.
+    ScaleOut {
+        #[command(flatten)]
+        common: Common,
+        #[command(flatten)]
+        wanted: scale_out::Wanted,
+    },
     /// A shift to drawn new pools in simulated time: false halts, what is found and when, against stepping by the clock and a
     /// fixed canary; its course as a plot; what it costs a request.
     Shift {
@@ -222,6 +230,9 @@
         #[arg(long)]
         count: usize,
     },
+    /// A process of hollow nodes, as the scale run has them.
+    #[command(hide = true)]
+    Hollow,
     /// A bare pass-through to these addresses.
     #[command(hide = true)]
     Passthrough { boxes: Vec<std::net::SocketAddr> },
@@ -259,6 +270,8 @@
         Command::Silence { common, rounds, output } => silence::run(&common, rounds, output.as_deref()),
         Command::Bulk(common) => bulk::run(&common),
         Command::Scale(common) => scale::run(&common),
+        Command::ScaleOut { common, wanted } => scale_out::run(&common, &wanted),
+        Command::Hollow => scale_out::hollow::run(),
         Command::Shift { common, seeds, svg, cost } => {
             shift::run(&common, &shift::Wanted { seeds, svg: svg.as_deref(), cost })
         }
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod between;
 pub mod boxes;
+pub mod catalogue;
 pub mod client;
 pub mod discovery;
 pub mod levels;
