Session loops of services by subscription, for real and hollow forwarders

What a forwarder's subscriber and a planner's publisher say to each other is carried by the same code wherever a stream comes from: the keep-connected loop over several planners, the forwarder's session, the planner's side with one notice a connection, so that a change wakes only those whom it concerns. A planner that is full refuses before it greets. The greeting is split into hearing and answering for that.

--- a/crates/channel/src/hello.rs
+++ b/crates/channel/src/hello.rs
@@ -99,22 +99,39 @@
     stream: &mut S,
     own: &Identity,
     roles: &[Role],
+) -> Result<Hello, HelloError> {
+    let hello = heard(stream, own, roles).await?;
+    answered(stream, own).await?;
+    Ok(hello)
+}
+
+/// The first half of [`welcome`]: hears a greeting and leaves it without an answer, which [`answered`] or [`refused`] has
+/// to give. A peer that does not fit hears why.
+pub async fn heard<S: AsyncRead + AsyncWrite + Unpin>(
+    stream: &mut S,
+    own: &Identity,
+    roles: &[Role],
 ) -> Result<Hello, HelloError> {
     let fits = match frames::read(stream).await? {
         Some(Body::Hello(hello)) => checked(hello, &own.site, roles),
         _ => Err(HelloError::NoHello),
     };
-    match fits {
-        Ok(hello) => {
-            frames::write(stream, Body::Hello(own.hello())).await?;
-            Ok(hello)
-        }
-        Err(error) => {
-            let reason = format!("to {}: {error}", own.name);
-            let _ = frames::write(stream, Body::Refusal(Refusal { reason })).await;
-            Err(error)
-        }
+    if let Err(error) = &fits {
+        let _ = refused(stream, format!("to {}: {error}", own.name)).await;
     }
+    fits
+}
+
+/// Answers a greeting that was heard.
+pub async fn answered(stream: &mut (impl AsyncWrite + Unpin), own: &Identity) -> Result<(), HelloError> {
+    frames::write(stream, Body::Hello(own.hello())).await?;
+    Ok(())
+}
+
+/// Says why a greeting that was heard is not answered.
+pub async fn refused(stream: &mut (impl AsyncWrite + Unpin), reason: String) -> Result<(), HelloError> {
+    frames::write(stream, Body::Refusal(Refusal { reason })).await?;
+    Ok(())
 }
 
 #[cfg(test)]
--- a/crates/channel/src/lib.rs
+++ b/crates/channel/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod frames;
 pub mod hello;
+pub mod subscription;
 pub mod tls;
--- /dev/null
+++ b/crates/channel/src/subscription.rs
@@ -0,0 +1,446 @@
+//! Services by subscription on a connection: what a forwarder's [`Subscriber`] and a planner's [`Publisher`] have to
+//! say to each other, carried over any stream. Real forwarders and hollow ones of a scale run use the same loops.
+//!
+//! The machines are pure; here is when they are asked, and what bounds the waiting. Both are borrowed only between
+//! awaits.
+
+use crate::frames::{self, FrameError};
+use crate::hello::{self, HelloError, Identity};
+use laurelroute_plan::services::publisher::{PublishError, Publisher};
+use laurelroute_plan::services::subscriber::{self, Subscriber};
+use laurelroute_plan::wire::{Acknowledge, Body, Hello, Refusal, Report, Role, Subscribe};
+use laurelroute_policy::interface::Nanos;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
+use tokio::sync::{mpsc, Notify};
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// How often a subscriber and a publisher are asked what time brings.
+pub const TICK: Duration = Duration::from_millis(100);
+/// How often a forwarder reports what it has met.
+const REPORT: Duration = Duration::from_millis(500);
+/// A forwarder says something at least this often, be it nothing, so that one that has gone without a word is noticed.
+const WORD: Duration = Duration::from_secs(2);
+/// A forwarder that has said nothing for so long is taken for lost: five words of it.
+const WORDLESS: Duration = Duration::from_secs(10);
+/// A message that the other side has not taken by then.
+const WRITE: Duration = Duration::from_secs(3);
+/// Connecting, TLS and greeting together. A planner that is met by a third of all forwarders at once has some hundred
+/// milliseconds of TLS handshakes in front of it.
+const CONNECT: Duration = Duration::from_secs(4);
+/// The last word to a planner that is left, and the end of its connection.
+const PART: Duration = Duration::from_secs(1);
+/// Answers to a planner that wait to be written; a publisher waits for acknowledgements long before that.
+const ANSWERS: usize = 64;
+/// The longest part of a refusal's text that is kept.
+const MOST_REASON: usize = 500;
+/// Between two looks for updates there is at least this: a publisher whose time has come meanwhile loses nothing by it.
+const LEAST_PAUSE: Nanos = 2_000_000;
+
+/// Why a connection between a forwarder and a planner has ended.
+#[derive(Debug, thiserror::Error)]
+pub enum SessionError {
+    /// It could not be made.
+    #[error("{0}")]
+    Connect(#[from] std::io::Error),
+    /// The two do not work together.
+    #[error("{0}")]
+    Hello(#[from] HelloError),
+    /// The stream or a message is of no use.
+    #[error("{0}")]
+    Frame(#[from] FrameError),
+    /// The other side has said nothing, or taken nothing, for too long.
+    #[error("nothing heard in time")]
+    Silent,
+    /// The planner does not go by services.
+    #[error("it does not go by services")]
+    NoServices,
+    /// The other side has said why it goes.
+    #[error("it refuses: {0}")]
+    Refused(String),
+    /// A planner that sends on and on without waiting for answers.
+    #[error("it does not wait for answers")]
+    Flood,
+    /// What a forwarder says cannot be used.
+    #[error("{0}")]
+    Publish(#[from] PublishError),
+    /// A newer connection of the same forwarder has come.
+    #[error("a newer connection of the same name has come")]
+    Replaced,
+}
+
+fn late(_: tokio::time::error::Elapsed) -> SessionError {
+    SessionError::Silent
+}
+
+fn told(refusal: Refusal) -> SessionError {
+    SessionError::Refused(refusal.reason.chars().filter(|c| !c.is_control()).take(MOST_REASON).collect())
+}
+
+/// What the forwarder's loops work on, and whom they tell.
+pub struct Subscribing<'a> {
+    /// What is subscribed to.
+    pub subscriber: &'a RefCell<Subscriber>,
+    /// The time, in the subscriber's count.
+    pub now: &'a dyn Fn() -> Nanos,
+    /// To be notified (`notify_one`) after `Subscriber::want` has answered `Waiting`: it is said at once.
+    pub wanted: &'a Notify,
+    /// Called after anything that may have changed what is held: `Subscriber::changes` is to be taken.
+    pub changed: &'a dyn Fn(),
+    /// Makes a report, mostly by `Subscriber::next_report`; called twice a second while a planner is there.
+    pub report: &'a dyn Fn(Nanos) -> Option<Report>,
+    /// Called with a planner's place as a connection to it is up (`Ok`), or has ended or could not be made, for the log.
+    pub noted: &'a dyn Fn(usize, Result<&Hello, &SessionError>),
+}
+
+type Ended = Result<(), SessionError>;
+/// What goes on beside the rest.
+type Work<'a, T> = Pin<Box<dyn Future<Output = T> + 'a>>;
+/// A planner's place, and its connection with its greeting.
+type Made<S> = (usize, Result<(S, Hello), SessionError>);
+
+/// One that is under way, or for ever.
+async fn of<T>(future: &mut Option<Work<'_, T>>) -> T {
+    match future {
+        Some(future) => future.as_mut().await,
+        None => std::future::pending().await,
+    }
+}
+
+impl Subscribing<'_> {
+    /// Keeps a connection to one planner after the other, as the subscriber wants them, for good. `connect` gives a
+    /// stream to the planner at that place, TLS included; greeting is done here. What it takes is bounded here too.
+    pub async fn keep<S, C, F>(&self, own: &Identity, connect: C) -> std::convert::Infallible
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+        C: Fn(usize) -> F,
+        F: Future<Output = std::io::Result<S>>,
+    {
+        let mut next = Instant::now();
+        let mut connecting: Option<Work<'_, Made<S>>> = None;
+        // The planner that is followed, how it is told that it is left, and its connection.
+        let mut place = 0;
+        let mut leave = Rc::new(Notify::new());
+        let mut session: Option<Work<'_, Ended>> = None;
+        let mut parting: Option<Work<'_, Ended>> = None;
+        loop {
+            tokio::select! {
+                biased;
+                _ = of(&mut parting) => parting = None,
+                ended = of(&mut session) => {
+                    session = None;
+                    self.subscriber.borrow_mut().lost((self.now)(), place);
+                    if let Err(error) = ended {
+                        (self.noted)(place, Err(&error));
+                    }
+                    (self.changed)();
+                    next = Instant::now();
+                }
+                (to, made) = of(&mut connecting) => {
+                    connecting = None;
+                    match made {
+                        Ok((stream, planner)) => {
+                            (self.noted)(to, Ok(&planner));
+                            // In this order: what the former planner still says is no longer taken in.
+                            leave.notify_one();
+                            parting = session.take();
+                            self.subscriber.borrow_mut().connected((self.now)(), to, planner.life);
+                            (place, leave) = (to, Rc::new(Notify::new()));
+                            session = Some(Box::pin(self.session(to, stream, leave.clone())));
+                        }
+                        Err(error) => {
+                            self.subscriber.borrow_mut().failed((self.now)(), to);
+                            (self.noted)(to, Err(&error));
+                            next = Instant::now();
+                        }
+                    }
+                    (self.changed)();
+                }
+                _ = sleep_until(next) => {
+                    next = Instant::now() + TICK;
+                    let now = (self.now)();
+                    let to = {
+                        let mut subscriber = self.subscriber.borrow_mut();
+                        subscriber.poll(now);
+                        if connecting.is_none() { subscriber.try_next(now) } else { None }
+                    };
+                    (self.changed)();
+                    if let Some(to) = to {
+                        let stream = connect(to);
+                        connecting = Some(Box::pin(async move {
+                            let made = async {
+                                let mut stream = stream.await?;
+                                let planner = hello::greet(&mut stream, own, Role::Planner).await?;
+                                if planner.services { Ok((stream, planner)) } else { Err(SessionError::NoServices) }
+                            };
+                            (to, timeout(CONNECT, made).await.unwrap_or(Err(SessionError::Silent)))
+                        }));
+                    }
+                }
+            }
+        }
+    }
+
+    /// One connection to the planner at `place`, greeted already and told to the subscriber (`connected`), until it is of
+    /// no more use, or until `leave` is notified: then the last word is said and all ends well.
+    pub async fn session<S>(&self, place: usize, stream: S, leave: Rc<Notify>) -> Result<(), SessionError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        let (mut reader, mut writer) = tokio::io::split(stream);
+        let (answers, waiting) = mpsc::channel(ANSWERS);
+        let ended = tokio::select! {
+            biased;
+            _ = leave.notified() => Ok(()),
+            ended = self.hear(place, &mut reader, answers) => ended,
+            ended = self.say(&mut writer, waiting) => ended,
+        };
+        if ended.is_ok() {
+            let last = async {
+                frames::write(&mut writer, Body::Subscribe(Subscriber::last_word())).await?;
+                Ok::<_, FrameError>(writer.shutdown().await?)
+            };
+            timeout(PART, last).await.map_err(late)??;
+        }
+        ended
+    }
+
+    async fn hear(
+        &self,
+        place: usize,
+        reader: &mut (impl AsyncRead + Unpin),
+        answers: mpsc::Sender<Acknowledge>,
+    ) -> Ended {
+        loop {
+            let silence = Duration::from_nanos(subscriber::SILENCE);
+            let update = match timeout(silence, frames::read(reader)).await.map_err(late)?? {
+                Some(Body::Update(update)) => update,
+                Some(Body::Refusal(refusal)) => return Err(told(refusal)),
+                _ => continue,
+            };
+            let answer = self.subscriber.borrow_mut().receive((self.now)(), place, &update);
+            (self.changed)();
+            if let Some(answer) = answer {
+                answers.try_send(answer).map_err(|_| SessionError::Flood)?;
+            }
+            // What is refused is asked for anew.
+            self.wanted.notify_one();
+        }
+    }
+
+    async fn say(
+        &self,
+        writer: &mut (impl AsyncWrite + Unpin),
+        mut waiting: mpsc::Receiver<Acknowledge>,
+    ) -> Ended {
+        let mut next = Instant::now();
+        let mut report_at = Instant::now() + REPORT;
+        let mut said = Instant::now();
+        loop {
+            tokio::select! {
+                biased;
+                Some(answer) = waiting.recv() => {
+                    timeout(WRITE, frames::write(writer, Body::Acknowledge(answer))).await.map_err(late)??;
+                    said = Instant::now();
+                    continue;
+                }
+                _ = self.wanted.notified() => {}
+                _ = sleep_until(next) => next = Instant::now() + TICK,
+            }
+            while let Some(subscribe) = self.next_subscribe() {
+                timeout(WRITE, frames::write(writer, Body::Subscribe(subscribe))).await.map_err(late)??;
+                said = Instant::now();
+            }
+            let now = Instant::now();
+            if now >= report_at {
+                report_at = now + REPORT;
+                if let Some(report) = (self.report)((self.now)()) {
+                    timeout(WRITE, frames::write(writer, Body::Report(report))).await.map_err(late)??;
+                    said = now;
+                }
+            }
+            if now.duration_since(said) >= WORD {
+                let nothing = Body::Subscribe(Subscribe::default());
+                timeout(WRITE, frames::write(writer, nothing)).await.map_err(late)??;
+                said = now;
+            }
+        }
+    }
+
+    fn next_subscribe(&self) -> Option<Subscribe> {
+        self.subscriber.borrow_mut().next_subscribe((self.now)())
+    }
+}
+
+/// A connection of a forwarder, as others find it.
+struct Seat {
+    /// Of several connections of one name the latest counts.
+    number: u64,
+    news: Rc<Notify>,
+}
+
+/// A publisher and the connections of its forwarders.
+pub struct Publishing {
+    publisher: RefCell<Publisher>,
+    now: Box<dyn Fn() -> Nanos>,
+    /// Bounded by the publisher, which takes no more forwarders than it is told.
+    seats: RefCell<BTreeMap<String, Seat>>,
+    connections: Cell<u64>,
+}
+
+impl std::fmt::Debug for Publishing {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Publishing({} connections)", self.seats.borrow().len())
+    }
+}
+
+/// Gives a forwarder's seat up, however its connection ends.
+struct Seated<'a> {
+    publishing: &'a Publishing,
+    name: &'a str,
+    number: u64,
+}
+
+impl Seated<'_> {
+    fn current(&self) -> bool {
+        self.publishing.seats.borrow().get(self.name).is_some_and(|s| s.number == self.number)
+    }
+}
+
+impl Drop for Seated<'_> {
+    fn drop(&mut self) {
+        if self.current() {
+            self.publishing.seats.borrow_mut().remove(self.name);
+            self.publishing.with(|publisher, now| publisher.left(now, self.name));
+        }
+    }
+}
+
+impl Publishing {
+    /// A publisher without connections. `now` tells the time in the publisher's count.
+    pub fn new(publisher: Publisher, now: Box<dyn Fn() -> Nanos>) -> Self {
+        Publishing {
+            publisher: RefCell::new(publisher),
+            now,
+            seats: RefCell::default(),
+            connections: Cell::new(0),
+        }
+    }
+
+    /// Does something with the publisher, and wakes the connections for which there is news after it.
+    pub fn with<T>(&self, f: impl FnOnce(&mut Publisher, Nanos) -> T) -> T {
+        let (done, stirred) = {
+            let mut publisher = self.publisher.borrow_mut();
+            let done = f(&mut publisher, (self.now)());
+            (done, publisher.stirred())
+        };
+        let seats = self.seats.borrow();
+        for name in stirred {
+            if let Some(seat) = seats.get(&name) {
+                seat.news.notify_one();
+            }
+        }
+        done
+    }
+
+    /// Tells the publisher the time, for good.
+    pub async fn tick(&self) -> std::convert::Infallible {
+        loop {
+            self.with(|publisher, now| publisher.poll(now));
+            tokio::time::sleep(TICK).await;
+        }
+    }
+
+    /// Greets a forwarder whose greeting was heard (see [`hello::heard`]) and leads it until its connection ends. One that
+    /// is not taken hears why before it is greeted, so that it goes to another planner.
+    pub async fn lead<S>(&self, mut stream: S, own: &Identity, peer: &Hello) -> Result<(), SessionError>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
+        if !peer.services {
+            let reason =
+                format!("to {}: this planner goes by services, and the forwarder does not", own.name);
+            let _ = timeout(PART, hello::refused(&mut stream, reason)).await;
+            return Err(SessionError::NoServices);
+        }
+        let zone = peer.zone.min(255) as u8;
+        if let Err(error) = self.with(|publisher, now| publisher.joined(now, &peer.name, zone)) {
+            let _ = timeout(PART, hello::refused(&mut stream, format!("to {}: {error}", own.name))).await;
+            return Err(error.into());
+        }
+        let number = self.connections.get() + 1;
+        self.connections.set(number);
+        let news = Rc::new(Notify::new());
+        let former = self.seats.borrow_mut().insert(peer.name.clone(), Seat { number, news: news.clone() });
+        // It finds that it is not the latest any longer.
+        former.inspect(|f| f.news.notify_one());
+        let seated = Seated { publishing: self, name: &peer.name, number };
+        timeout(WRITE, hello::answered(&mut stream, own)).await.map_err(late)??;
+        let (mut reader, mut writer) = tokio::io::split(stream);
+        let ended = tokio::select! {
+            ended = self.hear(&seated, &mut reader) => ended,
+            ended = self.say(&seated, &news, &mut writer) => ended,
+        };
+        if let Err(error @ (SessionError::Publish(_) | SessionError::Replaced)) = &ended {
+            let refusal = Refusal { reason: format!("to {}: {error}", own.name) };
+            // Its connection is closed in any case.
+            let _ = timeout(PART, frames::write(&mut writer, Body::Refusal(refusal))).await;
+        }
+        ended
+    }
+
+    async fn hear(&self, seated: &Seated<'_>, reader: &mut (impl AsyncRead + Unpin)) -> Ended {
+        let mut leaving = false;
+        loop {
+            let body = match timeout(WORDLESS, frames::read(reader)).await.map_err(late)? {
+                // It has said that it goes.
+                Err(FrameError::Stream(_)) if leaving => return Ok(()),
+                body => body?,
+            };
+            if !seated.current() {
+                return Err(SessionError::Replaced);
+            }
+            let name = seated.name;
+            match body {
+                Some(Body::Subscribe(subscribe)) if subscribe == Subscribe::default() => {}
+                Some(Body::Subscribe(subscribe)) => {
+                    leaving |= subscribe.leaving;
+                    self.with(|publisher, now| publisher.subscribe(now, name, &subscribe))?;
+                }
+                Some(Body::Acknowledge(answer)) => {
+                    self.with(|publisher, now| publisher.acknowledge(now, name, &answer))
+                }
+                Some(Body::Report(report)) => {
+                    self.with(|publisher, now| publisher.report(now, name, &report))?
+                }
+                Some(Body::Refusal(refusal)) => return Err(told(refusal)),
+                _ => {}
+            }
+        }
+    }
+
+    async fn say(&self, seated: &Seated<'_>, news: &Notify, writer: &mut (impl AsyncWrite + Unpin)) -> Ended {
+        let name = seated.name;
+        loop {
+            let pause = loop {
+                if !seated.current() {
+                    return Err(SessionError::Replaced);
+                }
+                let now = (self.now)();
+                let update = self.publisher.borrow_mut().next_update(now, name)?;
+                let Some(update) = update else {
+                    let wake_at = self.publisher.borrow().wake_at(now, name);
+                    break wake_at.saturating_sub(now).clamp(LEAST_PAUSE, subscriber::SILENCE);
+                };
+                timeout(WRITE, frames::write(writer, Body::Update(update))).await.map_err(late)??;
+            };
+            // A notice that comes while this one is written is kept.
+            let _ = timeout(Duration::from_nanos(pause), news.notified()).await;
+        }
+    }
+}
