--- a/crates/rig/src/scale_out/awaited.rs
+++ b/crates/rig/src/scale_model/awaited.rs
@@ -168,8 +168,10 @@
             let pushed = c.pushed?;
             let took: Vec<u64> = c.held.iter().map(|at| at.saturating_sub(pushed) / 1_000_000).collect();
             let some: Vec<usize> = c.pending.iter().copied().take(5).collect();
-            Some(json!({"id": id, "event": c.event, "server": c.server, "pushed": pushed, "expected": c.expected,
-                "gone": c.gone, "lagging": c.pending.len(), "some": some, "took": took}))
+            Some(
+                json!({"id": id, "event": c.event, "server": c.server, "pushed": pushed, "expected": c.expected,
+                "gone": c.gone, "lagging": c.pending.len(), "some": some, "took": took}),
+            )
         };
         Value::Array(self.changes.iter().filter_map(row).collect())
     }
--- a/crates/rig/src/scale_out/fleet.rs
+++ b/crates/rig/src/scale_model/fleet.rs
@@ -109,10 +109,16 @@
         let mut rng = Pcg64Mcg::seed_from_u64(scramble(seed ^ 0x0073_6361_6c65));
         let shares: Vec<f64> = (1..=size.services).map(|rank| (rank as f64).powf(-SIZE_POWER)).collect();
         let whole: f64 = shares.iter().sum();
-        // One server at least; what rounding leaves over goes to the largest.
-        let mut sizes: Vec<usize> =
-            shares.iter().map(|s| ((s / whole * size.servers as f64) as usize).max(1)).collect();
-        let given: usize = sizes.iter().sum();
+        // Rounded together, so that none is lost; one server at least.
+        let mut sum = 0.0;
+        let mut given = 0;
+        let mut sizes: Vec<usize> = Vec::with_capacity(size.services);
+        for share in shares {
+            sum += share / whole * size.servers as f64;
+            let next = (sum.round() as usize).saturating_sub(given).max(1);
+            given += next;
+            sizes.push(next);
+        }
         sizes[0] = (sizes[0] + size.servers).saturating_sub(given).max(1);
         let (by_size, by_use) = (shuffled(&mut rng, size.services), shuffled(&mut rng, size.services));
         let mut first = vec![0];
--- a/crates/rig/src/scale_out/bed.rs
+++ b/crates/rig/src/scale_out/bed.rs
@@ -1,11 +1,11 @@
 //! All that runs: discovery, planners, real forwarders before boxes, and processes of hollow nodes.
 
-use super::awaited::State;
-use super::fleet::{server_name, service_name, Fleet, Size};
 use super::hollow::{Orders, Time, SITE};
 use super::relay::Relay;
 use crate::report::Failure;
 use crate::AS_PROGRAM;
+use laurelroute_rig::scale_model::awaited::State;
+use laurelroute_rig::scale_model::fleet::{server_name, service_name, Fleet, Size};
 use laurelroute_testkit::boxes::{Act, Plan, StandIn};
 use laurelroute_testkit::catalogue::{Catalogue, Listed};
 use laurelroute_testkit::levels::{Authority, Levels, Planner};
@@ -58,11 +58,6 @@
         }
         Ok(serde_json::from_str(&line)?)
     }
-
-    /// The process's number.
-    pub fn pid(&self) -> u32 {
-        self.child.id()
-    }
 }
 
 impl Drop for Hollow {
@@ -170,7 +165,7 @@
             let name = format!("real-{k}");
             let ways: Vec<String> = relay.addresses.iter().map(|a| format!("{:?}", a.to_string())).collect();
             let site = format!(
-                "{}[forward]\nservices = true\nplanners = [{}]\n",
+                "{}[forward]\nservices = true\nservice = \"host\"\nplanners = [{}]\n",
                 bed._authority.peers(SITE, &name),
                 ways.join(", ")
             );
--- a/crates/rig/src/scale_out/day.rs
+++ b/crates/rig/src/scale_out/day.rs
@@ -1,10 +1,10 @@
 //! The day: what is done to the bed, and when it is over.
 
-use super::awaited::State;
 use super::bed::{Bed, LIVE, PLANNERS};
-use super::schedule::{drawn, What};
 use super::traffic::{Namer, Traffic};
 use crate::report::Failure;
+use laurelroute_rig::scale_model::awaited::State;
+use laurelroute_rig::scale_model::schedule::{drawn, What};
 use laurelroute_testkit::process::{memory_kb, processor, Memory};
 use serde_json::Value;
 use std::time::{Duration, Instant};
@@ -176,7 +176,8 @@
     /// The ordinary changes of a stretch, at a multiple of their rate. `first` goes at its beginning.
     fn stretch(&mut self, event: usize, times: f64) -> Result<(), Failure> {
         let seconds = self.part.as_secs_f64();
-        let least = LEAST_STEPS * 86_400.0 * 180_000.0 / (86_000.0 * self.bed.fleet.servers() as f64 * seconds);
+        let least =
+            LEAST_STEPS * 86_400.0 * 180_000.0 / (86_000.0 * self.bed.fleet.servers() as f64 * seconds);
         let seed = self.seed ^ ((event as u64) << 40);
         let steps = drawn(seed, self.bed.fleet.servers(), seconds, times.max(least));
         let begun = Instant::now();
@@ -349,10 +350,8 @@
         self.bed.planners.iter_mut().for_each(laurelroute_testkit::levels::Planner::kill);
         std::thread::sleep(self.part / 2);
         let servers: Vec<usize> = self.bed.fleet.rack();
-        let drained: Vec<(usize, State)> = servers
-            .iter()
-            .map(|s| (*s, What::Drain.applied(self.bed.state(*s), 0)))
-            .collect();
+        let drained: Vec<(usize, State)> =
+            servers.iter().map(|s| (*s, What::Drain.applied(self.bed.state(*s), 0))).collect();
         let changes = self.numbered(drained);
         self.bed.push_unseen(8, &changes)?;
         std::thread::sleep(self.part / 2);
@@ -363,10 +362,8 @@
         self.until_in_force()?;
         // As they were.
         let now_ms = self.now_ms();
-        let back: Vec<(usize, State)> = servers
-            .iter()
-            .map(|s| (*s, State { born_ms: now_ms, phase: 0, share: 1.0 }))
-            .collect();
+        let back: Vec<(usize, State)> =
+            servers.iter().map(|s| (*s, State { born_ms: now_ms, phase: 0, share: 1.0 })).collect();
         let changes = self.numbered(back);
         self.bed.push(8, &changes)?;
         self.until_in_force()
--- a/crates/rig/src/scale_out/hollow.rs
+++ b/crates/rig/src/scale_out/hollow.rs
@@ -4,9 +4,7 @@
 //! It says of each change that it was told to await how many of its nodes use the server, how many of them held the new
 //! state, and when each did. One clock for all: they run on one machine.
 
-use super::awaited::{Awaited, State};
 use super::counted::{lock, Counted, Seconds};
-use super::fleet::{server_named, service_name, Fleet, Size};
 use super::reported::Rounds;
 use crate::report::Failure;
 use laurelroute_channel::hello::Identity;
@@ -16,6 +14,8 @@
 use laurelroute_plan::services::subscriber::{Change, Settings, Standing, Subscriber};
 use laurelroute_plan::wire::Role;
 use laurelroute_policy::interface::Nanos;
+use laurelroute_rig::scale_model::awaited::{Awaited, State};
+use laurelroute_rig::scale_model::fleet::{server_named, service_name, Fleet, Size};
 use serde_json::{json, Value};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -196,7 +196,8 @@
             starts: 0,
         });
         entry.starts += 1;
-        let (now, seed) = (self.time.now(), scramble(self.seed ^ node as u64 ^ u64::from(entry.starts) << 32));
+        let (now, seed) =
+            (self.time.now(), scramble(self.seed ^ node as u64 ^ u64::from(entry.starts) << 32));
         let settings = Settings {
             name: format!("node-{node:04}"),
             site: SITE.to_owned(),
@@ -275,7 +276,8 @@
             loop {
                 let due = begun.elapsed().as_secs_f64() / FIRST_NAMED.as_secs_f64();
                 let due = ((due * life.uses.len() as f64) as usize).min(life.uses.len());
-                let again = (life.uses.len() as f64 * NAMING.as_secs_f64() / NAMED_AGAIN.as_secs_f64()).ceil();
+                let again =
+                    (life.uses.len() as f64 * NAMING.as_secs_f64() / NAMED_AGAIN.as_secs_f64()).ceil();
                 let fresh = life.named.get()..due;
                 let known = (0..again as usize).map(|_| {
                     next = (next + 1) % life.named.get().max(1);
@@ -284,8 +286,7 @@
                 let names: Vec<usize> =
                     fresh.chain(known).filter_map(|k| life.uses.get(k)).copied().collect();
                 for service in names {
-                    let standing =
-                        life.subscriber.borrow_mut().want(self.time.now(), &service_name(service));
+                    let standing = life.subscriber.borrow_mut().want(self.time.now(), &service_name(service));
                     if standing == Standing::Waiting {
                         life.wanted.notify_one();
                     }
@@ -346,7 +347,7 @@
                 let held: HashMap<&str, State> =
                     members.iter().map(|m| (m.name.as_str(), State::of(&m.server))).collect();
                 for (id, server, state) in changes {
-                    let holds = held.get(super::fleet::server_name(*server).as_str());
+                    let holds = held.get(laurelroute_rig::scale_model::fleet::server_name(*server).as_str());
                     expected +=
                         usize::from(awaited.expect(event, *id, *node, entry.starts, *server, state, holds));
                 }
--- a/crates/rig/src/scale_out/mod.rs
+++ b/crates/rig/src/scale_out/mod.rs
@@ -1,25 +1,24 @@
 //! `rig scale-out`: the size of two years from now on one machine. Planners and some forwarders are real processes, the
 //! other nodes hollow ones: the shipped subscriber over the real channel, hundreds to a process. Servers are data.
 
-mod awaited;
 mod bed;
 mod checks;
 mod counted;
 mod day;
 mod figures;
-mod fleet;
+
 pub mod hollow;
 mod one;
 mod relay;
 mod reported;
-mod schedule;
+
 mod traffic;
 
 use crate::report::{table, Failure, Outcome};
 use crate::{Common, AS_PROGRAM};
 use bed::{Bed, LIVE, PLANNERS};
 use day::{Day, Seen};
-use fleet::Size;
+use laurelroute_rig::scale_model::fleet::Size;
 use std::time::Duration;
 
 /// What is to be played.
@@ -67,7 +66,9 @@
         size.nodes, size.real, size.servers, size.services
     );
     if wanted > whole / 2.0 || wanted > free {
-        return Err(Failure(format!("{wanted:.0} MB would be over half of the machine's memory, or not free")));
+        return Err(Failure(format!(
+            "{wanted:.0} MB would be over half of the machine's memory, or not free"
+        )));
     }
     if processes > MOST_PROCESSES {
         return Err(Failure(format!("{processes} processes would be over {MOST_PROCESSES}")));
@@ -179,7 +180,11 @@
         outcome.put(format!("{key}_control_core"), cost.control);
     }
     let mb = |kb: u64| kb as f64 / 1024.0;
-    println!("memory at most: planner {:.1} MB, real forwarder {:.1} MB", mb(seen.memory_kb[0]), mb(seen.memory_kb[1]));
+    println!(
+        "memory at most: planner {:.1} MB, real forwarder {:.1} MB",
+        mb(seen.memory_kb[0]),
+        mb(seen.memory_kb[1])
+    );
     outcome.put("planner_mb", mb(seen.memory_kb[0]));
     outcome.put("forwarder_mb", mb(seen.memory_kb[1]));
     outcome.put("ready_s", seen.ready_s[0]);
--- a/crates/rig/src/scale_out/one.rs
+++ b/crates/rig/src/scale_out/one.rs
@@ -2,11 +2,11 @@
 
 use super::bed::Bed;
 use super::checks;
-use super::fleet::Size;
-use super::schedule::drawn;
 use super::traffic::Namer;
 use crate::report::{table, Failure, Outcome};
 use crate::Common;
+use laurelroute_rig::scale_model::fleet::Size;
+use laurelroute_rig::scale_model::schedule::drawn;
 use laurelroute_testkit::process::{memory_kb, processor, Memory};
 use std::time::{Duration, Instant};
 
--- a/crates/rig/src/scale_out/relay.rs
+++ b/crates/rig/src/scale_out/relay.rs
@@ -28,7 +28,8 @@
         // The runtime wants them so.
         listeners.iter().try_for_each(|l| l.set_nonblocking(true))?;
         let addresses: Result<Vec<_>, _> = listeners.iter().map(std::net::TcpListener::local_addr).collect();
-        let ways: Vec<(std::net::TcpListener, SocketAddr)> = listeners.into_iter().zip(planners.to_vec()).collect();
+        let ways: Vec<(std::net::TcpListener, SocketAddr)> =
+            listeners.into_iter().zip(planners.to_vec()).collect();
         let counted = seconds.clone();
         std::thread::Builder::new().name("relay".into()).spawn(move || {
             let Ok(runtime) = tokio::runtime::Builder::new_current_thread().enable_all().build() else {
--- a/crates/rig/src/scale_out/reported.rs
+++ b/crates/rig/src/scale_out/reported.rs
@@ -1,9 +1,9 @@
 //! What a hollow node says that it has met: a few servers of its services in turn, with some noise, as quiet traffic has it.
 
-use super::fleet::service_name;
 use laurelroute_plan::services::subscriber::Subscriber;
 use laurelroute_plan::wire::Report;
 use laurelroute_policy::interface::{Endpoint, Nanos, Observed};
+use laurelroute_rig::scale_model::fleet::service_name;
 
 /// Services looked at for one report, and servers of each.
 const SERVICES: usize = 8;
--- a/crates/rig/src/scale_out/traffic.rs
+++ b/crates/rig/src/scale_out/traffic.rs
@@ -2,7 +2,7 @@
 //! then one of each further service, so that the forwarder uses it.
 
 use super::bed::{live_name, Bed, LIVE, WORK};
-use super::fleet::service_name;
+use laurelroute_rig::scale_model::fleet::service_name;
 use laurelroute_testkit::boxes::{ran, StandIn};
 use laurelroute_testkit::client::Client;
 use laurelroute_testkit::load::{Load, Tally};
@@ -149,7 +149,8 @@
         for [read, write, keyed] in tallies {
             // Served without a run at a box, or run more than once, is wrong either way.
             became.doubled += write.served.iter().filter(|id| runs.get(*id) != Some(&1)).count();
-            became.doubled += write.lost.iter().chain(&write.crossed).filter(|id| runs.get(*id) > Some(&1)).count();
+            became.doubled +=
+                write.lost.iter().chain(&write.crossed).filter(|id| runs.get(*id) > Some(&1)).count();
             for tally in [read, write, keyed] {
                 became.served += tally.served.len();
                 became.refused += tally.refused;
@@ -168,11 +169,16 @@
 /// What the boxes alone take for the same load, at 99 in 100 and in the middle, in milliseconds.
 pub fn direct(bed: &Bed, lasts: Duration) -> (f64, f64) {
     // So many clients at a box as there are for each through forwarders.
-    let loads: Vec<Load> = bed.boxes.iter().step_by(LIVE.1).flat_map(|stand_in| {
-        CLIENTS.map(|(class, clients)| {
-            Load::asking(Wire::Http, stand_in.http, clients, &Ask::new(class).carrying(BODY))
+    let loads: Vec<Load> = bed
+        .boxes
+        .iter()
+        .step_by(LIVE.1)
+        .flat_map(|stand_in| {
+            CLIENTS.map(|(class, clients)| {
+                Load::asking(Wire::Http, stand_in.http, clients, &Ask::new(class).carrying(BODY))
+            })
         })
-    }).collect();
+        .collect();
     std::thread::sleep(lasts + WORK);
     let mut all = Tally::default();
     loads.into_iter().map(Load::finish).for_each(|tally| all.took.extend(tally.took));
--- a/crates/testkit/src/levels.rs
+++ b/crates/testkit/src/levels.rs
@@ -97,7 +97,14 @@
         wishes: &Wishes,
         extra: &str,
     ) -> Planner {
-        Planner::of(program, authority, name, discovery, wishes, &format!("planners = 2\nsettle_ms = 100\n{extra}"))
+        Planner::of(
+            program,
+            authority,
+            name,
+            discovery,
+            wishes,
+            &format!("planners = 2\nsettle_ms = 100\n{extra}"),
+        )
     }
 
     /// A planner of which this stands in its part of the operator's file, not started yet.
--- a/crates/testkit/src/wire.rs
+++ b/crates/testkit/src/wire.rs
@@ -88,7 +88,14 @@
 impl Ask {
     /// A request with an id of its own and a deadline of four seconds.
     pub fn new(class: Class) -> Ask {
-        Ask { id: crate::fresh_id(), class, deadline_ms: 4000, body: Vec::new(), oneway: false, service: None }
+        Ask {
+            id: crate::fresh_id(),
+            class,
+            deadline_ms: 4000,
+            body: Vec::new(),
+            oneway: false,
+            service: None,
+        }
     }
 
     /// The same with another deadline.
