--- a/crates/channel/src/tls.rs
+++ b/crates/channel/src/tls.rs
@@ -6,6 +6,7 @@
 use rustls::{ClientConfig, RootCertStore, ServerConfig};
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
 use tokio_rustls::{client, server, TlsAcceptor, TlsConnector};
 
@@ -92,7 +93,10 @@
     }
 
     /// Proves both sides as the one that connected.
-    pub async fn connect(&self, stream: TcpStream) -> std::io::Result<client::TlsStream<TcpStream>> {
+    pub async fn connect<S>(&self, stream: S) -> std::io::Result<client::TlsStream<S>>
+    where
+        S: AsyncRead + AsyncWrite + Unpin,
+    {
         self.connector.connect(self.planner.clone(), stream).await
     }
 
--- a/crates/core/src/connect.rs
+++ b/crates/core/src/connect.rs
@@ -2,7 +2,7 @@
 
 use crate::budget::Slot;
 use crate::call::Wire;
-use crate::fleet::{Fleet, Place};
+use crate::fleet::Place;
 use crate::gateway::Gateway;
 use laurelroute_policy::interface::Endpoint;
 use std::io;
@@ -43,12 +43,18 @@
     wire: Wire,
     dial: SocketAddr,
 ) -> Result<(TcpStream, Held), NoLink> {
-    let place = gateway.fleet(|f| f.place(server, wire)).ok_or(NoLink::Exhausted)?;
+    let place = loop {
+        match gateway.fleet(|f| f.place(server, wire)) {
+            Some(place) => break place,
+            None if gateway.evict_elsewhere(server) => {}
+            None => return Err(NoLink::Exhausted),
+        }
+    };
     let slot = loop {
         if let Some(slot) = gateway.budget.server() {
             break slot;
         }
-        if gateway.fleet(Fleet::evict) {
+        if gateway.evict() {
             continue;
         }
         if !gateway.stop_lingering() {
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The fleet: which servers the list has named, where each listens on each wire, and the connections kept to them.
 
 use crate::call::Wire;
+use crate::common::Common;
 use laurelroute_handover::bans::Bans;
 use laurelroute_policy::interface::{Endpoint, ListKind, Nanos, Phase, Server};
 use std::any::Any;
@@ -34,6 +35,8 @@
     pub version: String,
     /// Whatever else.
     pub metadata: BTreeMap<String, String>,
+    /// The services that it serves; none is the one without a name.
+    pub services: Vec<String>,
 }
 
 /// A server's addresses, by [`Wire`]; `None` where it does not speak that one.
@@ -90,6 +93,8 @@
     drained: BTreeSet<String>,
     /// Servers that were put back and may be used from now on.
     restored: Vec<Endpoint>,
+    /// Connections count together with those of other services.
+    common: Option<Rc<Common>>,
 }
 
 /// The module sorts by identity, and all nodes must agree on the order: it comes from the name, which is the
@@ -101,12 +106,41 @@
     Endpoint { address: [h[0], h[1], h[2], h[3]], port: u16::from_be_bytes([h[4], h[5]]) }
 }
 
+/// The count of connections to a server.
+fn open_to(common: &Option<Rc<Common>>, dials: &Dials) -> Rc<Cell<u32>> {
+    match (common, dials.first()) {
+        (Some(common), Some(Some(address))) => common.open(*address),
+        _ => Rc::default(),
+    }
+}
+
 impl Fleet {
     /// An empty fleet whose servers each hold at most so many connections of this node's, over all wires.
     pub fn with_cap(most_connections: Option<u32>) -> Self {
         Fleet { most_connections, ..Fleet::default() }
     }
 
+    /// An empty fleet with the same cap, to which the same words on servers count.
+    pub(crate) fn beside(&self) -> Self {
+        Fleet {
+            most_connections: self.most_connections,
+            bans: self.bans.clone(),
+            drained: self.drained.clone(),
+            ..Fleet::default()
+        }
+    }
+
+    /// From now on connections to a server count together with those of other services.
+    pub(crate) fn share(&mut self, common: Rc<Common>) {
+        self.common = Some(common);
+    }
+
+    /// Closes a kept connection to a server; false where none is idle.
+    pub(crate) fn evict_of(&mut self, host: &str) -> bool {
+        let upstream = self.upstreams.get_mut(&self.endpoint(host)).filter(|u| !u.idle.is_empty());
+        upstream.map(|u| u.idle.remove(0)).is_some()
+    }
+
     fn endpoint(&self, host: &str) -> Endpoint {
         let free = |e: &Endpoint| self.upstreams.get(e).is_none_or(|u| u.host == host);
         (0..=u8::MAX).map(|round| identity(host, round)).find(free).unwrap_or(identity(host, 0))
@@ -128,12 +162,15 @@
                 dials: dials.clone(),
                 server,
                 listed,
-                open: Rc::default(),
+                open: open_to(&self.common, &dials),
                 closed_at: None,
                 idle: Vec::new(),
             });
             if upstream.dials != dials || upstream.server.started_at != server.started_at {
                 // Another process: what was connected to the old one leads nowhere.
+                if self.common.is_some() && upstream.dials.first() != dials.first() {
+                    upstream.open = open_to(&self.common, &dials);
+                }
                 upstream.dials = dials;
                 upstream.idle.clear();
             }
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -6,6 +6,7 @@
 use crate::budget::Budget;
 use crate::call::{Call, Exchange, GivenUp, HandOver, Verdict, Wire};
 use crate::clock::Clock;
+use crate::common::Common;
 use crate::fleet::{Entry, Fleet, Said};
 use crate::ids::Ids;
 use laurelroute_handover::bans::{BanError, Bans, Word};
@@ -29,6 +30,9 @@
 /// closing costs the server a new handshake, and the work goes on there all the same.
 const LINGER: Nanos = 1_000_000_000;
 
+/// With nothing to wait for, timers are looked at this often. One process has hundreds of gateways at rest.
+const REST: Nanos = 600_000_000_000;
+
 /// Part of the idle time after which a server may close that a kept connection is used.
 const IDLE_PART: f64 = 0.6;
 
@@ -216,15 +220,13 @@
 /// See the module's documentation.
 pub struct Gateway {
     /// What the node was told.
-    pub site: Site,
+    pub site: Rc<Site>,
     /// The node's one clock.
     pub clock: Clock,
     /// What may be held.
     pub budget: Rc<Budget>,
-    /// SIGTERM has come: no more requests on kept connections.
-    pub leaving: Cell<bool>,
-    /// When the process ends at the latest: until then every request has its final answer.
-    ends_at: Cell<Nanos>,
+    /// What it shares with the gateways of other services, where there are any.
+    pub common: Rc<Common>,
     /// Discovery has told the list, so that new clients may come.
     pub ready: Cell<bool>,
     now_ready: Notify,
@@ -237,9 +239,39 @@
 impl Gateway {
     /// A gateway with nobody listed and nothing under way.
     pub fn new(site: Site, list_calls: mpsc::UnboundedSender<ListCall>) -> Result<Rc<Self>, SettingsError> {
+        let budget = Budget::new(site.sockets, site.memory_mb, site.kept_sockets);
+        let (fleet, seed) = (Fleet::with_cap(site.most_connections), site.seed);
+        Self::made(Rc::new(site), seed, fleet, list_calls, (budget, Clock::start(), Rc::default()))
+    }
+
+    /// A gateway for a service of the same process: nobody is listed, and what operators have said of servers counts.
+    pub fn beside(self: &Rc<Self>, service: &str) -> Result<Rc<Self>, SettingsError> {
+        let seed = self.site.seed ^ crate::mix(service.as_bytes());
+        let shared = (self.budget.clone(), self.clock, self.common.clone());
+        let mut fleet = self.fleet(|f| f.beside());
+        fleet.share(self.common.clone());
+        let gateway = Self::made(self.site.clone(), seed, fleet, self.list_calls.clone(), shared)?;
+        gateway.ready.set(true);
+        self.common.add(&gateway);
+        Ok(gateway)
+    }
+
+    /// Further gateways will be made beside this one: from now on the connections to a server count for all of them.
+    pub fn with_services(self: &Rc<Self>) {
+        self.fleet(|f| f.share(self.common.clone()));
+        self.common.add(self);
+    }
+
+    fn made(
+        site: Rc<Site>,
+        seed: u64,
+        fleet: Fleet,
+        list_calls: mpsc::UnboundedSender<ListCall>,
+        (budget, clock, common): (Rc<Budget>, Clock, Rc<Common>),
+    ) -> Result<Rc<Self>, SettingsError> {
         let state = State {
-            balancer: Balancer::new(site.settings.clone(), site.seed)?,
-            fleet: Fleet::with_cap(site.most_connections),
+            balancer: Balancer::new(site.settings.clone(), seed)?,
+            fleet,
             live: HashMap::new(),
             timers: BinaryHeap::new(),
             armed: Nanos::MAX,
@@ -249,10 +281,9 @@
             shift: None,
         };
         Ok(Rc::new(Gateway {
-            budget: Budget::new(site.sockets, site.memory_mb, site.kept_sockets),
-            clock: Clock::start(),
-            leaving: Cell::new(false),
-            ends_at: Cell::new(Nanos::MAX),
+            budget,
+            clock,
+            common,
             ready: Cell::new(false),
             now_ready: Notify::new(),
             list_calls,
@@ -265,7 +296,12 @@
     /// No request waits beyond this, however long its client would: the process ends soon after, and a connection that
     /// ends with it gives no final answer.
     pub fn end_by(self: &Rc<Self>, at: Nanos) {
-        self.ends_at.set(at);
+        self.common.ends_at.set(Some(at));
+        self.end_live_by(at);
+        self.common.others(self).iter().for_each(|g| g.end_live_by(at));
+    }
+
+    fn end_live_by(self: &Rc<Self>, at: Nanos) {
         let mut state = self.state.borrow_mut();
         let beyond: Vec<_> =
             state.live.iter().filter(|(_, l)| l.give_up_at > at).map(|(id, _)| *id).collect();
@@ -277,6 +313,16 @@
         }
     }
 
+    /// Until then every request has its final answer.
+    fn ends_at(&self) -> Nanos {
+        self.common.ends_at.get().unwrap_or(Nanos::MAX)
+    }
+
+    /// SIGTERM has come: no more requests on kept connections.
+    pub fn leaving(&self) -> bool {
+        self.common.leaving.get()
+    }
+
     /// There is a list to go by.
     pub fn set_ready(&self) {
         self.ready.set(true);
@@ -322,7 +368,7 @@
         let mut state = self.state.borrow_mut();
         let id = state.next_id;
         state.next_id = id.wrapping_add(1);
-        let give_up_at = call.give_up_at.min(self.ends_at.get());
+        let give_up_at = call.give_up_at.min(self.ends_at());
         let mut request = Request { id, give_up_at, ..call.request };
         if let Some(shift) = &mut state.shift {
             request.place = shift.place(&request);
@@ -400,23 +446,28 @@
         host: &str,
         word: impl FnOnce(&mut Bans, Nanos) -> Result<Option<Word>, BanError>,
     ) -> Result<Option<Word>, Unmanaged> {
-        if !self.fleet(|f| f.listed(host) || f.bans.out(host)) {
+        let others = self.common.others(self);
+        let known = |g: &Rc<Self>| g.fleet(|f| f.listed(host) || f.bans.out(host));
+        if !known(self) && !others.iter().any(known) {
             return Err(Unmanaged::Unknown);
         }
         let word = self.fleet(|f| word(&mut f.bans, self.clock.now()))?;
         self.reconsider(&[host.to_owned()]);
+        // Operators speak of a server, whatever its services.
+        others.iter().for_each(|g| g.take_words(word.iter().cloned().collect()));
         Ok(word)
     }
 
     /// The fleet's word on a server, which counts whatever was said of it here before.
     pub fn follow_ban(self: &Rc<Self>, host: &str, out: bool) {
         let now = self.clock.now();
-        let news = self.fleet(|f| match out {
-            true => matches!(f.bans.detach(host, now), Ok(Some(_))),
-            false => f.bans.attach(host, now).is_some(),
+        let word = self.fleet(|f| match out {
+            true => f.bans.detach(host, now).ok().flatten(),
+            false => f.bans.attach(host, now),
         });
-        if news {
+        if let Some(word) = word {
             self.reconsider(&[host.to_owned()]);
+            self.common.others(self).iter().for_each(|g| g.take_words(vec![word.clone()]));
         }
     }
 
@@ -424,11 +475,20 @@
     pub fn follow_drain(self: &Rc<Self>, host: &str, drains: bool) {
         if self.fleet(|f| f.hear_of_drain(host, drains)) {
             self.reconsider(&[host.to_owned()]);
+            for other in self.common.others(self) {
+                other.fleet(|f| f.hear_of_drain(host, drains));
+                other.reconsider(&[host.to_owned()]);
+            }
         }
     }
 
     /// Takes over words that were said to another process of this node.
     pub fn merge_bans(self: &Rc<Self>, words: Vec<Word>) {
+        self.common.others(self).iter().for_each(|g| g.take_words(words.clone()));
+        self.take_words(words);
+    }
+
+    fn take_words(self: &Rc<Self>, words: Vec<Word>) {
         let changed = self.fleet(|f| f.bans.merge(words));
         // What is kept comes back with each call, mostly without news: that is no word on the list.
         if !changed.is_empty() {
@@ -448,7 +508,18 @@
     /// From now on this process holds no more descriptors than this.
     pub fn resize(&self, sockets: usize) {
         self.budget.resize(sockets);
-        while self.budget.over() && self.fleet(Fleet::evict) {}
+        while self.budget.over() && self.evict() {}
+    }
+
+    /// Closes a kept connection that is idle, of whichever service; false where there is none.
+    pub fn evict(&self) -> bool {
+        self.fleet(Fleet::evict) || self.common.others(self).iter().any(|g| g.fleet(Fleet::evict))
+    }
+
+    /// Closes a kept connection to the same server that another service keeps; false where there is none.
+    pub fn evict_elsewhere(&self, server: Endpoint) -> bool {
+        let Some(host) = self.fleet(|f| f.name(server).map(str::to_owned)) else { return false };
+        self.common.others(self).iter().any(|g| g.fleet(|f| f.evict_of(&host)))
     }
 
     /// This node's part of what is split among all nodes is now this, from 0 to 1.
@@ -522,16 +593,27 @@
 
     /// Waits for timers and tells the module of them, for good.
     pub async fn run_timers(self: Rc<Self>) {
+        self.timers_until(|_| false).await;
+    }
+
+    /// The same until nothing is under way: the gateway gets nothing new.
+    pub async fn run_timers_to_rest(self: Rc<Self>) {
+        self.timers_until(|state| state.live.is_empty() && state.lingering.is_empty()).await;
+    }
+
+    async fn timers_until(self: &Rc<Self>, over: impl Fn(&State) -> bool) {
         loop {
             let next = {
                 let mut state = self.state.borrow_mut();
                 let next = state.timers.peek().map_or(Nanos::MAX, |Reverse((at, _))| *at);
                 let linger = state.lingering.front().map_or(Nanos::MAX, |(at, _)| *at);
                 state.armed = next.min(linger);
+                if over(&state) {
+                    return;
+                }
                 state.armed
             };
-            let sleep =
-                tokio::time::sleep_until(self.clock.instant(next.min(self.clock.now() + 1_000_000_000)));
+            let sleep = tokio::time::sleep_until(self.clock.instant(next.min(self.clock.now() + REST)));
             tokio::select! {
                 _ = sleep => {}
                 _ = self.timer.notified() => {}
@@ -610,7 +692,12 @@
             if let Some(task) = attempt.task.take() {
                 // Cut off before its last byte it never begins; after that the server does the work anyway.
                 if attempt.handed_over() {
-                    state.lingering.push_back((self.clock.now() + LINGER, task));
+                    let at = self.clock.now() + LINGER;
+                    state.lingering.push_back((at, task));
+                    if at < state.armed {
+                        state.armed = at;
+                        self.timer.notify_one();
+                    }
                 } else {
                     task.abort();
                 }
@@ -709,8 +796,11 @@
 
     /// Closes one connection whose attempt is long told of, to make room; false where there is none.
     pub fn stop_lingering(&self) -> bool {
-        let oldest = self.state.borrow_mut().lingering.pop_front();
-        oldest.inspect(|(_, task)| task.abort()).is_some()
+        let stop = |g: &Self| {
+            let oldest = g.state.borrow_mut().lingering.pop_front();
+            oldest.inspect(|(_, task)| task.abort()).is_some()
+        };
+        stop(self) || self.common.others(self).iter().any(|g| stop(g))
     }
 }
 
@@ -752,7 +842,7 @@
     pub fn complete(&self, give_up_at: Nanos) {
         let mut state = self.gateway.state.borrow_mut();
         let Some(live) = state.live.get_mut(&self.id) else { return };
-        let give_up_at = give_up_at.min(self.gateway.ends_at.get());
+        let give_up_at = give_up_at.min(self.gateway.ends_at());
         live.give_up_at = give_up_at;
         let now = self.gateway.clock.now();
         live.attempts.iter_mut().filter(|a| a.open).for_each(|a| a.sent_at = now);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod call;
 pub mod clock;
+pub mod common;
 pub mod connect;
 pub mod fleet;
 pub mod gateway;
@@ -15,6 +16,7 @@
 pub mod leaving;
 pub mod line;
 pub mod payload;
+pub mod route;
 pub mod tally;
 
 /// A stable hash: FNV-1a with its bits mixed, so that its low ones are as good as its high ones.
--- /dev/null
+++ b/crates/core/src/route.rs
@@ -0,0 +1,116 @@
+//! From the service that a request names to the gateway that carries it, where a process has more than one service.
+//!
+//! A front reads the name with the request's head and asks for it at once; while the body comes in, so does the service.
+
+use crate::gateway::Gateway;
+use laurelroute_policy::interface::{Nanos, Settings};
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest name of a service, in bytes.
+pub const LONGEST_SERVICE: usize = 256;
+/// A service that is not known yet is waited for until no more than this part of the class's aim is left to the request:
+/// as long as the module has seen no answer of a class it expects one to take a third of the aim, and turns away what has
+/// less time than that.
+const FIRST_ANSWER_PART: Nanos = 3;
+
+/// How a service stands as a request names it.
+pub enum Standing {
+    /// Its servers are known to this gateway.
+    Held(Rc<Gateway>),
+    /// Its servers are on their way.
+    Waiting,
+    /// There is no such service.
+    Unknown,
+    /// There is no room for another service.
+    NoRoom,
+}
+
+/// Knows services; a request's word on one counts as its use.
+pub trait Services {
+    /// How a service stands; one that is not held is asked for.
+    fn want(&self, service: &str) -> Standing;
+    /// A request of the service is under way: it is not dropped before that has `ended`.
+    fn began(&self, service: &str);
+    /// See `began`.
+    fn ended(&self, service: &str);
+    /// Ends when the service's standing may have changed since `want` was asked; to be called at once after that, and to be
+    /// dropped where nobody waits any longer.
+    fn changed(&self, service: &str) -> Pin<Box<dyn Future<Output = ()>>>;
+}
+
+/// Why a request has no gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unrouted {
+    /// There is no such service.
+    #[error("no such service")]
+    Unknown,
+    /// There is no room for another service.
+    #[error("no room for another service")]
+    NoRoom,
+    /// The service's servers have not come in time.
+    #[error("the service is not known in time")]
+    Late,
+}
+
+/// A request's service, pinned for as long as this lives.
+pub struct Routed {
+    services: Rc<dyn Services>,
+    service: String,
+}
+
+impl std::fmt::Debug for Routed {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Routed({})", self.service.escape_debug())
+    }
+}
+
+impl Routed {
+    /// A request names this service. What is known not to be there is told at once.
+    pub fn new(services: &Rc<dyn Services>, service: String) -> Result<Routed, Unrouted> {
+        match services.want(&service) {
+            Standing::Unknown => return Err(Unrouted::Unknown),
+            Standing::NoRoom => return Err(Unrouted::NoRoom),
+            Standing::Held(_) | Standing::Waiting => {}
+        }
+        services.began(&service);
+        Ok(Routed { services: services.clone(), service })
+    }
+
+    /// The service's gateway, waited for until `latest` at most; and whether it had to be waited for.
+    pub async fn gateway(
+        &self,
+        clock: &crate::clock::Clock,
+        latest: Nanos,
+    ) -> Result<(Rc<Gateway>, bool), Unrouted> {
+        let mut waited = false;
+        loop {
+            match self.services.want(&self.service) {
+                Standing::Held(gateway) => return Ok((gateway, waited)),
+                Standing::Unknown => return Err(Unrouted::Unknown),
+                Standing::NoRoom => return Err(Unrouted::NoRoom),
+                Standing::Waiting => {}
+            }
+            waited = true;
+            let left = Duration::from_nanos(latest.saturating_sub(clock.now()));
+            let changed = self.services.changed(&self.service);
+            if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
+                return Err(Unrouted::Late);
+            }
+        }
+    }
+}
+
+impl Drop for Routed {
+    fn drop(&mut self) {
+        self.services.ended(&self.service);
+    }
+}
+
+/// Until when a request of this class that gives up then may wait for its service.
+pub fn latest(settings: &Settings, class: usize, give_up_at: Nanos) -> Nanos {
+    let answer = settings.classes.get(class).map_or(0, |c| c.aim / FIRST_ANSWER_PART);
+    give_up_at.saturating_sub(answer)
+}
--- /dev/null
+++ b/crates/core/tests/services.rs
@@ -0,0 +1,296 @@
+//! Gateways beside one another in one process: what counts once for all of them, and what a service costs at rest.
+
+use laurelroute_core::call::{Exchange, GivenUp, Wire};
+use laurelroute_core::clock::Clock;
+use laurelroute_core::connect::{connect, Held, NoLink};
+use laurelroute_core::fleet::{Entry, Kept};
+use laurelroute_core::gateway::{Attempt, Gateway, Site};
+use laurelroute_core::route::{latest, Routed, Services, Standing, Unrouted};
+use laurelroute_policy::interface::{Endpoint, ListKind, Nanos, Phase, Server, Settings};
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, Notify};
+use tokio::task::{spawn_local, AbortHandle, LocalSet};
+
+const MS: Nanos = 1_000_000;
+const HTTP: Wire = Wire(0);
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+fn first(most_connections: Option<u32>) -> Rc<Gateway> {
+    let site = Site {
+        settings: Settings::single_class(3_000 * MS, 5_000 * MS),
+        seed: 1,
+        sockets: 256,
+        kept_sockets: 0,
+        memory_mb: 64,
+        conn_idle: 10_000 * MS,
+        connect_timeout: 1_000 * MS,
+        most_connections,
+        classes: vec!["read".into()],
+        tenants: Vec::new(),
+    };
+    let (calls, _) = mpsc::unbounded_channel();
+    let gateway = Gateway::new(site, calls).unwrap();
+    gateway.with_services();
+    gateway
+}
+
+fn entry(host: &str, at: SocketAddr, phase: Phase) -> Entry {
+    let server = Server { phase, ..Server::warm(Endpoint { address: [0; 4], port: 0 }) };
+    Entry { host: host.into(), dials: vec![Some(at)], server, said: None }
+}
+
+fn list(gateway: &Rc<Gateway>, host: &str, at: SocketAddr) {
+    gateway.list(ListKind::Changes, vec![entry(host, at, Phase::Ready)]);
+}
+
+async fn to(gateway: &Rc<Gateway>, host: &str, at: SocketAddr) -> Result<(TcpStream, Held), NoLink> {
+    let server = gateway.fleet(|f| f.known(host)).expect("listed");
+    connect(gateway, server, HTTP, at).await
+}
+
+struct Link(#[allow(dead_code)] (TcpStream, Held));
+
+impl Kept for Link {
+    fn quiet(&self) -> bool {
+        true
+    }
+}
+
+#[test]
+fn a_server_in_two_services_holds_no_more_connections_than_in_one() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let at = listener.local_addr().unwrap();
+        let first = first(Some(2));
+        let [shop, stock] = ["shop", "stock"].map(|name| first.beside(name).unwrap());
+        list(&shop, "a", at);
+        list(&stock, "a", at);
+        let one = to(&shop, "a", at).await.unwrap();
+        let two = to(&stock, "a", at).await.unwrap();
+        assert_eq!(to(&shop, "a", at).await.err(), Some(NoLink::Exhausted));
+        assert_eq!(to(&stock, "a", at).await.err(), Some(NoLink::Exhausted));
+        // One that is given back counts nowhere any longer, also after the service that opened it has gone.
+        drop(stock);
+        drop(two);
+        let two = to(&shop, "a", at).await.unwrap();
+        drop(one);
+        // A connection that another service keeps makes room.
+        let now = shop.clock.now();
+        let server = shop.fleet(|f| f.known("a")).unwrap();
+        shop.fleet(|f| f.checkin(server, (HTTP, at), Box::new(Link(two)), (now, now)));
+        let till = first.beside("till").unwrap();
+        list(&till, "a", at);
+        let held = [to(&till, "a", at).await.unwrap(), to(&till, "a", at).await.unwrap()];
+        assert!(shop.fleet(|f| f.checkout::<Link>(server, HTTP, 0)).is_none(), "it was closed");
+        drop(held);
+        // Another server is another count.
+        let other = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        list(&till, "b", other.local_addr().unwrap());
+        assert!(to(&till, "b", other.local_addr().unwrap()).await.is_ok());
+    });
+}
+
+#[test]
+fn what_operators_say_of_a_server_counts_in_every_service_that_has_it() {
+    run(async {
+        let at = "127.0.0.1:9".parse().unwrap();
+        let first = first(None);
+        let shop = first.beside("shop").unwrap();
+        assert!(first.detach("a").is_err(), "nobody has it");
+        list(&shop, "a", at);
+        let dial = |g: &Rc<Gateway>| {
+            let server = g.fleet(|f| f.known("a")).expect("listed");
+            g.fleet(|f| f.dial(server, HTTP))
+        };
+        assert_eq!(dial(&shop), Some(at));
+        first.detach("a").unwrap();
+        assert_eq!(dial(&shop), None);
+        // Also in one that comes later.
+        let stock = first.beside("stock").unwrap();
+        list(&stock, "a", at);
+        assert_eq!(dial(&stock), None);
+        first.attach("a").unwrap();
+        assert_eq!([dial(&shop), dial(&stock)], [Some(at); 2]);
+        first.follow_drain("a", true);
+        assert_eq!([dial(&shop), dial(&stock)], [None; 2]);
+        first.follow_drain("a", false);
+        first.follow_ban("a", true);
+        assert_eq!([dial(&shop), dial(&stock)], [None; 2]);
+    });
+}
+
+/// Counts how often a future is looked at.
+struct Counted<F>(Pin<Box<F>>, Rc<Cell<u32>>);
+
+impl<F: Future> Future for Counted<F> {
+    type Output = F::Output;
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<F::Output> {
+        self.1.set(self.1.get() + 1);
+        self.0.as_mut().poll(cx)
+    }
+}
+
+#[test]
+fn a_service_at_rest_wakes_nobody() {
+    run(async {
+        let first = first(None);
+        let looks = Rc::new(Cell::new(0));
+        for k in 0..300 {
+            let gateway = first.beside(&format!("s{k}")).unwrap();
+            list(&gateway, "a", "127.0.0.1:9".parse().unwrap());
+            spawn_local(Counted(Box::pin(gateway.run_timers()), looks.clone()));
+        }
+        // Whatever wakes within two seconds of rest has been seen by then.
+        tokio::time::sleep(Duration::from_millis(2_100)).await;
+        assert_eq!(looks.get(), 300, "each once, as it began");
+    });
+}
+
+/// An exchange whose attempts never end.
+struct Stuck(Rc<Cell<Option<GivenUp>>>);
+
+impl Exchange for Stuck {
+    fn start(self: Rc<Self>, attempt: Attempt) -> AbortHandle {
+        spawn_local(async move {
+            std::future::pending::<()>().await;
+            drop(attempt);
+        })
+        .abort_handle()
+    }
+
+    fn give_up(&self, end: GivenUp) {
+        self.0.set(Some(end));
+    }
+}
+
+#[test]
+fn the_end_of_the_process_is_the_end_of_every_services_requests() {
+    run(async {
+        let first = first(None);
+        let shop = first.beside("shop").unwrap();
+        spawn_local(shop.clone().run_timers());
+        list(&shop, "a", "127.0.0.1:9".parse().unwrap());
+        let ended = Rc::new(Cell::new(None));
+        let give_up_at = shop.clock.now() + 5_000 * MS;
+        let request = laurelroute_policy::interface::Request::new(0, give_up_at);
+        let call = laurelroute_core::call::Call { request, give_up_at };
+        let _claim = shop.submit(call, Rc::new(Stuck(ended.clone())));
+        assert!(ended.get().is_none());
+        let asked = tokio::time::Instant::now();
+        first.end_by(first.clock.now() + 20 * MS);
+        while ended.get().is_none() {
+            assert!(asked.elapsed() < Duration::from_secs(4), "it waits for its own time");
+            tokio::time::sleep(Duration::from_millis(2)).await;
+        }
+        // Dropped, it comes to rest by itself.
+        tokio::time::timeout(Duration::from_secs(20), shop.run_timers_to_rest()).await.unwrap();
+        first.common.leaving.set(true);
+        assert!(first.beside("late").unwrap().leaving());
+    });
+}
+
+/// Services by a script.
+#[derive(Default)]
+struct Script {
+    held: RefCell<Option<Rc<Gateway>>>,
+    unknown: Cell<bool>,
+    full: Cell<bool>,
+    pins: Cell<i32>,
+    waiters: Cell<u32>,
+    news: Rc<Notify>,
+}
+
+impl Services for Script {
+    fn want(&self, _: &str) -> Standing {
+        match &*self.held.borrow() {
+            Some(gateway) => Standing::Held(gateway.clone()),
+            None if self.unknown.get() => Standing::Unknown,
+            None if self.full.get() => Standing::NoRoom,
+            None => Standing::Waiting,
+        }
+    }
+
+    fn began(&self, _: &str) {
+        self.pins.set(self.pins.get() + 1);
+    }
+
+    fn ended(&self, _: &str) {
+        self.pins.set(self.pins.get() - 1);
+    }
+
+    fn changed(&self, _: &str) -> Pin<Box<dyn Future<Output = ()>>> {
+        self.waiters.set(self.waiters.get() + 1);
+        let news = self.news.clone();
+        Box::pin(async move { news.notified().await })
+    }
+}
+
+#[test]
+fn a_request_waits_for_its_service_and_no_longer_than_it_may() {
+    run(async {
+        let script = Rc::new(Script::default());
+        let services: Rc<dyn Services> = script.clone();
+        let clock = Clock::start();
+        let far = || clock.now() + 60_000 * MS;
+        let routed = || Routed::new(&services, "shop".to_owned());
+        // In vain, and at once where no time is left.
+        let waits = routed().unwrap();
+        assert_eq!(script.pins.get(), 1);
+        assert_eq!(waits.gateway(&clock, clock.now() + 10 * MS).await.err(), Some(Unrouted::Late));
+        assert_eq!(waits.gateway(&clock, clock.now()).await.err(), Some(Unrouted::Late));
+        // One that leaves is not counted any longer.
+        {
+            let mut waiting = pin!(waits.gateway(&clock, far()));
+            assert!(tokio::time::timeout(Duration::from_millis(1), &mut waiting).await.is_err());
+        }
+        drop(waits);
+        assert_eq!(script.pins.get(), 0);
+        // News of others change nothing; its own ends the wait.
+        let waits = routed().unwrap();
+        let come = async {
+            script.news.notify_waiters();
+            tokio::task::yield_now().await;
+            *script.held.borrow_mut() = Some(first(None));
+            script.news.notify_waiters();
+        };
+        let (gateway, ()) = tokio::join!(waits.gateway(&clock, far()), come);
+        assert!(gateway.is_ok_and(|(_, waited)| waited));
+        assert!(waits.gateway(&clock, 0).await.is_ok_and(|(_, waited)| !waited), "held ones cost no wait");
+        drop(waits);
+        script.held.take();
+        // It turns out not to exist while somebody waits.
+        let waits = routed().unwrap();
+        let come = async {
+            script.unknown.set(true);
+            script.news.notify_waiters();
+        };
+        let (unknown, ()) = tokio::join!(waits.gateway(&clock, far()), come);
+        assert_eq!(unknown.err(), Some(Unrouted::Unknown));
+        drop(waits);
+        assert_eq!(routed().err(), Some(Unrouted::Unknown));
+        script.unknown.set(false);
+        script.full.set(true);
+        assert_eq!(routed().err(), Some(Unrouted::NoRoom));
+        assert_eq!(script.pins.get(), 0, "what is turned away pins nothing");
+    });
+}
+
+#[test]
+fn a_wait_leaves_the_time_that_an_answer_takes() {
+    let settings = Settings::single_class(300 * MS, 900 * MS);
+    assert_eq!(latest(&settings, 0, 1_000 * MS), 900 * MS);
+    assert_eq!(latest(&settings, 0, 50 * MS), 0, "too little is left to wait at all");
+    assert_eq!(latest(&settings, 9, 50 * MS), 50 * MS);
+}
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{AnswerBody, Message, PieceBody};
 use crate::intake::{Intake, IntakeError};
+use crate::service::{NameError, Routing};
 use crate::socket::{Socket, SocketIo};
 use crate::upstream::{self, HttpExchange, Served, TIMEOUT};
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use laurelroute_core::call::{Call, GivenUp, Reply, Verdict};
 use laurelroute_core::gateway::{route_key, Gateway};
 use laurelroute_core::leaving::LOOK;
+use laurelroute_core::route::{self, Routed, Unrouted};
 use laurelroute_policy::interface::{self, Effect, Nanos};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -150,6 +152,8 @@
 /// All clients' connections; bounded by the budget.
 pub struct Clients {
     gateway: Rc<Gateway>,
+    /// Where requests name services; without it the gateway carries all.
+    routing: Option<Routing>,
     open: RefCell<HashMap<u64, Rc<Client>>>,
     next: Cell<u64>,
     /// Connections on which a request is under way.
@@ -163,8 +167,14 @@
 impl Clients {
     /// The front of a gateway, without connections yet.
     pub fn new(gateway: Rc<Gateway>) -> Rc<Self> {
+        Self::routed(gateway, None)
+    }
+
+    /// The same where requests name services. The gateway is that of the process: what it has in common is asked there.
+    pub fn routed(gateway: Rc<Gateway>, routing: Option<Routing>) -> Rc<Self> {
         Rc::new(Clients {
             gateway,
+            routing,
             open: RefCell::default(),
             next: Cell::new(0),
             busy: Cell::new(0),
@@ -361,7 +371,7 @@
     };
     client.since.set(gateway.clock.now());
     client.stage.set(Stage::Writing);
-    if gateway.leaving.get() {
+    if gateway.leaving() {
         response = closing(response);
     }
     Ok(response.map(|body| Outgoing { body, _busy: busy }))
@@ -388,6 +398,10 @@
     Key,
     #[error("{0}")]
     Body(#[from] IntakeError),
+    #[error("{0}")]
+    Service(#[from] NameError),
+    #[error("{0}")]
+    Unrouted(#[from] Unrouted),
     #[error("no room")]
     NoRoom,
     #[error("nobody waits for the answer")]
@@ -397,13 +411,15 @@
 impl Fault {
     fn response(self, gateway: &Gateway) -> Response<AnswerBody> {
         let status = match self {
-            Fault::Class => StatusCode::NOT_FOUND,
+            Fault::Class | Fault::Unrouted(Unrouted::Unknown) => StatusCode::NOT_FOUND,
             Fault::Method => StatusCode::METHOD_NOT_ALLOWED,
             Fault::IdTaken => StatusCode::CONFLICT,
             Fault::Body(IntakeError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
             Fault::Body(IntakeError::Slow) => StatusCode::REQUEST_TIMEOUT,
-            // The only one that is a refusal: the request is sound, and it has not gone anywhere.
-            Fault::NoRoom | Fault::Body(IntakeError::NoRoom) => return refused(Nanos::MAX, gateway),
+            // The only ones that are refusals: the request is sound, and it has not gone anywhere.
+            Fault::NoRoom | Fault::Body(IntakeError::NoRoom) | Fault::Unrouted(_) => {
+                return refused(Nanos::MAX, gateway)
+            }
             _ => StatusCode::BAD_REQUEST,
         };
         text(status, Bytes::from(format!("{self}\n")))
@@ -461,11 +477,16 @@
     let gateway = &clients.gateway;
     let (parts, body) = request.into_parts();
     if parts.uri.path() == "/up" && parts.method == Method::GET {
-        let up = gateway.ready.get() && !gateway.leaving.get();
+        let up = gateway.ready.get() && !gateway.leaving();
         let status = if up { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         return Ok(text(status, Bytes::new()));
     }
     let head = check(gateway, client, &parts)?;
+    // Asked for with the head: while the body comes, so does the service.
+    let routed = match &clients.routing {
+        Some(routing) => Some(Routed::new(&routing.services, routing.place.service(&parts)?)?),
+        None => None,
+    };
     let safe = gateway.site.settings.classes[head.class].effect == Effect::Safe;
     let mut intake = Intake::new(&gateway.budget, body)?;
     let whole = intake.hold().await?;
@@ -486,11 +507,22 @@
     if !gateway.claim(head.id, give_up_at) {
         return Err(Fault::IdTaken);
     }
+    let carrier = match &routed {
+        None => gateway.clone(),
+        Some(routed) => {
+            let latest = route::latest(&gateway.site.settings, head.class, now + head.wait);
+            let (carrier, waited) = routed.gateway(&gateway.clock, latest).await?;
+            if waited && client.socket.left_behind(client.requests.get() == 1).await {
+                return Err(Fault::Left);
+            }
+            carrier
+        }
+    };
     let request = interface_request(gateway, &head, &parts.headers, give_up_at);
     let (body, upload) = intake.into_message(whole);
     let wait = upload.is_some().then_some(head.wait / 1_000_000);
     let (exchange, mut answer) = exchange(parts, body, wait);
-    let claim = gateway.submit(Call { request, give_up_at }, Rc::new(exchange));
+    let claim = carrier.submit(Call { request, give_up_at }, Rc::new(exchange));
     let verdict = match upload {
         None => claim.answer(&mut answer).await,
         Some(upload) => {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod front;
 pub mod intake;
 pub mod pace;
+pub mod service;
 pub mod socket;
 pub mod upstream;
--- /dev/null
+++ b/crates/http/tests/service.rs
@@ -0,0 +1,63 @@
+//! Where requests name their services.
+
+use hyper::header::HeaderName;
+use hyper::http::request::Parts;
+use hyper::Request;
+use laurelroute_http::service::{NameError, Place};
+
+fn head(target: &str, headers: &[(&str, &str)]) -> Parts {
+    let mut request = Request::builder().uri(target);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(()).unwrap().into_parts().0
+}
+
+#[test]
+fn a_host_is_a_service_without_its_port_and_in_lower_case() {
+    let service = |host: &str| Place::Host.service(&head("/read", &[("host", host)]));
+    for (host, name) in [
+        ("shop", "shop"),
+        ("Shop.SVC:8080", "shop.svc"),
+        ("shop:", "shop"),
+        ("[::1]:80", "[::1]"),
+        ("[::1]", "[::1]"),
+        (" shop ", "shop"),
+    ] {
+        assert_eq!(service(host).as_deref(), Ok(name), "{host}");
+    }
+    let longest = "x".repeat(256);
+    assert_eq!(service(&longest), Ok(longest.clone()));
+    assert_eq!(service(&format!("{longest}:80")), Ok(longest.clone()));
+    assert_eq!(service(&format!("{longest}x")), Err(NameError::Name));
+    for bad in ["", ":80", "a@b", "a/b"] {
+        assert_eq!(service(bad), Err(NameError::Host), "{bad}");
+    }
+    assert_eq!(service("a b"), Err(NameError::Name));
+    let twice = head("/read", &[("host", "a"), ("host", "b")]);
+    assert_eq!(Place::Host.service(&twice), Err(NameError::Host));
+    assert_eq!(Place::Host.service(&head("/read", &[])), Err(NameError::Host));
+    // The target's own host counts before the header.
+    let target = head("http://Other.svc:80/read", &[("host", "shop")]);
+    assert_eq!(Place::Host.service(&target).as_deref(), Ok("other.svc"));
+}
+
+#[test]
+fn a_header_names_a_service_as_it_stands() {
+    let place = Place::Header(HeaderName::from_static("x-service"));
+    let service = |values: &[&str]| {
+        let headers: Vec<_> = values.iter().map(|v| ("x-service", *v)).collect();
+        place.service(&head("/read", &headers))
+    };
+    assert_eq!(service(&["Shop:8080"]).as_deref(), Ok("Shop:8080"));
+    assert_eq!(service(&[]).as_deref(), Ok(""), "the service without a name");
+    assert_eq!(service(&["a", "b"]), Err(NameError::Several));
+    assert_eq!(service(&[""]), Err(NameError::Name));
+    assert_eq!(service(&["a b"]), Err(NameError::Name));
+    assert_eq!(service(&["x".repeat(257).as_str()]), Err(NameError::Name));
+}
+
+#[test]
+fn where_none_is_said_there_is_one_service() {
+    assert_eq!(Place::Nowhere.service(&head("/read", &[("host", "shop")])).as_deref(), Ok(""));
+}
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -34,13 +34,8 @@
     System(#[from] std::io::Error),
 }
 
-/// Prints what the planner says of a box or a class, or of its plan as a whole where both are empty.
-pub(crate) fn explain(
-    site: Option<&Path>,
-    planner: SocketAddr,
-    server: String,
-    class: String,
-) -> Result<(), AskError> {
+/// Prints what the planner says of what is asked, or of its plan as a whole where nothing is named.
+pub(crate) fn explain(site: Option<&Path>, planner: SocketAddr, ask: Ask) -> Result<(), AskError> {
     let path = site.ok_or(LevelError::Missing("peers"))?;
     let peers = Site::load(path, None)?.levels.peers.ok_or(LevelError::Missing("peers"))?;
     let tls = peers.tls().map_err(LevelError::from)?;
@@ -52,9 +47,7 @@
         let mut stream = tls.connect(stream).await.map_err(connect)?;
         hello::greet(&mut stream, &identity, Role::Planner).await.map_err(|e| AskError::Hello(planner, e))?;
         let broken = |e| AskError::Frame(planner, e);
-        frames::write(&mut stream, Body::Ask(Ask { server, class, ..Ask::default() }))
-            .await
-            .map_err(broken)?;
+        frames::write(&mut stream, Body::Ask(ask)).await.map_err(broken)?;
         match frames::read(&mut stream).await.map_err(broken)? {
             Some(Body::Told(told)) => Ok(told.text),
             _ => Err(AskError::Odd(planner)),
--- a/crates/node/src/cli.rs
+++ b/crates/node/src/cli.rs
@@ -7,6 +7,7 @@
 use crate::site::{Site, SiteError};
 use crate::staff::{answered, Call, CallError};
 use clap::{Parser, Subcommand};
+use laurelroute_plan::wire::Ask;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -42,6 +43,13 @@
         /// Of this class.
         #[arg(long, value_name = "CLASS", conflicts_with = "server")]
         class: Option<String>,
+        /// Where this change of the list is in force, by its version.
+        #[arg(long, value_name = "N", conflicts_with_all = ["server", "class"],
+            value_parser = clap::value_parser!(u64).range(1..))]
+        change: Option<u64>,
+        /// Of this service; empty for the one without a name.
+        #[arg(long, value_name = "NAME", conflicts_with_all = ["server", "class", "change"])]
+        service: Option<String>,
     },
     /// Asks a running node whether it takes clients: exit code 0 is yes, 1 no, 2 no answer.
     Ready {
@@ -147,8 +155,10 @@
         None => Ok(run::start(site, Role::OneLevel)?),
         Some(Command::Forward) => Ok(run::start(site, Role::Forwarder)?),
         Some(Command::Plan) => Ok(run::start(site, Role::Planner)?),
-        Some(Command::Explain { plan, server, class }) => {
-            Ok(crate::ask::explain(site, plan, server.unwrap_or_default(), class.unwrap_or_default())?)
+        Some(Command::Explain { plan, server, class, change, service }) => {
+            let (server, class) = (server.unwrap_or_default(), class.unwrap_or_default());
+            let ask = Ask { server, class, change: change.unwrap_or_default(), service };
+            Ok(crate::ask::explain(site, plan, ask)?)
         }
         Some(Command::Ready { at }) => call(&Call::Ready, at),
         Some(Command::Servers { change, at }) => say(change, at),
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -37,6 +37,11 @@
 const GRACE_PART: f64 = 0.25;
 /// The longest line; a list of 10,000 servers has a fifth of that.
 const LONGEST: usize = 8 << 20;
+/// ... and for who goes by services and holds all of them: 180,000 servers with their services have 22 to 30 MB. One process
+/// in hundreds takes so much, and for as long as it reads it.
+const LONGEST_OF_ALL: usize = 64 << 20;
+/// A line longer than `LONGEST` has to be whole after this.
+const LONG_LINE: Duration = Duration::from_secs(15);
 /// An older whole list is taken only when discovery has stuck to it in this many watches: it may have lost its
 /// numbers, but more likely it was one stale copy, which would bring drained servers back.
 const STUBBORN: u32 = 4;
@@ -61,6 +66,10 @@
     /// Where it speaks Thrift, if it says so.
     #[serde(default)]
     thrift: Option<SocketAddr>,
+    #[serde(default, deserialize_with = "names")]
+    service: Vec<String>,
+    #[serde(default, deserialize_with = "names")]
+    services: Vec<String>,
     #[serde(default)]
     site: Option<String>,
     #[serde(default)]
@@ -88,6 +97,18 @@
     Left,
 }
 
+/// One name or several; what is of another form says nothing, and does not spoil the list.
+fn names<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Vec<String>, D::Error> {
+    let name = |value| match value {
+        Value::String(name) => Some(name),
+        _ => None,
+    };
+    Ok(match Value::deserialize(deserializer)? {
+        Value::Array(values) => values.into_iter().filter_map(name).collect(),
+        value => name(value).into_iter().collect(),
+    })
+}
+
 fn said(host: &Host) -> Said {
     let pairs = host.metadata.as_object().into_iter().flatten();
     let text = |(key, value): (&String, &Value)| Some((key.clone(), value.as_str()?.to_owned()));
@@ -95,6 +116,7 @@
         kind: host.class.clone().unwrap_or_default(),
         version: host.version.as_str().unwrap_or_default().to_owned(),
         metadata: pairs.filter_map(text).collect(),
+        services: Vec::new(),
     }
 }
 
@@ -109,8 +131,8 @@
     Http(#[from] hyper::Error),
     #[error("answered {0}")]
     Status(StatusCode),
-    #[error("a line of over {LONGEST} bytes")]
-    TooLong,
+    #[error("a line of over {0} bytes")]
+    TooLong(usize),
     #[error("a line that cannot be read: {0}")]
     Nonsense(#[from] serde_json::Error),
     #[error("version {0} after {1}")]
@@ -133,8 +155,10 @@
 }
 
 /// Lists as they come in. One may be indented over several lines: it ends with the line in which its last brace closes.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Lists {
+    /// Bytes of a line at most.
+    longest: usize,
     held: Vec<u8>,
     depth: i64,
     string: bool,
@@ -142,10 +166,14 @@
 }
 
 impl Lists {
+    fn new(longest: usize) -> Self {
+        Lists { longest, held: Vec::new(), depth: 0, string: false, escaped: false }
+    }
+
     /// Takes bytes within a line.
     fn take(&mut self, bytes: &[u8]) -> Result<(), WatchError> {
-        if self.held.len() + bytes.len() > LONGEST {
-            return Err(WatchError::TooLong);
+        if self.held.len() + bytes.len() > self.longest {
+            return Err(WatchError::TooLong(self.longest));
         }
         self.held.extend_from_slice(bytes);
         for &byte in bytes {
@@ -170,7 +198,7 @@
             self.held.push(b'\n');
             return Ok(Line::Part);
         }
-        let list = std::mem::take(self).held;
+        let list = std::mem::replace(self, Lists::new(self.longest)).held;
         Ok(if list.trim_ascii().is_empty() { Line::Heartbeat } else { Line::Whole(list) })
     }
 }
@@ -214,6 +242,8 @@
     thrift: Option<Option<u16>>,
     /// Somebody goes by what else is said of servers.
     shift: bool,
+    /// Somebody goes by services, and takes all of them.
+    services: bool,
     rng: Pcg64Mcg,
 }
 
@@ -233,6 +263,7 @@
             kinds: config.kinds.clone(),
             thrift: site.thrift.as_ref().map(|t| t.port),
             shift: site.shift.is_some(),
+            services: false,
             rng,
             sink,
             must_subscribe: config.site.settings.must_subscribe,
@@ -256,6 +287,20 @@
         self
     }
 
+    /// The services of servers are told, and the list of all of them is taken, however long it is.
+    pub fn with_services(mut self) -> Self {
+        self.services = true;
+        self
+    }
+
+    fn longest(&self) -> usize {
+        if self.services {
+            LONGEST_OF_ALL
+        } else {
+            LONGEST
+        }
+    }
+
     /// Lists come unasked: the watch is the node's to keep alive.
     pub async fn follow(mut self) {
         let first = PAUSE_FIRST.min(self.pause_last);
@@ -314,10 +359,10 @@
 
     async fn fetch_here(&mut self) -> Result<(), WatchError> {
         let body = self.get("/discovery/hosts".to_owned()).await?;
-        let limited = http_body_util::Limited::new(body, LONGEST);
+        let limited = http_body_util::Limited::new(body, self.longest());
         let whole = timeout(self.patience(), limited.collect()).await.map_err(|_| WatchError::Silent)?;
         let bytes = whole.map_err(|_| WatchError::Ended)?.to_bytes();
-        self.line(&bytes)
+        self.line(bytes)
     }
 
     /// How long a call may take.
@@ -347,10 +392,11 @@
         }
         let begun = Instant::now();
         let mut body = self.get(path).await?;
-        let mut lists = Lists::default();
+        let mut lists = Lists::new(self.longest());
         // Only a whole list or an empty line is a sign of life: bytes alone may be those of a line that never ends.
         // The first one is waited for no longer than the call for it may take.
         let mut due = begun + self.patience();
+        let mut line_at = begun;
         while let Some(frame) = timeout_at(due, body.frame()).await.map_err(|_| WatchError::Silent)? {
             let Ok(data) = frame?.into_data() else { continue };
             let mut rest = &data[..];
@@ -361,19 +407,25 @@
                     Line::Part => continue,
                     Line::Heartbeat => {}
                     Line::Whole(list) => {
-                        self.line(&list)?;
+                        self.line(list)?;
                         self.heard_at = Some(address);
                     }
                 }
-                due = Instant::now() + SILENCE;
+                line_at = Instant::now();
+                due = line_at + SILENCE;
             }
             lists.take(rest)?;
+            if lists.held.len() > LONGEST {
+                due = line_at + LONG_LINE;
+            }
         }
         Ok(())
     }
 
-    fn line(&mut self, bytes: &[u8]) -> Result<(), WatchError> {
-        let list: HostList = serde_json::from_slice(bytes)?;
+    fn line(&mut self, bytes: impl AsRef<[u8]>) -> Result<(), WatchError> {
+        let list: HostList = serde_json::from_slice(bytes.as_ref())?;
+        // A long one is not held twice while it is taken in.
+        drop(bytes);
         if list.seq < self.seq && !self.blank {
             self.older += 1;
             if !list.whole || self.older < STUBBORN {
@@ -394,9 +446,17 @@
             let name = name.as_deref().unwrap_or_default();
             names.iter().position(|n| n == name).unwrap_or(names.len())
         };
-        let entry = |h: Host| Entry {
+        let words = |h: &mut Host| {
+            let mut words = if self.shift { said(h) } else { Said::default() };
+            if self.services {
+                words.services = std::mem::take(&mut h.service);
+                words.services.append(&mut h.services);
+            }
+            Box::new(words)
+        };
+        let entry = |mut h: Host| Entry {
             dials: self.dials(&h),
-            said: self.shift.then(|| Box::new(said(&h))),
+            said: (self.shift || self.services).then(|| words(&mut h)),
             host: h.host,
             server: Server {
                 endpoint: Endpoint { address: [0; 4], port: 0 },
@@ -455,7 +515,7 @@
     use super::*;
 
     fn lines(text: &str) -> Vec<Result<Line, String>> {
-        let mut lists = Lists::default();
+        let mut lists = Lists::new(LONGEST);
         text.split_terminator('\n').map(|l| lists.end_line(l.as_bytes()).map_err(|e| e.to_string())).collect()
     }
 
@@ -480,8 +540,8 @@
 
     #[test]
     fn a_line_without_end_is_bounded() {
-        let mut lists = Lists::default();
+        let mut lists = Lists::new(LONGEST);
         assert!(lists.take(&vec![b'['; LONGEST]).is_ok());
-        assert!(matches!(lists.take(b"["), Err(WatchError::TooLong)));
+        assert!(matches!(lists.take(b"["), Err(WatchError::TooLong(LONGEST))));
     }
 }
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -8,12 +8,14 @@
 use crate::discovery::Watcher;
 use crate::levels::{Forward, LevelError, Peers};
 use crate::log::Seldom;
+use crate::services;
 use crate::site::Site;
 use crate::source;
 use laurelroute_channel::frames::{self, FrameError};
 use laurelroute_channel::hello::{self, HelloError, Identity};
 use laurelroute_channel::tls::Tls;
 use laurelroute_core::gateway::Gateway;
+use laurelroute_http::service::Routing;
 use laurelroute_plan::follower::{Follower, View};
 use laurelroute_plan::lead::{self, Told};
 use laurelroute_plan::member::Member;
@@ -87,6 +89,12 @@
         Ok(Forwarding { forward, peers, tls })
     }
 
+    /// Starts to follow planners by services, where the file says so: where requests name them, and who knows them.
+    pub(crate) fn by_services(&self, gateway: &Rc<Gateway>, site: &Site) -> Option<Routing> {
+        let own = self.forward.services.as_ref()?;
+        Some(services::forwarder::start(gateway, site, &self.forward, &self.peers, &self.tls, own))
+    }
+
     /// Starts to follow the planners.
     pub(crate) fn start(
         self,
--- a/crates/node/src/levels.rs
+++ b/crates/node/src/levels.rs
@@ -1,6 +1,7 @@
 //! The operator's file on two levels: who this peer is (`[peers]`), and what it does as forwarder (`[forward]`) or as
 //! planner (`[plan]`).
 
+use crate::services::table::{Publish, PublishTable, Use, UseTable};
 use crate::site::{Check, Classes, SiteError};
 use laurelroute_channel::tls::{Tls, TlsError};
 use laurelroute_plan::member::LONGEST_NAME;
@@ -48,6 +49,13 @@
 pub(crate) struct ForwardTable {
     planners: Spanned<Vec<SocketAddr>>,
     report_bytes: Option<Spanned<u32>>,
+    services: Option<Spanned<bool>>,
+    service: Option<Spanned<toml::Value>>,
+    most_services: Option<Spanned<u32>>,
+    most_service_bytes: Option<Spanned<u32>>,
+    unused_seconds: Option<Spanned<u64>>,
+    unknown_seconds: Option<Spanned<u64>>,
+    report_burst: Option<Spanned<u32>>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -59,6 +67,12 @@
     wanted_connections: Option<Spanned<u32>>,
     plan_bytes: Option<Spanned<u32>>,
     settle_ms: Option<Spanned<u64>>,
+    services: Option<Spanned<bool>>,
+    most_forwarders: Option<Spanned<u32>>,
+    update_bytes: Option<Spanned<u32>>,
+    update_burst: Option<Spanned<u32>>,
+    drain_bytes: Option<Spanned<u32>>,
+    drain_burst: Option<Spanned<u32>>,
     #[serde(default, rename = "class")]
     classes: Vec<ClassTable>,
 }
@@ -108,6 +122,8 @@
     pub planners: Vec<SocketAddr>,
     /// Bytes a second that reports to one planner may take.
     pub report_bytes: u32,
+    /// It goes by services.
+    pub services: Option<Use>,
 }
 
 /// What a planner is told.
@@ -127,6 +143,8 @@
     pub settle: Nanos,
     /// Classes with a limit, in requests a second over all forwarders.
     pub limits: Vec<(String, f64)>,
+    /// It goes by services.
+    pub services: Option<Publish>,
 }
 
 /// All of it, checked.
@@ -186,11 +204,44 @@
         return Err(check.at(&table.planners, format!("`forward.planners` names {} twice", twice.1)));
     }
     let planners = planners.clone();
+    let services = UseTable {
+        services: table.services,
+        service: table.service,
+        most_services: table.most_services,
+        most_service_bytes: table.most_service_bytes,
+        unused_seconds: table.unused_seconds,
+        unknown_seconds: table.unknown_seconds,
+        report_burst: table.report_burst,
+    };
+    let services = services.checked(check, table.report_bytes.clone())?;
     let report_bytes = check.number("forward.report_bytes", table.report_bytes, MOST_BYTES, 8_000)?;
-    Ok(Forward { planners, report_bytes })
+    Ok(Forward { planners, report_bytes, services })
 }
 
 fn plan(check: &Check<'_>, table: PlanTable, classes: Classes<'_>) -> Result<Plan, SiteError> {
+    let services = PublishTable {
+        services: table.services,
+        most_forwarders: table.most_forwarders,
+        update_bytes: table.update_bytes,
+        update_burst: table.update_burst,
+        drain_bytes: table.drain_bytes,
+        drain_burst: table.drain_burst,
+    };
+    let services = services.checked(check)?;
+    if services.is_some() {
+        // To leave out what was asked for would let servers take more connections than they can.
+        let others = [
+            ("max_connections", table.max_connections.as_ref().map(|n| n.span().start)),
+            ("wanted_connections", table.wanted_connections.as_ref().map(|n| n.span().start)),
+            ("plan_bytes", table.plan_bytes.as_ref().map(|n| n.span().start)),
+            ("settle_ms", table.settle_ms.as_ref().map(|n| n.span().start)),
+            ("class", table.classes.first().map(|c| c.name.span().start)),
+        ];
+        if let Some((key, Some(at))) = others.into_iter().find(|(_, at)| at.is_some()) {
+            let message = format!("`plan.{key}` does not count with `services = true`");
+            return Err(check.error(Some(at), message));
+        }
+    }
     let mut limits: Vec<(String, f64)> = Vec::new();
     for class in table.classes {
         let name = class.name.get_ref();
@@ -222,12 +273,14 @@
         settle: 1_000_000
             * check.number("plan.settle_ms", table.settle_ms, MOST_SETTLE_MS, SETTLE / 1_000_000)?,
         limits,
+        services,
     })
 }
 
 #[cfg(test)]
 mod tests {
     use crate::site::Site;
+    use laurelroute_http::service::Place;
 
     const PEERS: &str = "[peers]\nsite = \"perth\"\nname = \"f0\"\nauthority = \"ca.pem\"\ncertificate = \"f0.pem\"\nkey = \"f0.key\"\n";
 
@@ -239,6 +292,21 @@
         assert_eq!(peers.planner, "planner.laurelroute");
     }
 
+    #[test]
+    fn a_service_stands_in_the_host_or_in_a_header() {
+        let place = |own: &str| {
+            let text = format!("{PEERS}[forward]\nplanners = [\"127.0.0.1:1\"]\n{own}");
+            let forward = Site::parse("s", &text, None).unwrap().levels.forward.unwrap();
+            forward.services.map(|s| s.place)
+        };
+        assert_eq!(place(""), None);
+        assert_eq!(place("services = false\n"), None);
+        assert_eq!(place("services = true\n"), Some(Place::Nowhere));
+        assert_eq!(place("services = true\nservice = \"host\"\n"), Some(Place::Host));
+        let header = place("services = true\nservice = { header = \"X-Service\" }\n");
+        assert_eq!(header, Some(Place::Header(hyper::header::HeaderName::from_static("x-service"))));
+    }
+
     #[test]
     fn errors_name_key_and_line() {
         let wrong = |text: &str| Site::parse("s", text, None).unwrap_err().to_string();
@@ -263,6 +331,27 @@
             with("[plan]\nlisten = \"127.0.0.1:1\"\n[[plan.class]]\nname = \"a\"\nlimit = -1.0\n"),
             "s, line 11: `limit` is -1; it has to be above 0"
         );
+        let by_services = "[forward]\nplanners = [\"127.0.0.1:1\"]\nservices = true\n";
+        assert_eq!(
+            with(&format!("{by_services}service = \"path\"\n")),
+            "s, line 10: `forward.service` has to be \"host\" or { header = \"NAME\" }"
+        );
+        assert_eq!(
+            with(&format!("{by_services}most_services = 0\n")),
+            "s, line 10: `forward.most_services` is 0; it has to be from 1 to 10000"
+        );
+        assert_eq!(
+            with("[forward]\nplanners = [\"127.0.0.1:1\"]\nservice = \"host\"\n"),
+            "s, line 9: `forward.service` counts only with `services = true`"
+        );
+        assert_eq!(
+            with("[plan]\nlisten = \"127.0.0.1:1\"\nupdate_bytes = 1\n"),
+            "s, line 9: `plan.update_bytes` counts only with `services = true`"
+        );
+        assert_eq!(
+            with("[plan]\nlisten = \"127.0.0.1:1\"\nservices = true\nmax_connections = 4\n"),
+            "s, line 10: `plan.max_connections` does not count with `services = true`"
+        );
         assert!(with("[plan]\nlisten = \"127.0.0.1:1\"\nwhat = 1\n").contains("line 9: unknown field `what`"));
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod management;
 mod plan;
 pub mod run;
+pub mod services;
 pub mod shift;
 pub mod site;
 mod source;
--- a/crates/node/src/plan.rs
+++ b/crates/node/src/plan.rs
@@ -7,6 +7,7 @@
 use crate::levels::LevelError;
 use crate::log::Seldom;
 use crate::run::{listen, load, reload, StartError};
+use crate::services;
 use crate::site::Site;
 use crate::source;
 use laurelroute_channel::frames::{self, FrameError};
@@ -83,6 +84,14 @@
     let (config, site) = load(site)?;
     let peers = site.levels.peers.clone().ok_or(LevelError::Missing("peers"))?;
     let own = site.levels.plan.clone().ok_or(LevelError::Missing("plan"))?;
+    let discovery = watch::Sender::new(config.discovery);
+    if let Some(publish) = &own.services {
+        let watch = |sink| Watcher::new(sink, &config, &site, discovery.subscribe());
+        services::planner::start(&peers, &own, publish, watch)?;
+        spawn_local(reload(config, discovery, hangup));
+        terminate.recv().await;
+        return Ok(());
+    }
     let tls = peers.tls().map_err(LevelError::from)?;
     let clock = Clock::start();
     let life = clock.now() / 1_000_000;
@@ -106,7 +115,6 @@
         peers: Cell::new(0),
         log: RefCell::default(),
     });
-    let discovery = watch::Sender::new(config.discovery);
     let watcher = Watcher::new(desk.sink(), &config, &site, discovery.subscribe());
     spawn_local(watcher.with_all_addresses().follow());
     spawn_local(reload(config, discovery, hangup));
@@ -210,7 +218,10 @@
 
     async fn tell<S: AsyncRead + AsyncWrite + Unpin>(&self, stream: &mut S) -> Result<(), SessionError> {
         if let Some(Body::Ask(ask)) = frames::read(stream).await? {
-            let text = self.planner.borrow().explain(&ask);
+            let text = match ask.change > 0 || ask.service.is_some() {
+                true => "this planner does not go by services\n".to_owned(),
+                false => self.planner.borrow().explain(&ask),
+            };
             frames::write(stream, Body::Told(Told { text })).await?;
         }
         Ok(())
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -181,13 +181,17 @@
     let succession = Succession::new(config.site.sockets, ledger.clone());
     let one_level =
         || Watcher::new(source::to_gateway(&gateway, member.clone()), &config, &site, discovery.subscribe());
+    let routing = forwarding.as_ref().and_then(|f| f.by_services(&gateway, &site));
+    // A node that goes by services is ready without one: each request waits for its own.
+    let known = known || routing.is_some();
     match forwarding {
+        Some(_) if routing.is_some() => {}
         Some(forwarding) => forwarding.start(&gateway, &config, &site, discovery.subscribe()),
         None if push => drop(spawn_local(one_level().follow())),
         None => drop(spawn_local(one_level().obey(calls))),
     }
     spawn_local(gateway.clone().run_timers());
-    let clients = Clients::new(gateway.clone());
+    let clients = Clients::routed(gateway.clone(), routing);
     let make_room: MakeRoom = {
         let (clients, front) = (clients.clone(), front.clone());
         Rc::new(move || {
@@ -232,7 +236,7 @@
     while told.elapsed() < HEIR_AT_THE_DOOR || waits() && told.elapsed() < killed - LAST_REQUESTS {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    gateway.leaving.set(true);
+    gateway.common.leaving.set(true);
     if !succession.heir_serves() {
         tokio::time::sleep(STILL_ACCEPT).await;
         succession.shut().await;
--- /dev/null
+++ b/crates/node/src/services/forwarder.rs
@@ -0,0 +1,107 @@
+//! The forwarder's role by services: a connection to one planner at a time, and the directory that it feeds.
+
+use super::directory::Directory;
+use super::table::Use;
+use crate::levels::{Forward, Peers};
+use crate::log::Seldom;
+use crate::site::Site;
+use laurelroute_channel::hello::Identity;
+use laurelroute_channel::subscription::{SessionError, Subscribing};
+use laurelroute_channel::tls::Tls;
+use laurelroute_core::gateway::Gateway;
+use laurelroute_http::front::SWEEP;
+use laurelroute_http::service::{Place, Routing};
+use laurelroute_plan::services::subscriber;
+use laurelroute_plan::wire::{Hello, Role};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// A planner that does not take a connection by then is not there.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Starts to follow the planners; where requests name services, and who knows these.
+pub(crate) fn start(
+    gateway: &Rc<Gateway>,
+    site: &Site,
+    forward: &Forward,
+    peers: &Peers,
+    tls: &Tls,
+    own: &Use,
+) -> Routing {
+    let now = gateway.clock.now();
+    let settings = subscriber::Settings {
+        name: peers.name.clone(),
+        site: peers.site.clone(),
+        planners: forward.planners.iter().map(SocketAddr::to_string).collect(),
+        most_services: own.most_services,
+        most_bytes: own.most_bytes,
+        unused_after: own.unused_after,
+        unknown_for: own.unknown_for,
+        bytes_per_second: own.report_bytes.into(),
+        burst: own.report_burst.into(),
+        seed: gateway.site.seed ^ laurelroute_core::mix(peers.name.as_bytes()) ^ now,
+    };
+    let thrift = site.thrift.as_ref();
+    let directory = Directory::new(gateway.clone(), settings, thrift.and_then(|t| t.port));
+    // Thrift calls name none.
+    if thrift.is_some() || own.place == Place::Nowhere {
+        spawn_local(directory.clone().keep_nameless());
+    }
+    let identity = Identity {
+        role: Role::Forwarder,
+        name: peers.name.clone(),
+        site: peers.site.clone(),
+        life: now / 1_000_000,
+        zone: gateway.site.settings.zone,
+        services: true,
+    };
+    spawn_local(keep(directory.clone(), gateway.clone(), identity, forward.planners.clone(), tls.clone()));
+    let swept = directory.clone();
+    spawn_local(async move {
+        loop {
+            tokio::time::sleep(SWEEP).await;
+            swept.sweep();
+        }
+    });
+    Routing { place: own.place.clone(), services: directory }
+}
+
+async fn keep(
+    directory: Rc<Directory>,
+    gateway: Rc<Gateway>,
+    identity: Identity,
+    planners: Vec<SocketAddr>,
+    tls: Tls,
+) {
+    let seldom = RefCell::new(Seldom::default());
+    let noted = |place: usize, word: Result<&Hello, &SessionError>| match word {
+        Ok(planner) => {
+            tracing::info!("planner {}: `{}` is there", planners[place], planner.name.escape_debug());
+            gateway.set_ready();
+        }
+        Err(error) => {
+            seldom.borrow_mut().warn(|more| format!("planner {}: {error}{more}", planners[place]));
+        }
+    };
+    let (now, changed) = (|| directory.now(), || directory.take_changes());
+    let subscribing = Subscribing {
+        subscriber: &directory.subscriber,
+        now: &now,
+        wanted: &directory.wanted,
+        changed: &changed,
+        report: &|now| directory.report(now),
+        noted: &noted,
+    };
+    let (planners, tls) = (&planners, &tls);
+    let connect = |place: usize| async move {
+        let stream = timeout(CONNECT, TcpStream::connect(planners[place])).await??;
+        stream.set_nodelay(true)?;
+        tls.connect(stream).await
+    };
+    subscribing.keep(&identity, connect).await;
+}
--- a/crates/node/src/upgrade/succession.rs
+++ b/crates/node/src/upgrade/succession.rs
@@ -85,7 +85,7 @@
 
     /// Whether this process takes clients.
     pub(crate) fn serving(&self, gateway: &Gateway) -> bool {
-        gateway.ready.get() && !gateway.leaving.get() && *self.gate.borrow() == Gate::Open
+        gateway.ready.get() && !gateway.leaving() && *self.gate.borrow() == Gate::Open
     }
 
     /// An heir is there, whether it takes clients by now or not.
@@ -290,7 +290,7 @@
         let error = self.follow_heir(gateway, &link).await;
         tracing::info!("takeover: {error}");
         self.drop_link(&link);
-        if !gateway.leaving.get() {
+        if !gateway.leaving() {
             let effects = self.elder.borrow_mut().lost();
             self.carry_out(gateway, &link, effects);
         }
--- a/crates/testkit/src/levels.rs
+++ b/crates/testkit/src/levels.rs
@@ -50,6 +50,14 @@
 impl Authority {
     /// Issues a certificate, and gives `[peers]` for a peer of this name at this site.
     pub fn peers(&self, site: &str, name: &str) -> String {
+        let [authority, certificate, key] = self.files(name);
+        format!(
+            "[peers]\nsite = \"{site}\"\nname = \"{name}\"\nauthority = {authority:?}\ncertificate = {certificate:?}\nkey = {key:?}\n"
+        )
+    }
+
+    /// Issues a certificate to a peer of this name, and gives the files of the authority's certificate, the peer's own and its key.
+    pub fn files(&self, name: &str) -> [PathBuf; 3] {
         let key = KeyPair::generate().expect("a key");
         let mut params = CertificateParams::new(vec!["planner.laurelroute".to_owned()]).expect("parameters");
         params.is_ca = IsCa::ExplicitNoCa;
@@ -57,12 +65,7 @@
         let file = |ending: &str| self.dir.join(format!("{name}.{ending}"));
         std::fs::write(file("pem"), certificate.pem()).expect("a file");
         std::fs::write(file("key"), key.serialize_pem()).expect("a file");
-        format!(
-            "[peers]\nsite = \"{site}\"\nname = \"{name}\"\nauthority = {:?}\ncertificate = {:?}\nkey = {:?}\n",
-            self.dir.join("ca.pem"),
-            file("pem"),
-            file("key")
-        )
+        [self.dir.join("ca.pem"), file("pem"), file("key")]
     }
 }
 
@@ -93,6 +96,25 @@
         discovery: SocketAddr,
         wishes: &Wishes,
         extra: &str,
+    ) -> Planner {
+        Planner::of(
+            program,
+            authority,
+            name,
+            discovery,
+            wishes,
+            &format!("planners = 2\nsettle_ms = 100\n{extra}"),
+        )
+    }
+
+    /// A planner of which this stands in its part of the operator's file, not started yet.
+    pub fn of(
+        program: &Path,
+        authority: &Authority,
+        name: &str,
+        discovery: SocketAddr,
+        wishes: &Wishes,
+        own: &str,
     ) -> Planner {
         let port = Port::keep();
         let address = port.address();
@@ -100,7 +122,7 @@
         let files = [base.with_extension("json"), base.with_extension("toml")];
         write_config(&files[0], address, discovery, wishes);
         let peers = authority.peers("suite", name);
-        let own = format!("[plan]\nlisten = \"{address}\"\nplanners = 2\nsettle_ms = 100\n{extra}");
+        let own = format!("[plan]\nlisten = \"{address}\"\n{own}");
         std::fs::write(&files[1], format!("{peers}{own}")).expect("the site's file can be written");
         Planner {
             program: program.to_owned(),
--- a/crates/testkit/src/load.rs
+++ b/crates/testkit/src/load.rs
@@ -73,13 +73,18 @@
 impl Load {
     /// So many clients, each with one request under way.
     pub fn start(wire: Wire, address: SocketAddr, clients: usize, class: Class, body: usize) -> Load {
+        Load::asking(wire, address, clients, &Ask::new(class).carrying(body))
+    }
+
+    /// The same, all of whose requests are like this one but for their ids.
+    pub fn asking(wire: Wire, address: SocketAddr, clients: usize, like: &Ask) -> Load {
         let stop = Arc::new(AtomicBool::new(false));
         let tally = Arc::new(Mutex::new(Tally::default()));
         let threads = (0..clients)
             .map(|_| {
-                let (stop, tally) = (stop.clone(), tally.clone());
+                let (stop, tally, like) = (stop.clone(), tally.clone(), like.clone());
                 thread::spawn(move || {
-                    let own = run(wire, address, class, body, &stop);
+                    let own = run(wire, address, &like, &stop);
                     lock(&tally).add(own);
                 })
             })
@@ -97,7 +102,7 @@
     }
 }
 
-fn run(wire: Wire, address: SocketAddr, class: Class, body: usize, stop: &AtomicBool) -> Tally {
+fn run(wire: Wire, address: SocketAddr, like: &Ask, stop: &AtomicBool) -> Tally {
     let mut tally = Tally::default();
     let mut client: Option<(Client, bool)> = None;
     while !stop.load(Ordering::SeqCst) {
@@ -107,7 +112,7 @@
             thread::sleep(Duration::from_millis(5));
             continue;
         };
-        let ask = Ask::new(class).carrying(body);
+        let ask = Ask { id: crate::fresh_id(), ..like.clone() };
         let begun = Instant::now();
         match conn.ask(&ask) {
             Some(Answer::Served(bytes)) => {
--- a/crates/testkit/src/wire.rs
+++ b/crates/testkit/src/wire.rs
@@ -81,12 +81,21 @@
     pub body: Vec<u8>,
     /// Nobody waits for an answer (Thrift only).
     pub oneway: bool,
+    /// The service that is asked (HTTP only, as its host); none: the only one.
+    pub service: Option<String>,
 }
 
 impl Ask {
     /// A request with an id of its own and a deadline of four seconds.
     pub fn new(class: Class) -> Ask {
-        Ask { id: crate::fresh_id(), class, deadline_ms: 4000, body: Vec::new(), oneway: false }
+        Ask {
+            id: crate::fresh_id(),
+            class,
+            deadline_ms: 4000,
+            body: Vec::new(),
+            oneway: false,
+            service: None,
+        }
     }
 
     /// The same with another deadline.
@@ -94,6 +103,11 @@
         Ask { deadline_ms, ..self }
     }
 
+    /// The same of a service.
+    pub fn of(self, service: &str) -> Ask {
+        Ask { service: Some(service.to_owned()), ..self }
+    }
+
     /// The same with a body of this size.
     pub fn carrying(self, bytes: usize) -> Ask {
         Ask { body: vec![b'x'; bytes], ..self }
@@ -115,8 +129,9 @@
     fn http(&self) -> Vec<u8> {
         let method = if self.class == Class::Read { "GET" } else { "POST" };
         let mut head = format!(
-            "{method} /{} HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {}\r\nX-Timeout-Ms: {}\r\n",
+            "{method} /{} HTTP/1.1\r\nHost: {}\r\nX-Request-ID: {}\r\nX-Timeout-Ms: {}\r\n",
             self.class.name(),
+            self.service.as_deref().unwrap_or("app.svc"),
             self.id,
             self.deadline_ms
         );
@@ -294,7 +309,7 @@
         let class = Class::named(message.head.method())?;
         let oneway = message.head.kind == Kind::Oneway;
         let call = Some((message.form, message.head, message.header));
-        Some(Seen { ask: Ask { id, class, deadline_ms, body, oneway }, call })
+        Some(Seen { ask: Ask { id, class, deadline_ms, body, oneway, service: None }, call })
     }
 
     fn http_request(&mut self) -> Option<Seen> {
@@ -302,7 +317,7 @@
         let class = Class::named(head.split(['/', '?', ' ']).nth(2)?)?;
         let id = field(&head, "x-request-id")?.to_owned();
         let deadline_ms = field(&head, "x-timeout-ms")?.parse().ok()?;
-        Some(Seen { ask: Ask { id, class, deadline_ms, body, oneway: false }, call: None })
+        Some(Seen { ask: Ask { id, class, deadline_ms, body, oneway: false, service: None }, call: None })
     }
 
     /// The next answer; `None` where the connection ends first.
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -355,7 +355,7 @@
                     }
                 }
                 client.since.set(gateway.clock.now());
-                if gateway.leaving.get() && owed.is_empty() && !decoder.partial() && leaving::quiet(&stream) {
+                if gateway.leaving() && owed.is_empty() && !decoder.partial() && leaving::quiet(&stream) {
                     return;
                 }
             }
