--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -929,7 +929,7 @@
 /// Number, zone and name of a box or a forwarder.
 type Named<'a> = (u32, u8, &'a str);
 
-fn check(report: &Report) -> Result<(), ReportError> {
+pub(crate) fn check(report: &Report) -> Result<(), ReportError> {
     let rows = report.rows.len() + report.dropped.len() + report.closed.len();
     if rows > MOST_SEEN {
         return Err(ReportError::Rows(rows));
--- /dev/null
+++ b/crates/plan/src/services/publisher/force.rs
@@ -0,0 +1,164 @@
+//! Where a change of the list is in force, and what a planner answers to people.
+
+use super::*;
+use crate::wire::Ask;
+use std::fmt::Write;
+
+/// Forwarders that are named; the rest are counted.
+const MOST_NAMED: usize = 40;
+
+impl Publisher {
+    /// Where the change of the list with this version is in force; `None` where it is not known (any longer). Looks at all who
+    /// use what it touched.
+    pub fn in_force(&self, change: u64) -> Option<InForce> {
+        let batch = *self.batches.get(&change)?;
+        let record = self.records.get(&batch)?;
+        let mut force = InForce { told_at: record.told_at, ..InForce::default() };
+        // A slice that was cut anew since is met under another number: one user counts once a service.
+        let mut seen = BTreeSet::new();
+        for &(id, slice, slices) in &record.touched {
+            let Some(service) = self.services.get(&id) else { continue };
+            let alike = slices.min(service.slices.len());
+            let places = (0..service.slices.len()).filter(|k| k % alike == slice % alike);
+            for user in places.flat_map(|k| &service.slices[k].subscribers) {
+                if !seen.insert((id, *user)) {
+                    continue;
+                }
+                force.of += 1;
+                match self.lag(*user, id, batch) {
+                    None => force.at += 1,
+                    Some(lag) if force.lag.len() < MOST_NAMED => {
+                        let name = self.forwarders.get(user).map_or("", |f| &f.name);
+                        force.lag.push((name.to_owned(), lag));
+                    }
+                    Some(_) => {}
+                }
+            }
+        }
+        force.since = record.since.filter(|_| force.at == force.of);
+        Some(force)
+    }
+
+    /// Why a forwarder has not acknowledged a change of this service; `None` where it has.
+    fn lag(&self, forwarder: u32, service: u32, batch: u64) -> Option<Lag> {
+        let f = self.forwarders.get(&forwarder)?;
+        let s = f.subscriptions.get(&service)?;
+        let owed = s.owes.iter().find(|(_, owed)| *owed == batch).map(|(version, _)| *version);
+        if owed.is_none() && s.acknowledged.is_some() {
+            return None;
+        }
+        Some(match (f.left_at, s.later) {
+            (Some(at), _) => Lag::Lost(at),
+            (None, Some(_)) => Lag::Ahead,
+            (None, None) if s.held.is_some_and(|held| held >= owed.unwrap_or(0)) => Lag::Unacknowledged,
+            (None, None) => Lag::Waiting,
+        })
+    }
+
+    /// Lines for people: of a change of the list, of a service, of a server, or of all.
+    pub fn explain(&self, now: Nanos, ask: &Ask) -> String {
+        if ask.change > 0 {
+            return self.explain_change(now, ask.change);
+        }
+        if let Some(service) = &ask.service {
+            return self.explain_service(service);
+        }
+        if !ask.server.is_empty() {
+            return self.explain_server(&ask.server);
+        }
+        let figures = self.figures();
+        let version = self.source.map_or("none yet".to_owned(), |v| v.to_string());
+        format!(
+            "site {}, list {version}\nservices: {} with {} servers\nforwarders: {} connected of {} known, {} \
+             subscriptions\nsent: {} updates with {} bytes, {} wholes\n",
+            self.settings.site,
+            figures.services,
+            figures.servers,
+            figures.forwarders,
+            self.forwarders.len(),
+            figures.subscriptions,
+            figures.updates,
+            figures.bytes,
+            figures.wholes,
+        )
+    }
+
+    fn explain_change(&self, now: Nanos, change: u64) -> String {
+        let ago = |at: Nanos| now.saturating_sub(at) as f64 / 1e9;
+        let Some(force) = self.in_force(change) else {
+            return format!("change {change} is not known here: it touched nothing, or was too long ago\n");
+        };
+        let mut text = format!("change {change}: told {:.1} s ago, ", ago(force.told_at));
+        let _ = match force.since {
+            Some(at) => writeln!(text, "in force at {} of {} since {:.1} s", force.at, force.of, ago(at)),
+            None => writeln!(text, "in force at {} of {}", force.at, force.of),
+        };
+        for (name, lag) in &force.lag {
+            let why = match lag {
+                Lag::Lost(at) => format!("not connected for {:.1} s", ago(*at)),
+                Lag::Unacknowledged => "sent and not acknowledged".to_owned(),
+                Lag::Waiting => "waits for its bytes".to_owned(),
+                Lag::Ahead => "holds a later list than this planner".to_owned(),
+            };
+            let _ = writeln!(text, "  {name} lags: {why}");
+        }
+        let named = force.lag.len();
+        if force.of - force.at > named {
+            let _ = writeln!(text, "  and {} more", force.of - force.at - named);
+        }
+        text
+    }
+
+    fn explain_service(&self, name: &str) -> String {
+        let Some(service) = self.by_name.get(name).and_then(|id| self.services.get(id)) else {
+            return format!("no service is named `{}`\n", shown(name));
+        };
+        let mut text = format!(
+            "service `{}`: {} servers in {} slices\n",
+            service.name,
+            service.size(),
+            service.slices.len()
+        );
+        for (k, slice) in service.slices.iter().enumerate().take(MOST_NAMED) {
+            let closed = slice.rows.values().filter(|r| r.there && r.closed).count();
+            let _ = writeln!(
+                text,
+                "  slice {k}: version {} by list {}, {} servers ({closed} draining), {} subscribers",
+                slice.version,
+                slice.source,
+                slice.size,
+                slice.subscribers.len()
+            );
+        }
+        if service.slices.len() > MOST_NAMED {
+            let _ = writeln!(text, "  and {} more", service.slices.len() - MOST_NAMED);
+        }
+        text
+    }
+
+    fn explain_server(&self, name: &str) -> String {
+        let Some(server) = self.servers.get(name) else {
+            return format!("no box is named `{}`\n", shown(name));
+        };
+        let phase = match server.member.server.phase {
+            Phase::Ready => "ready",
+            Phase::Draining => "draining: nothing new goes there",
+            Phase::Gone => "gone: nothing new goes there",
+        };
+        let services = server.services.iter().filter_map(|id| self.services.get(id)).map(|s| &*s.name);
+        let services: Vec<String> = services.take(MOST_NAMED).map(|name| format!("`{name}`")).collect();
+        format!(
+            "box {name}: {phase}\nin the services {}\nreported by {} forwarders, {}\n",
+            services.join(", "),
+            server.standing.reporters().count(),
+            match server.standing.suspicion {
+                crate::wire::Suspicion::None => "not suspected",
+                _ => "suspected",
+            }
+        )
+    }
+}
+
+fn shown(name: &str) -> String {
+    name.chars().take(LONGEST_NAME).collect()
+}
--- /dev/null
+++ b/crates/plan/src/services/publisher/hints.rs
@@ -0,0 +1,141 @@
+//! What forwarders have met of servers, summed up for all who use them.
+//!
+//! A hint weighs servers against each other and bans none. It takes two witnesses for a suspicion: what only one forwarder
+//! meets may be its own network.
+
+use super::slice::Name;
+use super::{Forwarder, PublishError, Publisher};
+use crate::grade;
+use crate::planner::check;
+use crate::wire::{Report, Seen, Suspicion};
+use laurelroute_policy::interface::{Ending, Nanos};
+use std::collections::BTreeMap;
+
+/// Servers that one forwarder may report on; it says the rest when it has dropped some.
+const MOST_REPORTED: usize = 1_024;
+/// Forwarders that have to say so before a server is suspected.
+const WITNESSES: usize = 2;
+/// Share of failures at a forwarder from which it is a witness.
+const FAULTY: f32 = 0.35;
+
+/// What one forwarder has met of a server.
+#[derive(Clone, Copy, Debug, Default)]
+struct Met {
+    accomplished: f32,
+    /// It is out of use there, or fails too often.
+    against: bool,
+    /// No connection came about more often than an answer came.
+    refuses: bool,
+}
+
+/// What is said of one server.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Standing {
+    met: BTreeMap<u32, Met>,
+    pub(super) grade: u32,
+    pub(super) suspicion: Suspicion,
+    /// The number of the last change of it.
+    pub(super) number: u64,
+}
+
+impl Standing {
+    pub(super) fn reporters(&self) -> impl Iterator<Item = u32> + '_ {
+        self.met.keys().copied()
+    }
+
+    /// Weighs all word anew; whether that makes a difference.
+    fn weigh(&mut self) -> bool {
+        let sum: f64 = self.met.values().map(|m| f64::from(m.accomplished)).sum();
+        let against = self.met.values().filter(|m| m.against).count();
+        let refuses = self.met.values().filter(|m| m.against && m.refuses).count();
+        let suspected = against >= WITNESSES && 2 * against > self.met.len();
+        let suspicion = match suspected {
+            true if 2 * refuses > against => Suspicion::Refuses,
+            true => Suspicion::Fails,
+            false => Suspicion::None,
+        };
+        let grade = grade::of(sum);
+        let differs = grade::differs(self.grade, grade) || suspicion != self.suspicion;
+        if differs {
+            (self.grade, self.suspicion) = (grade, suspicion);
+        }
+        differs
+    }
+}
+
+impl Publisher {
+    /// What a forwarder has met. Rows name servers; classes and tenants are not looked at here. Nothing of it counts where any
+    /// figure makes no sense.
+    pub fn report(&mut self, _now: Nanos, name: &str, report: &Report) -> Result<(), PublishError> {
+        let id = self.id_of(name)?;
+        check(report)?;
+        for row in &report.rows {
+            self.met(id, &row.name, Some(row));
+        }
+        for name in &report.dropped {
+            self.met(id, name, None);
+        }
+        Ok(())
+    }
+
+    fn met(&mut self, id: u32, server: &str, seen: Option<&Seen>) {
+        self.figures.steps += 1;
+        let Some((name, _)) = self.servers.get_key_value(server) else { return };
+        let name = name.clone();
+        let Some(f) = self.forwarders.get_mut(&id) else { return };
+        let Some(server) = self.servers.get_mut(&name) else { return };
+        match seen {
+            Some(seen) => {
+                if !f.reported.contains(&name) && f.reported.len() >= MOST_REPORTED {
+                    return;
+                }
+                f.reported.insert(name.clone());
+                server.standing.met.insert(id, met(seen));
+            }
+            None => {
+                f.reported.remove(&name);
+                server.standing.met.remove(&id);
+            }
+        }
+        self.weigh(&name);
+    }
+
+    /// All who use a server hear of it where word on it makes a difference now.
+    fn weigh(&mut self, name: &Name) {
+        let Some(server) = self.servers.get_mut(name) else { return };
+        if !server.standing.weigh() {
+            return;
+        }
+        self.hint += 1;
+        server.standing.number = self.hint;
+        for id in &server.services {
+            let Some(service) = self.services.get(id) else { continue };
+            for f in &service.slices[service.slice_of(name)].subscribers {
+                self.figures.steps += 1;
+                if let Some(f) = self.forwarders.get_mut(f) {
+                    f.hints.insert(*id);
+                }
+            }
+        }
+    }
+
+    /// What a forwarder has reported may be of an earlier life.
+    pub(super) fn forget_reports(&mut self, id: u32) {
+        let reported = self.forwarders.get_mut(&id).map(|f: &mut Forwarder| std::mem::take(&mut f.reported));
+        for name in reported.into_iter().flatten() {
+            if let Some(server) = self.servers.get_mut(&name) {
+                server.standing.met.remove(&id);
+            }
+            self.weigh(&name);
+        }
+    }
+}
+
+fn met(seen: &Seen) -> Met {
+    let count = |ending: Ending| seen.endings.get(ending as usize).copied().unwrap_or(0);
+    Met {
+        accomplished: seen.accomplished,
+        against: seen.ejected || seen.faults >= FAULTY,
+        refuses: count(Ending::ConnectFailed) > count(Ending::Ok),
+    }
+}
--- /dev/null
+++ b/crates/plan/src/services/publisher/list.rs
@@ -0,0 +1,260 @@
+//! The list of servers, as it changes services.
+
+use super::*;
+
+impl Publisher {
+    /// The list has spoken: a whole, or changes to it.
+    pub fn list(&mut self, now: Nanos, version: u64, whole: bool, entries: Vec<Listed>) -> Dropped {
+        if self.source.is_none() && !whole {
+            // Changes to a list that is not known: nobody may take the rest for gone.
+            return Dropped::default();
+        }
+        let first = self.source.replace(version).is_none();
+        let dropped = self.take(now, (version, true), whole, entries);
+        // Those who held a later list than this one was.
+        let waiting: Vec<u32> = self.waiting.iter().copied().collect();
+        waiting.into_iter().for_each(|f| self.look_at_later(now, f));
+        if first {
+            self.hear_early(now);
+        }
+        dropped
+    }
+
+    /// There is a list now: what was asked for before can be told.
+    fn hear_early(&mut self, now: Nanos) {
+        let ids: Vec<u32> = self.forwarders.keys().copied().collect();
+        for id in ids {
+            let early = self.forwarders.get_mut(&id).map(|f| std::mem::take(&mut f.early));
+            for interest in early.into_iter().flatten() {
+                // They were counted as they came.
+                let _ = self.interested(now, id, &interest);
+            }
+            self.stirred.insert(id);
+        }
+    }
+
+    /// `told` says that the list did; else others' word of it is ahead of the list here.
+    pub(super) fn take(
+        &mut self,
+        now: Nanos,
+        (version, told): (u64, bool),
+        whole: bool,
+        entries: Vec<Listed>,
+    ) -> Dropped {
+        self.batch += 1;
+        let mut dropped = Dropped::default();
+        // Of a change and its opposite in one word the last one counts.
+        let mut last: BTreeMap<&str, usize> = BTreeMap::new();
+        entries.iter().enumerate().for_each(|(k, e)| {
+            last.insert(&e.member.name, k);
+        });
+        let mut keep = vec![false; entries.len()];
+        last.into_values().for_each(|k| keep[k] = true);
+        let mut touched = BTreeSet::new();
+        for (entry, keep) in entries.into_iter().zip(keep) {
+            let name = entry.member.name.as_str();
+            if name.is_empty() || name.len() > LONGEST_NAME {
+                dropped.names += 1;
+            } else if keep {
+                self.take_one(entry, &mut touched, &mut dropped);
+            }
+        }
+        if whole {
+            let batch = self.batch;
+            let absent = self.servers.iter().filter(|(_, s)| s.named != batch);
+            let absent: Vec<Name> = absent.map(|(name, _)| name.clone()).collect();
+            absent.into_iter().for_each(|name| self.remove(&name, &mut touched));
+        }
+        self.end_batch(now, (version, told), touched);
+        dropped
+    }
+
+    fn take_one(
+        &mut self,
+        Listed { services, member }: Listed,
+        touched: &mut BTreeSet<(u32, usize)>,
+        dropped: &mut Dropped,
+    ) {
+        self.figures.steps += 1;
+        let known = self.servers.get_key_value(member.name.as_str()).map(|(name, _)| name.clone());
+        if member.server.phase == Phase::Gone {
+            return known.into_iter().for_each(|name| self.remove(&name, touched));
+        }
+        if known.is_none() && self.servers.len() >= MOST_SERVERS {
+            dropped.servers += 1;
+            return;
+        }
+        let name = known.unwrap_or_else(|| Arc::from(member.name.as_str()));
+        let ids = self.ids_of(services, dropped);
+        let digest = digest::of(&member);
+        let closed = member.server.phase != Phase::Ready;
+        let batch = self.batch;
+        let before = self.servers.get_mut(&name);
+        let (same, former) = match &before {
+            Some(s) => (s.digest == digest && s.member == member, s.services.clone()),
+            None => (false, Vec::new()),
+        };
+        match before {
+            Some(s) => (s.member, s.digest, s.named, s.services) = (member, digest, batch, ids.clone()),
+            None => {
+                let server = Server {
+                    member,
+                    services: ids.clone(),
+                    digest,
+                    named: batch,
+                    standing: Standing::default(),
+                };
+                self.servers.insert(name.clone(), server);
+            }
+        }
+        for &id in former.iter().filter(|id| !ids.contains(id)) {
+            self.put(id, &name, (false, false, 0), touched);
+        }
+        for &id in ids.iter().filter(|id| !same || !former.contains(id)) {
+            self.put(id, &name, (true, closed, digest), touched);
+        }
+    }
+
+    /// The numbers of services by their names; new ones are made.
+    fn ids_of(&mut self, services: Vec<String>, dropped: &mut Dropped) -> Vec<u32> {
+        let mut ids = Vec::with_capacity(services.len().max(1));
+        let unnamed = services.is_empty().then(String::new);
+        for name in services.into_iter().chain(unnamed) {
+            if name.len() > LONGEST_NAME {
+                dropped.names += 1;
+                continue;
+            }
+            let id = match self.by_name.get(name.as_str()) {
+                Some(&id) => id,
+                None if self.services.len() >= MOST_SERVICES => {
+                    dropped.services += 1;
+                    continue;
+                }
+                None => {
+                    let (id, name) = (self.next_service, Name::from(name));
+                    self.next_service += 1;
+                    self.by_name.insert(name.clone(), id);
+                    self.services.insert(id, Service::new(name));
+                    id
+                }
+            };
+            if ids.len() >= MOST_SERVED {
+                dropped.services += 1;
+            } else if !ids.contains(&id) {
+                ids.push(id);
+            }
+        }
+        ids
+    }
+
+    fn remove(&mut self, name: &Name, touched: &mut BTreeSet<(u32, usize)>) {
+        let Some(server) = self.servers.remove(name) else { return };
+        for f in server.standing.reporters() {
+            self.forwarders.get_mut(&f).map(|f| f.reported.remove(name));
+        }
+        server.services.into_iter().for_each(|id| self.put(id, name, (false, false, 0), touched));
+    }
+
+    fn put(
+        &mut self,
+        id: u32,
+        name: &Name,
+        (there, closed, digest): (bool, bool, u64),
+        touched: &mut BTreeSet<(u32, usize)>,
+    ) {
+        let Some(service) = self.services.get_mut(&id) else { return };
+        let k = service.slice_of(name);
+        let slice = &mut service.slices[k];
+        if slice.batch != self.batch {
+            slice.batch = self.batch;
+            slice.version += 1;
+        }
+        slice.put(name, there, closed, digest);
+        touched.insert((id, k));
+        self.figures.steps += 1;
+    }
+
+    /// Tells all who use what has changed, once for all of a word.
+    fn end_batch(&mut self, now: Nanos, (source, told): (u64, bool), touched: BTreeSet<(u32, usize)>) {
+        let batch = self.batch;
+        let mut record = Record { told_at: now, source, touched: Vec::new(), waiting: 0, since: None };
+        let mut cut: BTreeSet<u32> = BTreeSet::new();
+        for (id, k) in touched {
+            let Some(service) = self.services.get_mut(&id) else { continue };
+            if service.size() == 0 && service.slices.iter().all(|s| s.subscribers.is_empty()) {
+                let service = self.services.remove(&id);
+                service.map(|s| self.by_name.remove(&s.name));
+                continue;
+            }
+            if let Some(number) = service.other_number() {
+                cut.insert(id);
+                self.cut(id, number, source);
+            }
+            if cut.contains(&id) {
+                continue;
+            }
+            self.services.get_mut(&id).into_iter().for_each(|s| s.slices[k].log(source, batch));
+            self.tell(id, k, &mut record);
+        }
+        for id in cut {
+            let number = self.services.get(&id).map_or(0, |s| s.slices.len());
+            (0..number).for_each(|k| self.tell(id, k, &mut record));
+        }
+        if record.touched.is_empty() {
+            return;
+        }
+        record.since = (record.waiting == 0).then_some(now);
+        self.records.insert(batch, record);
+        if told {
+            self.batches.insert(source, batch);
+        }
+        while self.records.len() > MOST_RECORDS {
+            let Some((old, record)) = self.records.pop_first() else { break };
+            if self.batches.get(&record.source) == Some(&old) {
+                self.batches.remove(&record.source);
+            }
+        }
+    }
+
+    fn tell(&mut self, id: u32, k: usize, record: &mut Record) {
+        let Some(service) = self.services.get(&id) else { return };
+        let slice = &service.slices[k];
+        let urgent = slice.urgent.last().is_some_and(|(changed, _)| *changed == slice.version);
+        record.touched.push((id, k, service.slices.len()));
+        record.waiting += slice.subscribers.len();
+        for f in &slice.subscribers {
+            self.figures.steps += 1;
+            let Some(f_) = self.forwarders.get_mut(f) else { continue };
+            let Some(s) = f_.subscriptions.get_mut(&id) else { continue };
+            if s.owes.len() >= MOST_OWED {
+                s.owes.pop_front();
+            }
+            s.owes.push_back((slice.version, self.batch));
+            f_.dirty.insert(id);
+            if urgent {
+                f_.urgent.insert(id);
+            }
+            self.stirred.insert(*f);
+        }
+    }
+
+    /// Cuts a service into so many slices; all who use it are dealt to them anew and get their slice whole.
+    pub(super) fn cut(&mut self, id: u32, number: usize, source: u64) {
+        let Some(service) = self.services.get_mut(&id) else { return };
+        let users: BTreeSet<u32> =
+            service.slices.iter().flat_map(|s| s.subscribers.iter().copied()).collect();
+        let former = service.slices.len();
+        service.cut(number, source, self.batch);
+        for user in users {
+            let Some(f) = self.forwarders.get_mut(&user) else { continue };
+            let Some(s) = f.subscriptions.get_mut(&id) else { continue };
+            let k = service.choose(&f.name, (s.slice, former));
+            let owes = std::mem::take(&mut s.owes);
+            *s = Subscription { owes, stale: s.stale, later: s.later, holds: true, ..Subscription::whole(k) };
+            service.slices[k].subscribers.insert(user);
+            f.dirty.insert(id);
+            f.urgent.insert(id);
+            self.stirred.insert(user);
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/services/publisher/stream.rs
@@ -0,0 +1,368 @@
+//! What goes to one forwarder, in which order, and within which bytes.
+//!
+//! Drains and leavings go first and have bytes of their own; then a first piece of each service that was just asked for, so
+//! that its requests need not wait for the rest; then what has changed, and the rest of wholes; hints last.
+
+use super::hints::Standing;
+use super::slice::{Name, Slice};
+use super::*;
+use crate::wire::{Changes, Piece, Row, Update};
+use prost::Message;
+use std::ops::Bound;
+
+/// Bytes of one update, about: many services get a turn.
+const UPDATE: usize = 3_500;
+/// Longest update in bytes, where one row is as long as it may be. The bytes of a forwarder may be overdrawn by as much.
+pub const LONGEST_UPDATE: usize = UPDATE + 2_048;
+/// What the channel adds to a message, in bytes: the length, and a record of TLS.
+pub const FRAMING: usize = 40;
+/// Servers of a service that has just been asked for that come before its rest.
+const FIRST: usize = 8;
+/// Changes that go in their turn rather than ahead of it: they are as quick.
+const FEW: usize = 32;
+/// Updates under way that are not acknowledged.
+const WINDOW: usize = 16;
+/// A forwarder that acknowledges nothing for so long is of no use on this connection.
+pub const UNRESPONSIVE: Nanos = 10 * S;
+/// Hints wait until so many bytes are left for what counts.
+const HINTS_FROM: f64 = 8_000.0;
+
+/// Changes of one service, and the version that they bring with them.
+type Brought = (Changes, Option<u64>);
+
+impl Publisher {
+    /// The next update for a forwarder, if there is one now; to be called until there is none.
+    pub fn next_update(&mut self, now: Nanos, name: &str) -> Result<Option<Update>, PublishError> {
+        let id = self.id_of(name)?;
+        let Some(f) = self.forwarders.get_mut(&id).filter(|f| f.left_at.is_none()) else { return Ok(None) };
+        if f.under_way.front().is_some_and(|(_, at, _)| now.saturating_sub(*at) >= UNRESPONSIVE) {
+            return Err(PublishError::Unresponsive(UNRESPONSIVE / S));
+        }
+        f.refill(now, &self.settings);
+        let mut update = Update {
+            site: self.settings.site.clone(),
+            life: self.settings.life,
+            source: self.source.unwrap_or(0),
+            ..Update::default()
+        };
+        if f.under_way.len() < WINDOW && self.source.is_some() {
+            let brought = self.fill(id, &mut update);
+            if !update.services.is_empty() {
+                return Ok(Some(self.close(now, id, update, brought)));
+            }
+        }
+        let Some(f) = self.forwarders.get_mut(&id) else { return Ok(None) };
+        let beat = now.saturating_sub(f.sent_at) >= BEAT;
+        if beat {
+            f.sent_at = now;
+            f.tokens -= (update.encoded_len() + FRAMING) as f64;
+        }
+        Ok(beat.then_some(update))
+    }
+
+    /// Numbers an update and takes its bytes.
+    fn close(&mut self, now: Nanos, id: u32, mut update: Update, brought: Vec<(u32, Option<u64>)>) -> Update {
+        if let Some(f) = self.forwarders.get_mut(&id) {
+            f.number += 1;
+            update.number = f.number;
+            f.under_way.push_back((f.number, now, brought));
+            f.sent_at = now;
+            f.tokens -= (update.encoded_len() + FRAMING) as f64;
+            // What drains and leavings took of it was taken there.
+            self.figures.updates += 1;
+            self.figures.bytes += (update.encoded_len() + FRAMING) as u64;
+        }
+        update
+    }
+
+    /// Fills an update in the order of what matters, and says which versions it brings.
+    fn fill(&mut self, id: u32, update: &mut Update) -> Vec<(u32, Option<u64>)> {
+        let mut brought = Vec::new();
+        let mut put = |update: &mut Update, service: u32, (changes, version): Brought| {
+            update.services.push(changes);
+            brought.push((service, version));
+        };
+        let room = |update: &Update| UPDATE.saturating_sub(update.encoded_len());
+        while let Some(service) = self.forwarders.get(&id).and_then(|f| f.urgent.first().copied()) {
+            if room(update) == 0 || !self.has_drain_bytes(id) {
+                break;
+            }
+            let Some(changes) = self.urgent(id, service, room(update)) else { continue };
+            self.take_drain_bytes(id, changes.0.encoded_len());
+            put(update, service, changes);
+        }
+        let spends = |publisher: &Publisher, update: &Update| {
+            let f = publisher.forwarders.get(&id);
+            f.is_some_and(|f| f.tokens > update.encoded_len() as f64)
+        };
+        while room(update) > 0 && spends(self, update) {
+            let Some(f) = self.forwarders.get_mut(&id) else { break };
+            if let Some(absent) = f.absent.pop_first() {
+                let unknown = Changes { service: absent, piece: Piece::Unknown as i32, ..Changes::default() };
+                update.services.push(unknown);
+            } else if let Some(service) = f.fresh.pop_front() {
+                f.dirty.insert(service);
+                if let Some(first) = self.in_turn(id, service, room(update), FIRST) {
+                    put(update, service, first);
+                }
+            } else if let Some(service) = f.next_dirty() {
+                match self.in_turn(id, service, room(update), usize::MAX) {
+                    Some(changes) => put(update, service, changes),
+                    None => drop(self.forwarders.get_mut(&id).map(|f| f.dirty.remove(&service))),
+                }
+            } else {
+                break;
+            }
+        }
+        while room(update) > 0 && update.services.is_empty() {
+            let Some(f) = self.forwarders.get_mut(&id).filter(|f| f.tokens > HINTS_FROM) else { break };
+            let Some(service) = f.hints.pop_first() else { break };
+            if let Some(hints) = self.hints_for(id, service) {
+                put(update, service, (hints, None));
+            }
+        }
+        brought
+    }
+
+    fn has_drain_bytes(&self, id: u32) -> bool {
+        self.forwarders.get(&id).is_some_and(|f| f.drain_tokens > 0.0 || f.tokens > 0.0)
+    }
+
+    /// Takes the bytes of drains and leavings from those kept for them, as far as there are any.
+    fn take_drain_bytes(&mut self, id: u32, bytes: usize) {
+        if let Some(f) = self.forwarders.get_mut(&id) {
+            let own = (bytes as f64).min(f.drain_tokens.max(0.0));
+            f.drain_tokens -= own;
+            // `close` takes all bytes of the update from the others.
+            f.tokens += own;
+        }
+    }
+
+    /// Drains and leavings of a service that a forwarder has not been told of: in their turn where that is as quick, else ahead
+    /// of it. The service is no longer urgent once all are told.
+    fn urgent(&mut self, id: u32, service_id: u32, room: usize) -> Option<Brought> {
+        let f = self.forwarders.get_mut(&id)?;
+        let Some((s, slice)) = f.usable(service_id, &self.services) else {
+            f.urgent.remove(&service_id);
+            return None;
+        };
+        let in_turn = s.whole.is_none()
+            && s.held.is_some()
+            && after(&slice.changes, &s.sent).take(FEW + 1).count() <= FEW
+            && f.tokens > 0.0;
+        if in_turn {
+            f.urgent.remove(&service_id);
+            return self.in_turn(id, service_id, room, usize::MAX);
+        }
+        // What is only to be told from its whole on needs no word ahead.
+        let mut changes =
+            Changes { piece: Piece::Aside as i32, ..slice.head(&self.services[&service_id].name) };
+        (changes.slice, changes.slices) = (s.slice as u32, self.services[&service_id].slices.len() as u32);
+        let (mut size, mut ahead, mut all) = (0, s.ahead.clone(), true);
+        for (changed, name) in after(&slice.urgent, &s.ahead) {
+            if size >= room {
+                all = false;
+                break;
+            }
+            self.figures.steps += 1;
+            size += self.servers.add_row(slice, name, &mut changes);
+            ahead = (*changed, Some(name.clone()));
+        }
+        if all {
+            f.urgent.remove(&service_id);
+        }
+        if let Some(s) = f.subscriptions.get_mut(&service_id) {
+            s.ahead = ahead;
+        }
+        (size > 0).then_some((changes, None))
+    }
+
+    /// What comes next of a service, at most so many bytes and rows; `None` where there is nothing.
+    fn in_turn(&mut self, id: u32, service_id: u32, room: usize, most: usize) -> Option<Brought> {
+        let f = self.forwarders.get_mut(&id)?;
+        let (s, slice) = f.usable(service_id, &self.services)?;
+        let slices = self.services[&service_id].slices.len() as u32;
+        let head = Changes { slice: s.slice as u32, slices, ..slice.head(&self.services[&service_id].name) };
+        let s = f.subscriptions.get_mut(&service_id)?;
+        if let Some(digest) = s.same.take() {
+            let version = s.held?;
+            s.told = slice.told;
+            return Some((Changes { version, digest, piece: Piece::Same as i32, ..head }, Some(version)));
+        }
+        let begins = s.held.is_none() && s.whole.is_none();
+        if begins {
+            s.whole = Some(slice.version);
+            self.figures.wholes += 1;
+        }
+        let mut changes = Changes { base: s.held.filter(|_| s.whole.is_none()).unwrap_or(0), ..head };
+        let (mut size, mut sent, mut rows, mut all) = (0, s.sent.clone(), 0, true);
+        for (changed, name) in after(&slice.changes, &s.sent) {
+            if size >= room || rows >= most {
+                all = false;
+                break;
+            }
+            self.figures.steps += 1;
+            // Who left before a whole began was never told there.
+            let known = s.whole.is_none_or(|begun| *changed > begun);
+            if known || slice.rows.get(name).is_some_and(|r| r.there) {
+                size += self.servers.add_row(slice, name, &mut changes);
+                rows += 1;
+            }
+            sent = (*changed, Some(name.clone()));
+        }
+        let told = slice.told;
+        if !begins && all && rows == 0 && s.held == Some(slice.version) && s.whole.is_none() && s.told == told
+        {
+            return None;
+        }
+        s.told = told;
+        if !all {
+            s.sent = sent;
+            changes.piece = if begins { Piece::First } else { Piece::More } as i32;
+            return Some((changes, None));
+        }
+        let whole = s.whole.take().is_some();
+        s.sent = (slice.version + 1, None);
+        s.ahead = s.sent.clone();
+        s.held = Some(slice.version);
+        s.holds = true;
+        changes.version = slice.version;
+        changes.digest = slice.digest;
+        changes.piece = if whole && begins { Piece::Whole } else { Piece::Last } as i32;
+        f.dirty.remove(&service_id);
+        f.urgent.remove(&service_id);
+        Some((changes, Some(slice.version)))
+    }
+
+    /// What is said of a service's servers that this forwarder has not been told.
+    fn hints_for(&mut self, id: u32, service_id: u32) -> Option<Changes> {
+        let f = self.forwarders.get_mut(&id)?;
+        let (s, slice) = f.usable(service_id, &self.services)?;
+        let service = &self.services[&service_id];
+        let head = slice.head(&service.name);
+        let mut changes = Changes {
+            piece: Piece::Aside as i32,
+            slice: s.slice as u32,
+            slices: service.slices.len() as u32,
+            ..head
+        };
+        // A slice has some dozens of servers: they are looked at, and no order of hints is kept.
+        for (name, _) in slice.rows.iter().filter(|(_, row)| row.there) {
+            self.figures.steps += 1;
+            let Some(server) = self.servers.get(name).filter(|server| server.standing.number > s.hinted)
+            else {
+                continue;
+            };
+            changes.rows.push(hint(name, &server.standing));
+        }
+        let number = self.hint;
+        f.subscriptions.get_mut(&service_id)?.hinted = number;
+        (!changes.rows.is_empty()).then_some(changes)
+    }
+
+    /// When `next_update` may have something without further news: bytes, a beat, or patience that ends.
+    pub fn wake_at(&self, now: Nanos, name: &str) -> Nanos {
+        let f = self.forwarder_ids.get(name).and_then(|id| self.forwarders.get(id));
+        let Some(f) = f.filter(|f| f.left_at.is_none()) else { return Nanos::MAX };
+        let beat = f.sent_at.saturating_add(BEAT);
+        let patience = f.under_way.front().map_or(Nanos::MAX, |(_, at, _)| at.saturating_add(UNRESPONSIVE));
+        let waits = !(f.dirty.is_empty() && f.fresh.is_empty() && f.urgent.is_empty() && f.absent.is_empty());
+        let short = (1.0 - f.tokens).max(0.0) / self.settings.bytes_per_second.max(1.0);
+        let short = match f.urgent.is_empty() {
+            true => short,
+            false => {
+                short.min((1.0 - f.drain_tokens).max(0.0) / self.settings.drain_bytes_per_second.max(1.0))
+            }
+        };
+        // Never at once: what could be said now has been asked for.
+        let bytes = match waits && f.under_way.len() < WINDOW {
+            true => now.saturating_add(((short * 1e9) as Nanos).max(10 * MS)),
+            false => Nanos::MAX,
+        };
+        beat.min(patience).min(bytes)
+    }
+}
+
+impl Forwarder {
+    fn refill(&mut self, now: Nanos, settings: &Settings) {
+        let elapsed = now.saturating_sub(self.tokens_at) as f64 / 1e9;
+        self.tokens_at = self.tokens_at.max(now);
+        self.tokens = (self.tokens + elapsed * settings.bytes_per_second).min(settings.burst);
+        let drains = self.drain_tokens + elapsed * settings.drain_bytes_per_second;
+        self.drain_tokens = drains.min(settings.drain_burst);
+    }
+
+    /// A subscription that may be told of now, with its slice.
+    fn usable<'a>(
+        &self,
+        service: u32,
+        services: &'a BTreeMap<u32, Service>,
+    ) -> Option<(&Subscription, &'a Slice)> {
+        let s = self.subscriptions.get(&service).filter(|s| !s.stale && s.later.is_none())?;
+        Some((s, services.get(&service)?.slices.get(s.slice)?))
+    }
+
+    /// The next service with something to tell, in turn, so that a long one does not keep others waiting.
+    fn next_dirty(&mut self) -> Option<u32> {
+        let next = self.dirty.range((Bound::Excluded(self.turn), Bound::Unbounded)).next().copied();
+        self.turn = next.or_else(|| self.dirty.first().copied())?;
+        Some(self.turn)
+    }
+}
+
+/// What comes after a place in the order of changes.
+fn after<'a>(
+    changes: &'a BTreeSet<(u64, Name)>,
+    (version, name): &(u64, Option<Name>),
+) -> impl Iterator<Item = &'a (u64, Name)> {
+    let from = match name {
+        Some(name) => Bound::Excluded((*version, name.clone())),
+        None => Bound::Included((*version, Name::from(""))),
+    };
+    changes.range((from, Bound::Unbounded))
+}
+
+impl Slice {
+    /// Changes of nothing yet.
+    fn head(&self, service: &Name) -> Changes {
+        Changes {
+            service: service.to_string(),
+            source: self.source,
+            subscribers: self.told,
+            ..Changes::default()
+        }
+    }
+}
+
+/// Servers in the form of a message.
+trait Rows {
+    /// Adds how a server stands now; the bytes that it takes, about.
+    fn add_row(&self, slice: &Slice, name: &Name, changes: &mut Changes) -> usize;
+}
+
+impl Rows for BTreeMap<Name, Server> {
+    fn add_row(&self, slice: &Slice, name: &Name, changes: &mut Changes) -> usize {
+        let there = slice.rows.get(name).is_some_and(|r| r.there);
+        match self.get(name).filter(|_| there) {
+            Some(server) => {
+                let row = Row { facts: Some(server.member.facts()), ..hint(name, &server.standing) };
+                let size = row.encoded_len() + 3;
+                changes.rows.push(row);
+                size
+            }
+            None => {
+                changes.removed.push(name.to_string());
+                name.len() + 3
+            }
+        }
+    }
+}
+
+fn hint(name: &Name, standing: &Standing) -> Row {
+    Row {
+        name: name.to_string(),
+        grade: standing.grade,
+        suspicion: standing.suspicion as i32,
+        ..Row::default()
+    }
+}
--- /dev/null
+++ b/crates/plan/src/services/subscriber/mod.rs
@@ -0,0 +1,492 @@
+//! A forwarder's side: the services that its requests name, held as one planner tells them.
+//!
+//! What is held outlives its planner: a connection that ends takes nothing away, and the next planner is told what is held.
+//! What is in use is never dropped to make room; what strangers name and does not exist takes room of its own.
+
+mod choice;
+mod held;
+mod words;
+
+use super::publisher::{BEAT, FRAMING};
+use crate::follower::Word;
+use crate::member::{Member, LONGEST_NAME};
+use crate::wire::{Acknowledge, Because, Changes, Closed, Piece, Refused, Subscribe, Update};
+use choice::Choice;
+use held::{Held, Left};
+use laurelroute_policy::interface::{Nanos, Phase};
+use prost::Message;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1_000 * MS;
+/// Services that have been asked for and of which nothing has come yet. They are none of those that are held.
+pub const MOST_WAITING: usize = 1_024;
+/// A service of which nothing has come for so long, and that nobody asks for, is forgotten.
+const WAITS: Nanos = 10 * S;
+/// Names of services that do not exist.
+pub const MOST_UNKNOWN: usize = 4_096;
+/// A use is noted at most this often: what is least used is told by seconds.
+const USE_STEP: Nanos = S;
+/// A planner whose list is earlier than what is held is believed after this: its source has lost its versions.
+const STUBBORN: Nanos = 9 * S;
+/// Before a service is asked for again that its planner has refused to know, or told badly.
+const AGAIN: Nanos = 5 * S;
+/// Bytes that a server takes here, about: in these tables, in the decision module and at the sockets.
+const SERVER_BYTES: usize = 1_200;
+/// Bytes that a service takes beside its servers.
+const SERVICE_BYTES: usize = 8_000;
+
+/// A planner that has said nothing for so long is taken for lost.
+pub const SILENCE: Nanos = 3 * BEAT;
+
+/// What a subscriber is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// This forwarder.
+    pub name: String,
+    /// The installation.
+    pub site: String,
+    /// The planners, known by their place here.
+    pub planners: Vec<String>,
+    /// Services held at most.
+    pub most_services: usize,
+    /// Bytes that they may take at most, about.
+    pub most_bytes: usize,
+    /// A service that no request has named for so long is dropped.
+    pub unused_after: Nanos,
+    /// That a service does not exist is remembered for so long.
+    pub unknown_for: Nanos,
+    /// Bytes a second that it says.
+    pub bytes_per_second: f64,
+    /// Bytes beyond that at once, after a rest.
+    pub burst: f64,
+    /// Bytes a second that it takes; a planner that it comes to hears how many are left.
+    pub takes_per_second: f64,
+    /// Bytes beyond that at once, after a rest.
+    pub takes_burst: f64,
+    /// Settles how it is spread out in time.
+    pub seed: u64,
+}
+
+/// How a service stands here as a request names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Its servers are known: the request may go on.
+    Held,
+    /// It has been subscribed to, and nothing has come yet.
+    Waiting,
+    /// There is no such service.
+    Unknown,
+    /// There is no room for it: all that is held is in use.
+    NoRoom,
+}
+
+/// What has changed for who sends requests.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Change {
+    /// Servers of a service that are new, changed, or gone (by their phase).
+    Members {
+        /// The service.
+        service: String,
+        /// The servers that have changed.
+        members: Vec<Member>,
+        /// Forwarders that use the service, all planners together, at least: the larger count of the last minute.
+        subscribers: u32,
+    },
+    /// What others have met of a service's servers; all that is said of them, each replaces the one before.
+    Hints {
+        /// The service.
+        service: String,
+        /// By server.
+        words: Vec<Word>,
+    },
+    /// There is no such service: requests that wait for it are answered so.
+    Unknown(String),
+    /// A service is no longer held; requests of it are none under way.
+    Dropped(String),
+}
+
+/// Counts for measurements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Services held.
+    pub services: usize,
+    /// Servers held in them.
+    pub servers: usize,
+    /// Bytes that they take, about.
+    pub bytes: usize,
+    /// Services known not to exist.
+    pub unknown: usize,
+    /// Bytes of updates received and of words sent so far.
+    pub received: u64,
+    /// See `received`.
+    pub sent: u64,
+}
+
+/// A forwarder's subscriptions.
+#[derive(Clone, Debug)]
+pub struct Subscriber {
+    settings: Settings,
+    services: BTreeMap<String, Held>,
+    /// Services by when they were last used.
+    by_use: BTreeSet<(Nanos, String)>,
+    waiting: usize,
+    servers: usize,
+    bytes: usize,
+    /// Names of services that do not exist, and until when that counts.
+    unknown: BTreeMap<String, Nanos>,
+    unknown_order: VecDeque<(Nanos, String)>,
+    choice: Choice,
+    /// Services that the planner is to be asked for, the first ones first.
+    to_ask: VecDeque<String>,
+    /// Services that it is to be told are no longer wanted.
+    unwanted: BTreeSet<String>,
+    /// Services that are to be asked for again then.
+    again: BTreeSet<(Nanos, String)>,
+    /// Servers that have left, for a planner with an earlier list.
+    left: VecDeque<Left>,
+    say_closed: bool,
+    /// The planner has not been told yet how many bytes are left.
+    say_allowance: bool,
+    tokens: f64,
+    takes: f64,
+    tokens_at: Nanos,
+    changed: BTreeMap<String, held::Changed>,
+    ended: Vec<Change>,
+    reported: BTreeMap<String, (f32, bool)>,
+    figures: Figures,
+}
+
+impl Subscriber {
+    /// A forwarder that holds nothing yet.
+    pub fn new(now: Nanos, settings: Settings) -> Self {
+        Subscriber {
+            choice: Choice::new(now, &settings.name, &settings.planners, settings.seed),
+            tokens: settings.burst,
+            takes: settings.takes_burst,
+            tokens_at: now,
+            settings,
+            services: BTreeMap::new(),
+            by_use: BTreeSet::new(),
+            waiting: 0,
+            servers: 0,
+            bytes: 0,
+            unknown: BTreeMap::new(),
+            unknown_order: VecDeque::new(),
+            to_ask: VecDeque::new(),
+            unwanted: BTreeSet::new(),
+            again: BTreeSet::new(),
+            left: VecDeque::new(),
+            say_closed: false,
+            say_allowance: false,
+            changed: BTreeMap::new(),
+            ended: Vec::new(),
+            reported: BTreeMap::new(),
+            figures: Figures::default(),
+        }
+    }
+
+    // ---- Requests ----
+
+    /// A request names this service: it is subscribed to where it is not, and counts as used now.
+    pub fn want(&mut self, now: Nanos, service: &str) -> Standing {
+        if let Some(held) = self.services.get_mut(service) {
+            if now.saturating_sub(held.used_at) >= USE_STEP {
+                self.by_use.remove(&(held.used_at, service.to_owned()));
+                held.used_at = now;
+                self.by_use.insert((now, service.to_owned()));
+            }
+            return if held.known { Standing::Held } else { Standing::Waiting };
+        }
+        if self.unknown.get(service).is_some_and(|until| now < *until) {
+            return Standing::Unknown;
+        }
+        if service.len() > LONGEST_NAME {
+            return Standing::Unknown;
+        }
+        if self.waiting >= MOST_WAITING {
+            return Standing::NoRoom;
+        }
+        self.unwanted.remove(service);
+        self.services.insert(service.to_owned(), Held::new(now));
+        self.by_use.insert((now, service.to_owned()));
+        self.waiting += 1;
+        self.to_ask.push_back(service.to_owned());
+        Standing::Waiting
+    }
+
+    /// A request of this service is under way (also while it waits): the service is not dropped before it has `ended`.
+    pub fn began(&mut self, service: &str) {
+        if let Some(held) = self.services.get_mut(service) {
+            held.under_way += 1;
+        }
+    }
+
+    /// A request of this service is no longer under way.
+    pub fn ended(&mut self, _now: Nanos, service: &str) {
+        if let Some(held) = self.services.get_mut(service) {
+            held.under_way = held.under_way.saturating_sub(1);
+        }
+    }
+
+    // ---- Planners ----
+
+    /// The planner to connect to now, if there is one: to be asked some times a second. Until `connected` or `failed` is
+    /// told for it, no other is named. One that is connected already may be left for a better one: `connected` then
+    /// replaces it, and the connection to the former is to be closed once `last_word` is sent there.
+    pub fn try_next(&mut self, now: Nanos) -> Option<usize> {
+        self.choice.try_next(now)
+    }
+
+    /// The planner has greeted: it is the one that is spoken with from now on.
+    pub fn connected(&mut self, now: Nanos, planner: usize, life: u64) {
+        self.choice.connected(now, planner, life);
+        // All of it is asked for anew, what was used last first; the planner knows by the version held what is lacking.
+        self.unwanted.clear();
+        self.again.clear();
+        self.to_ask = self.by_use.iter().rev().map(|(_, service)| service.clone()).collect();
+        self.services.values_mut().for_each(|held| held.whole = None);
+        (self.say_closed, self.say_allowance) = (false, true);
+        self.reported.clear();
+    }
+
+    /// It could not be reached, or had no room.
+    pub fn failed(&mut self, now: Nanos, planner: usize) {
+        self.choice.failed(now, planner);
+    }
+
+    /// The connection to it is lost. All that is held stays.
+    pub fn lost(&mut self, now: Nanos, planner: usize) {
+        self.choice.lost(now, planner);
+    }
+
+    /// The planner that it is connected to.
+    pub fn planner(&self) -> Option<usize> {
+        self.choice.planner()
+    }
+
+    /// What to say to a planner that is left on purpose.
+    pub fn last_word() -> Subscribe {
+        Subscribe { leaving: true, ..Subscribe::default() }
+    }
+
+    // ---- What the planner says ----
+
+    /// Takes in an update, service by service; what is refused changes nothing. `None` where it needs no answer.
+    pub fn receive(&mut self, now: Nanos, planner: usize, update: &Update) -> Option<Acknowledge> {
+        self.refill(now);
+        let size = update.encoded_len() + FRAMING;
+        self.figures.received += size as u64;
+        self.takes -= size as f64;
+        let life = self.choice.heard(now, planner)?;
+        let because = match () {
+            () if update.site != self.settings.site => Because::OtherSite,
+            () if update.life != life => Because::OldLife,
+            () => Because::Taken,
+        };
+        let mut refused: BTreeMap<&str, Because> = BTreeMap::new();
+        for changes in &update.services {
+            let taken = match because {
+                Because::Taken => self.take(now, update, changes),
+                _ => Err(because),
+            };
+            if let Err(because) = taken {
+                refused.insert(&changes.service, because);
+            }
+        }
+        if because == Because::Taken && update.source < self.newest() {
+            self.say_closed |= !self.choice.insists(now, STUBBORN);
+        }
+        let refused = refused.into_iter();
+        let refused = refused.map(|(s, b)| Refused { service: s.to_owned(), because: b as i32 }).collect();
+        let answer = Acknowledge { life: update.life, number: update.number, refused };
+        if update.number == 0 {
+            return None;
+        }
+        let size = answer.encoded_len() + FRAMING;
+        self.figures.sent += size as u64;
+        self.tokens -= size as f64;
+        Some(answer)
+    }
+
+    /// The latest list of which anything here was made.
+    fn newest(&self) -> u64 {
+        self.choice.newest
+    }
+
+    fn take(&mut self, now: Nanos, update: &Update, changes: &Changes) -> Result<(), Because> {
+        let insists = self.choice.insists(now, STUBBORN);
+        let planners = self.settings.planners.len().max(1) as u32;
+        // Dropped since it was asked for: the planner is about to hear of that.
+        let Some(held) = self.services.get_mut(&changes.service) else { return Ok(()) };
+        if held.life != update.life && update.source < held.source && !insists {
+            return Err(Because::OldMembership);
+        }
+        let was = (held.known, held.servers.len());
+        if changes.piece() == Piece::Unknown {
+            self.no_such(now, &changes.service);
+            return Ok(());
+        }
+        let changed = self.changed.entry(changes.service.clone()).or_default();
+        let taken = held.take(now, (update.life, update.source), changes, changed, &mut self.left);
+        held.count(now, changes.subscribers.saturating_mul(planners), changed);
+        let is = (held.known, held.servers.len());
+        self.count(was, is);
+        if taken.is_ok() {
+            self.choice.newest = self.choice.newest.max(update.source);
+        }
+        self.make_room(&changes.service);
+        taken
+    }
+
+    fn count(&mut self, (known, servers): (bool, usize), (knows, has): (bool, usize)) {
+        self.servers = self.servers + has - servers;
+        self.bytes = self.bytes + has * SERVER_BYTES - servers * SERVER_BYTES;
+        if knows && !known {
+            self.waiting -= 1;
+            self.bytes += SERVICE_BYTES;
+        }
+    }
+
+    /// There is no such service (any longer).
+    fn no_such(&mut self, now: Nanos, service: &str) {
+        let Some(held) = self.services.get_mut(service) else { return };
+        if held.under_way > 0 && held.known {
+            // Its requests are still under way: it stays, empty, and is asked for again.
+            let changed = self.changed.entry(service.to_owned()).or_default();
+            let was = (held.known, held.servers.len());
+            held.empty(now, changed, &mut self.left);
+            self.count(was, (true, 0));
+            self.again.insert((now + AGAIN, service.to_owned()));
+            return;
+        }
+        let known = held.known;
+        self.remove(service);
+        self.unwanted.remove(service);
+        self.ended.push(if known {
+            Change::Dropped(service.to_owned())
+        } else {
+            Change::Unknown(service.to_owned())
+        });
+        let until = now + self.settings.unknown_for;
+        self.unknown.insert(service.to_owned(), until);
+        self.unknown_order.push_back((until, service.to_owned()));
+        while self.unknown_order.len() > MOST_UNKNOWN {
+            self.forget_unknown();
+        }
+    }
+
+    fn forget_unknown(&mut self) {
+        let Some((until, service)) = self.unknown_order.pop_front() else { return };
+        if self.unknown.get(&service) == Some(&until) {
+            self.unknown.remove(&service);
+        }
+    }
+
+    /// Keeps to the bounds by dropping what is least used and has no request under way; never for one that is in use. Where
+    /// there is nothing to drop, the one that has just come goes.
+    fn make_room(&mut self, newcomer: &str) {
+        let over = |s: &Self| {
+            s.services.len() - s.waiting > s.settings.most_services || s.bytes > s.settings.most_bytes
+        };
+        while over(self) {
+            let idle = |(_, name): &&(Nanos, String)| {
+                name != newcomer && self.services.get(name).is_some_and(|h| h.known && h.under_way == 0)
+            };
+            let least = self.by_use.iter().find(idle).map(|(_, name)| name.clone());
+            let Some(least) = least.or_else(|| {
+                let rests = self.services.get(newcomer).is_some_and(|h| h.known && h.under_way == 0);
+                rests.then(|| newcomer.to_owned())
+            }) else {
+                return;
+            };
+            self.drop_service(&least);
+        }
+    }
+
+    fn drop_service(&mut self, service: &str) {
+        let Some(held) = self.remove(service) else { return };
+        self.unwanted.insert(service.to_owned());
+        if held.known {
+            self.ended.push(Change::Dropped(service.to_owned()));
+        } else {
+            self.ended.push(Change::Unknown(service.to_owned()));
+        }
+    }
+
+    fn remove(&mut self, service: &str) -> Option<Held> {
+        let held = self.services.remove(service)?;
+        self.by_use.remove(&(held.used_at, service.to_owned()));
+        self.changed.remove(service);
+        self.servers -= held.servers.len();
+        self.bytes -= held.servers.len() * SERVER_BYTES;
+        match held.known {
+            true => self.bytes -= SERVICE_BYTES,
+            false => self.waiting -= 1,
+        }
+        Some(held)
+    }
+
+    // ---- Time ----
+
+    /// What time brings; to be called some times a second. Costs what is due.
+    pub fn poll(&mut self, now: Nanos) {
+        self.refill(now);
+        while self.unknown_order.front().is_some_and(|(until, _)| *until <= now) {
+            self.forget_unknown();
+        }
+        let due = |(at, _): &&(Nanos, String)| *at <= now;
+        while let Some((at, service)) = self.again.first().filter(due).cloned() {
+            self.again.remove(&(at, service.clone()));
+            if self.services.contains_key(&service) {
+                self.to_ask.push_back(service);
+            }
+        }
+        // Those that wait are used for less long than the others: both are looked for from the least used on.
+        let wait = WAITS.min(self.settings.unused_after);
+        let old = self.by_use.iter().take_while(|(at, _)| now.saturating_sub(*at) >= wait);
+        let gone = |(at, name): &&(Nanos, String)| {
+            let long = now.saturating_sub(*at) >= self.settings.unused_after;
+            self.services.get(name).is_some_and(|h| h.under_way == 0 && (long || !h.known))
+        };
+        let old: Vec<String> = old.take(LOOKED_AT).filter(gone).map(|(_, name)| name.clone()).collect();
+        old.iter().for_each(|service| self.drop_service(service));
+    }
+
+    /// What has changed since the last call.
+    pub fn changes(&mut self) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for (service, changed) in std::mem::take(&mut self.changed) {
+            let Some(held) = self.services.get(&service) else { continue };
+            changes.extend(held.told(service, changed));
+        }
+        changes.append(&mut self.ended);
+        changes
+    }
+
+    /// The servers of a service as held here, for those who look on; `None` where it is not held.
+    pub fn members_of(&self, service: &str) -> Option<Vec<&Member>> {
+        let held = self.services.get(service).filter(|h| h.known)?;
+        Some(held.servers.values().map(|s| &s.member).collect())
+    }
+
+    /// The planner's life, the version and the list's version of what is held of a service, for those who look on; zeros
+    /// where a whole has not come yet.
+    pub fn version_of(&self, service: &str) -> Option<(u64, u64, u64)> {
+        self.services.get(service).map(|h| (h.life, h.version, h.source))
+    }
+
+    /// Counts for measurements.
+    pub fn figures(&self) -> Figures {
+        Figures {
+            services: self.services.len() - self.waiting,
+            servers: self.servers,
+            bytes: self.bytes,
+            unknown: self.unknown.len(),
+            ..self.figures
+        }
+    }
+}
+
+/// Services that one look at what is unused goes over; the rest is for the next.
+const LOOKED_AT: usize = 256;
--- /dev/null
+++ b/crates/plan/src/services/subscriber/words.rs
@@ -0,0 +1,148 @@
+//! What a forwarder says to its planner: what it wants, what it knows better, and what it has met.
+
+use super::*;
+use crate::wire::{Interest, Report, Seen};
+use laurelroute_policy::interface::{Observed, ENDINGS};
+
+/// Bytes of one message, about.
+const MESSAGE: usize = 2_000;
+/// How long a server that has left is told to planners with an earlier list.
+const TELL_LEFT: Nanos = 60 * S;
+/// Words on drains and leavings in one message.
+const MOST_CLOSED: usize = 64;
+/// Servers that are reported on.
+const MOST_REPORTED: usize = 512;
+/// Accomplishments that differ by less than this part are not told anew, and less than this many requests is none.
+const HARDLY: f64 = 0.3;
+const LEAST: f64 = 1.0;
+/// Reports wait until so many bytes are left for what counts.
+const REPORTS_FROM: f64 = 2_000.0;
+
+impl Subscriber {
+    pub(super) fn refill(&mut self, now: Nanos) {
+        let elapsed = now.saturating_sub(self.tokens_at) as f64 / 1e9;
+        self.tokens_at = self.tokens_at.max(now);
+        let settings = &self.settings;
+        self.tokens = (self.tokens + elapsed * settings.bytes_per_second).min(settings.burst);
+        self.takes = (self.takes + elapsed * settings.takes_per_second).min(settings.takes_burst);
+    }
+
+    fn say(&mut self, size: usize) {
+        self.tokens -= (size + FRAMING) as f64;
+        self.figures.sent += (size + FRAMING) as u64;
+    }
+
+    /// What to say to the planner now, if anything: to be asked after `want` and some times a second, until there is nothing.
+    pub fn next_subscribe(&mut self, now: Nanos) -> Option<Subscribe> {
+        self.planner()?;
+        self.refill(now);
+        if self.tokens <= 0.0 {
+            return None;
+        }
+        let mut word = Subscribe::default();
+        if std::mem::take(&mut self.say_closed) {
+            word.closed = self.closed(now);
+        }
+        let mut size = word.encoded_len();
+        while size < MESSAGE && (size as f64) < self.tokens {
+            let Some(service) = self.unwanted.pop_first() else { break };
+            size += service.len() + 8;
+            word.interests.push(Interest { service, unwanted: true, ..Interest::default() });
+        }
+        while size < MESSAGE && (size as f64) < self.tokens {
+            let Some(service) = self.to_ask.pop_front() else { break };
+            let Some(held) = self.services.get(&service) else { continue };
+            let interest = Interest {
+                service,
+                unwanted: false,
+                life: if held.known { held.life.max(1) } else { 0 },
+                version: held.version,
+                source: held.source,
+                digest: held.digest,
+                slice: held.slice,
+                slices: held.slices,
+            };
+            size += interest.encoded_len() + 3;
+            word.interests.push(interest);
+        }
+        if word.interests.is_empty() && word.closed.is_empty() {
+            return None;
+        }
+        if std::mem::take(&mut self.say_allowance) {
+            word.allowance = self.takes.max(1.0) as u32;
+        }
+        self.say(word.encoded_len());
+        Some(word)
+    }
+
+    /// Drains and leavings known here, the latest ones, for a planner with an earlier list.
+    fn closed(&mut self, now: Nanos) -> Vec<Closed> {
+        while self.left.front().is_some_and(|l| now.saturating_sub(l.at) >= TELL_LEFT) {
+            self.left.pop_front();
+        }
+        let left = self.left.iter().rev().map(|l| Closed {
+            name: l.name.clone(),
+            membership: l.source,
+            started_ms: l.started_at / MS,
+            gone: true,
+        });
+        let drains =
+            self.services.values().flat_map(|h| h.servers.values().map(move |s| (h.source, &s.member)));
+        let drains = drains.filter(|(_, m)| m.server.phase == Phase::Draining).map(|(source, m)| Closed {
+            name: m.name.clone(),
+            membership: source,
+            started_ms: m.server.started_at / MS,
+            gone: false,
+        });
+        drains.chain(left).take(MOST_CLOSED).collect()
+    }
+
+    /// A report of what was met of servers, within the bytes that are left; `observed` names those of services in use.
+    pub fn next_report(
+        &mut self,
+        now: Nanos,
+        observed: &mut dyn Iterator<Item = (&str, Observed)>,
+    ) -> Option<Report> {
+        self.planner()?;
+        self.refill(now);
+        let mut report = Report::default();
+        let mut size = 0;
+        for (name, met) in observed {
+            if self.tokens - REPORTS_FROM < size as f64 || size > MESSAGE {
+                break;
+            }
+            let told = self.reported.get(name).copied();
+            let (count, out) = told.unwrap_or((0.0, false));
+            let most = f64::from(count).max(met.accomplished).max(LEAST);
+            let differs = (f64::from(count) - met.accomplished).abs() > HARDLY * most;
+            let room = told.is_some() || self.reported.len() < MOST_REPORTED;
+            if !room || !(differs || out != met.ejected) {
+                continue;
+            }
+            self.reported.insert(name.to_owned(), (met.accomplished as f32, met.ejected));
+            let row = seen(name, &met);
+            size += row.encoded_len() + 3;
+            report.rows.push(row);
+        }
+        if report.rows.is_empty() {
+            return None;
+        }
+        self.say(report.encoded_len());
+        Some(report)
+    }
+}
+
+fn seen(name: &str, met: &Observed) -> Seen {
+    let mut endings = met.endings.to_vec();
+    let used = endings.iter().rposition(|&n| n > 0).map_or(0, |last| last + 1);
+    endings.truncate(used.min(ENDINGS));
+    Seen {
+        name: name.to_owned(),
+        accomplished: met.accomplished as f32,
+        in_flight: met.in_flight,
+        lag: met.lag as f32,
+        faults: met.faults.clamp(0.0, 1.0) as f32,
+        ejected: met.ejected,
+        endings,
+    }
+}
--- a/crates/plan/src/wire.rs
+++ b/crates/plan/src/wire.rs
@@ -364,6 +364,9 @@
     /// It goes to another planner: nothing of it lags here any longer.
     #[prost(bool, tag = "3")]
     pub leaving: bool,
+    /// Bytes that it takes at once now, for a planner that it comes to; 0 where it does not say.
+    #[prost(uint32, tag = "4")]
+    pub allowance: u32,
 }
 
 /// A forwarder's interest in one service, and what it holds of it.
@@ -469,6 +472,8 @@
     Same = 4,
     /// There is no such service.
     Unknown = 5,
+    /// A whole in one piece.
+    Whole = 6,
 }
 
 /// An update was taken in, service by service, or not.
--- /dev/null
+++ b/crates/plan/tests/services.rs
@@ -0,0 +1,605 @@
+//! Publisher and subscriber together, message by message.
+
+use laurelroute_plan::member::Member;
+use laurelroute_plan::services::publisher::{
+    Lag, Listed, Publisher, Settings as PublisherSettings, BEAT, FRAMING, STUBBORN, UNRESPONSIVE,
+};
+use laurelroute_plan::services::subscriber::{Change, Settings, Standing, Subscriber, MOST_WAITING};
+use laurelroute_plan::wire::{Acknowledge, Ask, Piece, Report, Seen, Suspicion, Update};
+use laurelroute_policy::interface::{Nanos, Phase};
+use prost::Message;
+
+const MS: Nanos = 1_000_000;
+const S: Nanos = 1_000 * MS;
+
+fn publisher(life: u64) -> Publisher {
+    let settings = PublisherSettings {
+        site: "perth".into(),
+        life,
+        planners: 2,
+        most_forwarders: 100,
+        bytes_per_second: 7_000.0,
+        burst: 36_000.0,
+        drain_bytes_per_second: 1_500.0,
+        drain_burst: 4_000.0,
+    };
+    Publisher::new(0, settings)
+}
+
+fn settings(name: &str) -> Settings {
+    Settings {
+        name: name.into(),
+        site: "perth".into(),
+        planners: vec!["a".into(), "b".into()],
+        most_services: 1_000,
+        most_bytes: 32 << 20,
+        unused_after: 600 * S,
+        unknown_for: 30 * S,
+        bytes_per_second: 1_500.0,
+        burst: 8_000.0,
+        takes_per_second: 7_000.0,
+        takes_burst: 36_000.0,
+        seed: 1,
+    }
+}
+
+fn listed(service: &str, member: Member) -> Listed {
+    Listed { services: vec![service.into()], member }
+}
+
+fn servers(service: &str, count: usize) -> Vec<Listed> {
+    (0..count).map(|k| listed(service, Member::warm(&format!("{service}-{k:04}")))).collect()
+}
+
+fn draining(service: &str, name: &str) -> Listed {
+    listed(service, Member::warm(name).in_phase(Phase::Draining))
+}
+
+fn gone(service: &str, name: &str) -> Listed {
+    listed(service, Member::warm(name).in_phase(Phase::Gone))
+}
+
+/// A forwarder that is connected to this planner.
+fn connect(now: Nanos, publisher: &mut Publisher, name: &str, life: u64) -> Subscriber {
+    let mut subscriber = Subscriber::new(now, settings(name));
+    join(now, publisher, &mut subscriber, name, (0, life));
+    subscriber
+}
+
+fn join(
+    now: Nanos,
+    publisher: &mut Publisher,
+    subscriber: &mut Subscriber,
+    name: &str,
+    (planner, life): (usize, u64),
+) {
+    publisher.joined(now, name, 0).unwrap();
+    subscriber.connected(now, planner, life);
+}
+
+/// One message each way until there is nothing more to say at this time; the updates.
+fn exchange(
+    now: Nanos,
+    publisher: &mut Publisher,
+    subscriber: &mut Subscriber,
+    name: &str,
+    planner: usize,
+) -> Vec<Update> {
+    let mut updates = Vec::new();
+    loop {
+        let mut quiet = true;
+        while let Some(word) = subscriber.next_subscribe(now) {
+            publisher.subscribe(now, name, &word).unwrap();
+            quiet = false;
+        }
+        while let Some(update) = publisher.next_update(now, name).unwrap() {
+            if let Some(answer) = subscriber.receive(now, planner, &update) {
+                publisher.acknowledge(now, name, &answer);
+            }
+            updates.push(update);
+            quiet = false;
+        }
+        if quiet {
+            return updates;
+        }
+    }
+}
+
+fn names(subscriber: &Subscriber, service: &str) -> Vec<String> {
+    subscriber.members_of(service).unwrap_or_default().iter().map(|m| m.name.clone()).collect()
+}
+
+fn equal(publisher: &Publisher, subscriber: &Subscriber, name: &str, service: &str) {
+    let planned: Vec<_> =
+        publisher.slice_for(name, service).expect("subscribed").into_iter().cloned().collect();
+    let held: Vec<_> = subscriber.members_of(service).expect("held").into_iter().cloned().collect();
+    assert_eq!(planned, held, "{service}");
+}
+
+fn pieces(updates: &[Update]) -> Vec<Piece> {
+    updates.iter().flat_map(|u| &u.services).map(|c| c.piece()).collect()
+}
+
+#[test]
+fn a_service_comes_with_its_first_request_and_then_only_what_changes() {
+    let mut publisher = publisher(7);
+    let mut list = servers("tide", 20);
+    list.extend(servers("rain", 3));
+    publisher.list(0, 1, true, list);
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    assert!(
+        exchange(0, &mut publisher, &mut f0, "f0", 0).is_empty(),
+        "nothing is sent that nobody asked for"
+    );
+    assert_eq!(f0.want(0, "tide"), Standing::Waiting);
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!(f0.want(0, "tide"), Standing::Held);
+    equal(&publisher, &f0, "f0", "tide");
+    assert_eq!(f0.members_of("rain"), None);
+    let Some(Change::Members { service, members, subscribers }) = f0.changes().pop() else { panic!() };
+    assert_eq!((service.as_str(), members.len(), subscribers), ("tide", 20, 2));
+    publisher.list(S, 2, false, vec![draining("tide", "tide-0003"), gone("tide", "tide-0004")]);
+    publisher.list(S, 3, false, vec![draining("rain", "rain-0001")]);
+    let updates = exchange(S, &mut publisher, &mut f0, "f0", 0);
+    let [update] = &updates[..] else { panic!("{updates:?}") };
+    let [changes] = &update.services[..] else { panic!("{update:?}") };
+    assert_eq!((changes.rows.len(), changes.removed.len(), changes.base > 0), (1, 1, true));
+    let Some(Change::Members { members, .. }) = f0.changes().pop() else { panic!() };
+    let phases: Vec<_> = members.iter().map(|m| (m.name.as_str(), m.server.phase)).collect();
+    assert_eq!(phases, [("tide-0003", Phase::Draining), ("tide-0004", Phase::Gone)]);
+    equal(&publisher, &f0, "f0", "tide");
+    assert!(exchange(S, &mut publisher, &mut f0, "f0", 0).is_empty());
+    let beat = exchange(2 * S, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!((beat.len(), beat[0].number), (1, 0), "that all stands is said");
+}
+
+#[test]
+fn one_that_comes_back_gets_what_changed_and_nothing_else() {
+    let mut publisher = publisher(7);
+    publisher.list(0, 1, true, servers("tide", 20));
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    f0.want(0, "tide");
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    publisher.left(S, "f0");
+    f0.lost(S, 0);
+    publisher.list(2 * S, 2, false, vec![gone("tide", "tide-0001")]);
+    publisher.list(2 * S, 3, false, vec![draining("tide", "tide-0002")]);
+    publisher.list(2 * S, 4, false, vec![listed("tide", Member::warm("tide-0002"))]);
+    assert_eq!(f0.want(2 * S, "tide"), Standing::Held, "what is held outlives the connection");
+    join(3 * S, &mut publisher, &mut f0, "f0", (0, 7));
+    let updates = exchange(3 * S, &mut publisher, &mut f0, "f0", 0);
+    let changes: Vec<_> = updates.iter().flat_map(|u| &u.services).collect();
+    assert_eq!(changes.len(), 1);
+    // The drain that was taken back meanwhile is told as the server stands now.
+    assert_eq!((changes[0].rows.len(), changes[0].removed.len()), (1, 1));
+    equal(&publisher, &f0, "f0", "tide");
+}
+
+#[test]
+fn another_planner_sends_nothing_of_what_is_held_alike() {
+    let mut a = publisher(7);
+    let mut b = publisher(9);
+    a.list(0, 1, true, servers("tide", 20));
+    b.list(0, 1, true, servers("tide", 20));
+    let mut f0 = connect(0, &mut a, "f0", 7);
+    f0.want(0, "tide");
+    exchange(0, &mut a, &mut f0, "f0", 0);
+    f0.lost(S, 0);
+    join(S, &mut b, &mut f0, "f0", (1, 9));
+    assert_eq!(pieces(&exchange(S, &mut b, &mut f0, "f0", 1)), [Piece::Same]);
+    b.list(S, 2, false, vec![gone("tide", "tide-0001")]);
+    assert_eq!(pieces(&exchange(S, &mut b, &mut f0, "f0", 1)), [Piece::Last]);
+    equal(&b, &f0, "f0", "tide");
+    // Where it differs, the whole comes, and what it does not name goes.
+    a.list(2 * S, 3, false, vec![gone("tide", "tide-0001"), gone("tide", "tide-0009")]);
+    f0.lost(2 * S, 1);
+    join(2 * S, &mut a, &mut f0, "f0", (0, 7));
+    exchange(2 * S, &mut a, &mut f0, "f0", 0);
+    equal(&a, &f0, "f0", "tide");
+    assert_eq!(names(&f0, "tide").len(), 18);
+}
+
+#[test]
+fn a_drain_goes_ahead_of_a_long_whole() {
+    let mut publisher = publisher(7);
+    // One service beside enough others that the bytes are used up for a while.
+    let mut list = servers("tide", 30);
+    (0..100).for_each(|k| list.extend(servers(&format!("s{k:03}"), 30)));
+    publisher.list(0, 1, true, list);
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    f0.want(0, "tide");
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    (0..100).for_each(|k| {
+        f0.want(0, &format!("s{k:03}"));
+    });
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    let held = (0..100).filter(|k| f0.members_of(&format!("s{k:03}")).is_some()).count();
+    assert!(held > 20, "{held} services have begun");
+    // The bytes are used up; the drain has bytes of its own.
+    publisher.list(MS, 2, false, vec![draining("tide", "tide-0003")]);
+    exchange(MS, &mut publisher, &mut f0, "f0", 0);
+    let drained = f0.members_of("tide").unwrap().into_iter().find(|m| m.name == "tide-0003").unwrap();
+    assert_eq!(drained.server.phase, Phase::Draining);
+}
+
+#[test]
+fn first_pieces_of_many_services_come_before_the_rest_of_any() {
+    let mut publisher = publisher(7);
+    let list = (0..60).flat_map(|k| servers(&format!("s{k:02}"), 60)).collect();
+    publisher.list(0, 1, true, list);
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    (0..60).for_each(|k| {
+        f0.want(0, &format!("s{k:02}"));
+    });
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    assert!((0..60).all(|k| f0.want(0, &format!("s{k:02}")) == Standing::Held));
+    let mut now = 0;
+    while now < 60 * S {
+        now += S / 4;
+        exchange(now, &mut publisher, &mut f0, "f0", 0);
+    }
+    (0..60).for_each(|k| equal(&publisher, &f0, "f0", &format!("s{k:02}")));
+}
+
+#[test]
+fn a_large_service_is_cut_into_slices_and_every_forwarder_holds_one() {
+    let mut publisher = publisher(7);
+    publisher.list(0, 1, true, servers("tide", 40));
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    f0.want(0, "tide");
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!(names(&f0, "tide").len(), 40);
+    // It grows a hundredfold: what f0 holds is a slice from now on.
+    publisher.list(S, 2, true, servers("tide", 4_000));
+    exchange(10 * S, &mut publisher, &mut f0, "f0", 0);
+    equal(&publisher, &f0, "f0", "tide");
+    assert!((12..90).contains(&names(&f0, "tide").len()), "{}", names(&f0, "tide").len());
+    let mut seen = std::collections::BTreeSet::new();
+    for k in 0..90 {
+        let name = format!("g{k}");
+        let mut f = connect(11 * S, &mut publisher, &name, 7);
+        f.want(11 * S, "tide");
+        exchange(11 * S, &mut publisher, &mut f, &name, 0);
+        equal(&publisher, &f, &name, "tide");
+        seen.extend(names(&f, "tide"));
+    }
+    assert!(seen.len() > 1_500, "{} servers of 4000 are used by 90 forwarders", seen.len());
+    // And shrinks again: all of them are everybody's.
+    publisher.list(12 * S, 3, true, servers("tide", 20));
+    exchange(20 * S, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!(names(&f0, "tide").len(), 20);
+}
+
+#[test]
+fn a_name_that_does_not_exist_is_an_answer_and_takes_no_place() {
+    let mut publisher = publisher(7);
+    publisher.list(0, 1, true, servers("tide", 3));
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    f0.want(0, "tide");
+    assert_eq!(f0.want(0, "nowhere"), Standing::Waiting);
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!(f0.want(0, "nowhere"), Standing::Unknown);
+    assert!(f0.changes().contains(&Change::Unknown("nowhere".into())));
+    // A flood of made-up names: no more of them wait than may, and what is in use stays.
+    for round in 0..20u64 {
+        for k in 0..1_000 {
+            f0.want(round * S, &format!("made-up-{round}-{k}"));
+        }
+        assert!(f0.figures().services <= 1);
+        exchange(round * S, &mut publisher, &mut f0, "f0", 0);
+        assert_eq!(f0.want(round * S, "tide"), Standing::Held);
+    }
+    assert!(f0.figures().unknown <= 4_096);
+    // With nobody to ask, too.
+    f0.lost(20 * S, 0);
+    let full =
+        (0..2 * MOST_WAITING).filter(|k| f0.want(20 * S, &format!("x{k}")) == Standing::NoRoom).count();
+    assert!(full >= MOST_WAITING);
+    assert_eq!(f0.want(20 * S, "tide"), Standing::Held);
+    // One that comes into being is asked for again after a while.
+    let mut f0 = connect(21 * S, &mut publisher, "f0", 7);
+    f0.want(21 * S, "nowhere");
+    exchange(21 * S, &mut publisher, &mut f0, "f0", 0);
+    publisher.list(22 * S, 2, false, servers("nowhere", 2));
+    f0.poll(60 * S);
+    assert_eq!(f0.want(60 * S, "nowhere"), Standing::Waiting);
+    exchange(60 * S, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!(f0.want(60 * S, "nowhere"), Standing::Held);
+}
+
+#[test]
+fn what_is_least_used_makes_room_and_nothing_with_a_request_under_way() {
+    let mut publisher = publisher(7);
+    publisher.list(0, 1, true, (0..8).flat_map(|k| servers(&format!("s{k}"), 2)).collect());
+    let mut f0 = Subscriber::new(0, Settings { most_services: 3, ..settings("f0") });
+    join(0, &mut publisher, &mut f0, "f0", (0, 7));
+    for k in 0..3u64 {
+        f0.want(k * S, &format!("s{k}"));
+        exchange(k * S, &mut publisher, &mut f0, "f0", 0);
+    }
+    f0.began("s0");
+    f0.want(5 * S, "s2");
+    f0.want(6 * S, "s5");
+    exchange(6 * S, &mut publisher, &mut f0, "f0", 0);
+    let held =
+        |f: &Subscriber| (0..8).filter(|k| f.members_of(&format!("s{k}")).is_some()).collect::<Vec<_>>();
+    assert_eq!(held(&f0), [0, 2, 5], "s1 was used last of all but s0, which has a request");
+    assert!(f0.changes().contains(&Change::Dropped("s1".into())));
+    assert_eq!(publisher.figures().subscriptions, 3);
+    f0.ended(7 * S, "s0");
+    f0.want(7 * S, "s6");
+    exchange(7 * S, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!(held(&f0), [2, 5, 6]);
+    // All in use: the newcomer goes.
+    ["s2", "s5", "s6"].iter().for_each(|s| f0.began(s));
+    f0.want(8 * S, "s7");
+    exchange(8 * S, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!(held(&f0), [2, 5, 6]);
+    ["s2", "s5", "s6"].iter().for_each(|s| f0.ended(8 * S, s));
+    // Unused for long.
+    f0.want(300 * S, "s5");
+    f0.poll(620 * S);
+    assert_eq!(held(&f0), [5]);
+}
+
+#[test]
+fn a_change_is_in_force_where_it_is_acknowledged_and_nowhere_else() {
+    let mut publisher = publisher(7);
+    publisher.list(0, 1, true, servers("tide", 10));
+    let mut f: Vec<Subscriber> = (0..3).map(|k| connect(0, &mut publisher, &format!("f{k}"), 7)).collect();
+    for (k, f) in f.iter_mut().enumerate() {
+        f.want(0, "tide");
+        exchange(0, &mut publisher, f, &format!("f{k}"), 0);
+    }
+    publisher.list(S, 2, false, vec![gone("tide", "tide-0000")]);
+    let force = publisher.in_force(2).unwrap();
+    assert_eq!((force.at, force.of, force.since), (0, 3, None));
+    exchange(2 * S, &mut publisher, &mut f[0], "f0", 0);
+    // Sent to f1, and not acknowledged; f2 is lost.
+    let update = publisher.next_update(2 * S, "f1").unwrap().unwrap();
+    publisher.left(2 * S, "f2");
+    let force = publisher.in_force(2).unwrap();
+    assert_eq!((force.at, force.of), (1, 3));
+    assert_eq!(force.lag, [("f1".into(), Lag::Unacknowledged), ("f2".into(), Lag::Lost(2 * S))]);
+    assert!(publisher.explain(3 * S, &Ask { change: 2, ..Ask::default() }).contains("in force at 1 of 3"));
+    let answer = f[1].receive(3 * S, 0, &update).unwrap();
+    publisher.acknowledge(3 * S, "f1", &answer);
+    assert_eq!(
+        publisher.in_force(2).unwrap().since,
+        None,
+        "one that cannot be reached is never counted as done"
+    );
+    publisher.poll(300 * S);
+    assert_eq!(publisher.in_force(2).unwrap().lag.len(), 1);
+    // It comes back, holds what it held, and lags until it has the change.
+    join(301 * S, &mut publisher, &mut f[2], "f2", (0, 7));
+    assert_eq!(publisher.in_force(2).unwrap().at, 2);
+    exchange(301 * S, &mut publisher, &mut f[2], "f2", 0);
+    let force = publisher.in_force(2).unwrap();
+    assert_eq!((force.at, force.of, force.since), (3, 3, Some(301 * S)));
+    // Who uses the service no longer counts on neither side.
+    f[2].poll(2_000 * S);
+    exchange(2_000 * S, &mut publisher, &mut f[2], "f2", 0);
+    let force = publisher.in_force(2).unwrap();
+    assert_eq!((force.at, force.of), (2, 2));
+    assert_eq!(publisher.in_force(99), None);
+}
+
+#[test]
+fn a_change_and_its_opposite_in_one_word_are_nothing() {
+    let mut publisher = publisher(7);
+    publisher.list(0, 1, true, servers("tide", 10));
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    f0.want(0, "tide");
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    publisher.list(
+        MS,
+        2,
+        false,
+        vec![draining("tide", "tide-0001"), listed("tide", Member::warm("tide-0001"))],
+    );
+    assert!(exchange(MS, &mut publisher, &mut f0, "f0", 0).is_empty());
+    // And so is a whole list that says what is known.
+    publisher.list(MS, 3, true, servers("tide", 10));
+    assert!(exchange(MS, &mut publisher, &mut f0, "f0", 0).is_empty());
+}
+
+#[test]
+fn a_planner_with_an_earlier_list_is_told_and_waits() {
+    let (mut a, mut b) = (publisher(7), publisher(9));
+    for p in [&mut a, &mut b] {
+        p.list(0, 5, true, servers("tide", 10));
+    }
+    let mut f0 = connect(0, &mut a, "f0", 7);
+    f0.want(0, "tide");
+    a.list(0, 6, false, vec![draining("tide", "tide-0001"), gone("tide", "tide-0002")]);
+    exchange(0, &mut a, &mut f0, "f0", 0);
+    f0.lost(S, 0);
+    join(S, &mut b, &mut f0, "f0", (1, 9));
+    let closed = |f: &Subscriber| {
+        let ready = |m: &&&Member| m.server.phase == Phase::Ready;
+        f.members_of("tide").unwrap().iter().filter(ready).count()
+    };
+    // It keeps what it holds, and b hears of the drain by its next beat.
+    let mut now = S;
+    while now < 4 * S {
+        exchange(now, &mut b, &mut f0, "f0", 1);
+        assert_eq!(closed(&f0), 8);
+        now += S / 2;
+    }
+    let heard = b.members_of("tide").iter().filter(|m| m.server.phase == Phase::Draining).count();
+    assert_eq!(heard, 1, "the planner with the earlier list has heard of the drain");
+    b.list(5 * S, 6, false, vec![draining("tide", "tide-0001"), gone("tide", "tide-0002")]);
+    exchange(5 * S, &mut b, &mut f0, "f0", 1);
+    equal(&b, &f0, "f0", "tide");
+    // A source that has lost its versions is believed in the end.
+    let mut c = publisher(11);
+    c.list(0, 1, true, servers("tide", 10));
+    f0.lost(6 * S, 1);
+    join(6 * S, &mut c, &mut f0, "f0", (0, 11));
+    now = 6 * S;
+    while now <= 7 * S + STUBBORN {
+        c.poll(now);
+        exchange(now, &mut c, &mut f0, "f0", 0);
+        now += S / 2;
+    }
+    equal(&c, &f0, "f0", "tide");
+}
+
+#[test]
+fn a_planner_that_has_no_list_yet_says_of_nothing_that_it_is_not_there() {
+    let mut publisher = publisher(7);
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    f0.want(0, "tide");
+    assert!(exchange(0, &mut publisher, &mut f0, "f0", 0).is_empty());
+    publisher.list(S, 1, true, servers("tide", 4));
+    exchange(S, &mut publisher, &mut f0, "f0", 0);
+    equal(&publisher, &f0, "f0", "tide");
+}
+
+#[test]
+fn one_server_in_two_services_is_in_both_and_leaves_both() {
+    let mut publisher = publisher(7);
+    let both = Listed { services: vec!["tide".into(), "rain".into()], member: Member::warm("x") };
+    publisher.list(0, 1, true, vec![both.clone()]);
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    f0.want(0, "tide");
+    f0.want(0, "rain");
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!((names(&f0, "tide"), names(&f0, "rain")), (vec!["x".into()], vec!["x".into()]));
+    publisher.list(S, 2, false, vec![Listed { services: vec!["rain".into()], ..both.clone() }]);
+    exchange(S, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!((names(&f0, "tide").len(), names(&f0, "rain").len()), (0, 1));
+    publisher.list(
+        S,
+        3,
+        false,
+        vec![Listed { member: both.member.in_phase(Phase::Draining), services: vec!["rain".into()] }],
+    );
+    exchange(S, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!(f0.members_of("rain").unwrap()[0].server.phase, Phase::Draining);
+}
+
+#[test]
+fn the_bytes_hold_in_every_ten_seconds() {
+    let mut publisher = publisher(7);
+    let list: Vec<Listed> = (0..300).flat_map(|k| servers(&format!("s{k:03}"), 27)).collect();
+    publisher.list(0, 1, true, list.clone());
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    (0..300).for_each(|k| {
+        f0.want(0, &format!("s{k:03}"));
+    });
+    let (mut sums, mut sent) = (Vec::new(), 0);
+    for step in 0..1_200u64 {
+        let now = step * 100 * MS;
+        if step % 40 == 39 {
+            // A zone goes, and comes back.
+            let phase = if step % 80 == 39 { Phase::Gone } else { Phase::Ready };
+            let tenth = list.iter().step_by(9).cloned();
+            let tenth = tenth.map(|l| Listed { member: l.member.in_phase(phase), ..l }).collect();
+            publisher.list(now, 2 + step, false, tenth);
+        }
+        let updates = exchange(now, &mut publisher, &mut f0, "f0", 0);
+        sent += updates.iter().map(|u| u.encoded_len() + FRAMING).sum::<usize>();
+        sums.push(sent + f0.figures().sent as usize);
+    }
+    let worst = sums.windows(101).map(|w| w[100] - w[0]).max().unwrap().max(sums[100]);
+    assert!(worst < 150_000, "{worst} bytes in ten seconds");
+    (0..300).for_each(|k| equal(&publisher, &f0, "f0", &format!("s{k:03}")));
+}
+
+#[test]
+fn one_that_acknowledges_nothing_is_told_to_go() {
+    let mut publisher = publisher(7);
+    publisher.list(0, 1, true, servers("tide", 10));
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    f0.want(0, "tide");
+    publisher.subscribe(0, "f0", &f0.next_subscribe(0).unwrap()).unwrap();
+    assert!(publisher.next_update(0, "f0").unwrap().is_some());
+    assert!(publisher.next_update(UNRESPONSIVE - 1, "f0").unwrap().is_some_and(|u| u.number == 0));
+    assert!(publisher.next_update(UNRESPONSIVE, "f0").is_err());
+    // Word of another life, and of numbers that never were, is nothing.
+    publisher.acknowledge(S, "f0", &Acknowledge { life: 6, number: 1, refused: Vec::new() });
+    assert!(publisher.next_update(UNRESPONSIVE, "f0").is_err());
+    let crowd: Vec<String> = (0..120).map(|k| format!("g{k}")).collect();
+    let taken = crowd.iter().filter(|name| publisher.joined(0, name, 0).is_ok()).count();
+    assert_eq!(taken, 99, "a planner that is full says so");
+}
+
+#[test]
+fn what_two_have_met_is_told_to_all_and_comes_last() {
+    let mut publisher = publisher(7);
+    publisher.list(0, 1, true, servers("tide", 4));
+    let mut f: Vec<Subscriber> = (0..3).map(|k| connect(0, &mut publisher, &format!("f{k}"), 7)).collect();
+    for (k, f) in f.iter_mut().enumerate() {
+        f.want(0, "tide");
+        exchange(0, &mut publisher, f, &format!("f{k}"), 0);
+        f.changes();
+    }
+    let row =
+        |ejected| Seen { name: "tide-0002".into(), accomplished: 50.0, lag: 1.0, ejected, ..Seen::default() };
+    let report = |ejected| Report { rows: vec![row(ejected)], ..Report::default() };
+    publisher.report(S, "f0", &report(true)).unwrap();
+    publisher.report(S, "f1", &report(true)).unwrap();
+    exchange(S, &mut publisher, &mut f[2], "f2", 0);
+    let changes = f[2].changes();
+    let [Change::Hints { words, .. }] = &changes[..] else { panic!("{changes:?}") };
+    assert_eq!((words.len(), words[0].suspicion), (1, Suspicion::Fails));
+    assert!((words[0].accomplished / 100.0 - 1.0).abs() < 0.1);
+    assert!(publisher.report(S, "f9", &report(true)).is_err());
+}
+
+#[test]
+fn a_change_costs_what_uses_it_and_no_more() {
+    let cost = |services: usize| {
+        let mut publisher = publisher(7);
+        publisher.list(0, 1, true, (0..services).flat_map(|k| servers(&format!("s{k:04}"), 10)).collect());
+        let mut f0 = connect(0, &mut publisher, "f0", 7);
+        f0.want(0, "s0001");
+        exchange(0, &mut publisher, &mut f0, "f0", 0);
+        let before = publisher.figures().steps;
+        publisher.list(S, 2, false, vec![draining("s0001", "s0001-0003")]);
+        exchange(S, &mut publisher, &mut f0, "f0", 0);
+        publisher.poll(2 * S);
+        exchange(2 * S, &mut publisher, &mut f0, "f0", 0);
+        publisher.figures().steps - before
+    };
+    assert_eq!(cost(10), cost(2_000));
+    assert!(cost(10) < 20, "{}", cost(10));
+}
+
+#[test]
+fn forwarders_spread_over_planners_and_come_back_spread_in_time() {
+    let planners: Vec<String> = (0..3).map(|k| format!("10.0.0.{k}:7400")).collect();
+    let subscriber = |k: u64| {
+        let name = format!("f{k}");
+        Subscriber::new(0, Settings { planners: planners.clone(), seed: k, ..settings(&name) })
+    };
+    let mut all: Vec<Subscriber> = (0..600).map(subscriber).collect();
+    let mut count = [0; 3];
+    for f in &mut all {
+        let first = f.try_next(0).unwrap();
+        assert_eq!(f.try_next(0), None, "one at a time");
+        f.connected(0, first, 7);
+        count[first] += 1;
+    }
+    assert!(count.iter().all(|n| (150..250).contains(n)), "{count:?}");
+    // The first one is lost: its forwarders go to both others, some at a time, and not back at once.
+    let mut others = [0; 3];
+    let mut tenths = [0; 30];
+    for f in all.iter_mut().filter(|f| f.planner() == Some(0)) {
+        f.lost(S, 0);
+        let (tenth, next) =
+            (0..30).find_map(|t| f.try_next(S + t as u64 * 100 * MS).map(|p| (t, p))).expect("within 3 s");
+        others[next] += 1;
+        tenths[tenth] += 1;
+        f.connected(5 * S, next, 7);
+    }
+    assert!(others[0] == 0 && others[1] > 50 && others[2] > 50, "{others:?}");
+    assert!(tenths.iter().all(|n| *n < count[0] / 5), "{tenths:?}");
+    // It is back: they return within half a minute.
+    let returned =
+        all.iter_mut().map(|f| usize::from((5..40).any(|t| f.try_next(t * S) == Some(0)))).sum::<usize>();
+    assert_eq!(returned, count[0]);
+    assert_eq!(BEAT, S);
+}
