--- a/crates/rig/src/scale_model/fleet.rs
+++ b/crates/rig/src/scale_model/fleet.rs
@@ -49,6 +49,12 @@
     /// A single real node before the whole list.
     pub const ONE: Size = Size { nodes: 1, real: 1, processes: 0, ..Size::FULL };
 
+    /// The same with fewer nodes, of which some are hollow in any case.
+    pub fn of_nodes(self, nodes: usize) -> Size {
+        let nodes = nodes.clamp(if self.processes > 0 { self.real + 10 } else { self.real }, self.nodes);
+        Size { nodes, processes: (self.processes * nodes).div_ceil(self.nodes), ..self }
+    }
+
     /// For a hollow process.
     pub fn json(&self) -> Value {
         json!([
--- a/crates/rig/src/scale_model/schedule.rs
+++ b/crates/rig/src/scale_model/schedule.rs
@@ -12,9 +12,8 @@
 const RESTARTS: f64 = 50_000.0;
 const CHANGES: f64 = 36_000.0;
 const SERVERS: f64 = 180_000.0;
-/// From a drain to the leaving, and from that to the return, in seconds.
-const DRAINED: f64 = 2.0;
-const AWAY: f64 = 2.0;
+/// From a drain to the leaving, and from that to the return, in seconds; in a short stretch a quarter of it.
+const PAUSE: f64 = 2.0;
 
 /// One change of one server.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -61,6 +60,7 @@
     let mut steps = Vec::new();
     let mut touched = HashSet::new();
     let part = servers as f64 / SERVERS;
+    let pause = PAUSE.min(seconds / 4.0);
     for (a_day, restart) in [(RESTARTS, true), (CHANGES, false)] {
         let rate = a_day * part * times / DAY;
         let mut at = -unit().ln() / rate;
@@ -70,8 +70,8 @@
                 let step = |at, what| Step { at, server, what };
                 if restart {
                     steps.push(step(at, What::Drain));
-                    steps.push(step(at + DRAINED, What::Leave));
-                    steps.push(step(at + DRAINED + AWAY, What::Join));
+                    steps.push(step(at + pause, What::Leave));
+                    steps.push(step(at + 2.0 * pause, What::Join));
                 } else {
                     // A listed size of 0.5 to 2, unlike the usual one.
                     steps.push(step(at, What::Size((0.5 + 1.5 * unit()) as f32)));
--- a/crates/rig/src/scale_out/day.rs
+++ b/crates/rig/src/scale_out/day.rs
@@ -7,6 +7,7 @@
 use laurelroute_rig::scale_model::schedule::{drawn, What};
 use laurelroute_testkit::process::{memory_kb, processor, Memory};
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// A change has to be in force at every reachable node within this.
@@ -15,6 +16,8 @@
 const TOGETHER: f64 = 0.25;
 /// A drained box may be sent to for so long after its forwarders know; the rest is for what is on its way on a busy machine.
 const GRACE: Duration = Duration::from_millis(250 + 500);
+/// How often it is said how far a long wait is.
+const TELL: Duration = Duration::from_secs(10);
 /// Servers of a small fleet change seldom: a stretch has this many of the day's changes at least.
 const LEAST_STEPS: f64 = 12.0;
 
@@ -62,6 +65,10 @@
     pub explained: Vec<(Vec<usize>, u64)>,
     /// How long hollow nodes took until all held all of their services, in seconds: at the start, and after a tenth was restarted.
     pub ready_s: [f64; 2],
+    /// Wholes of services sent, by the planner's process.
+    pub wholes: BTreeMap<u32, u64>,
+    /// Requests that only named a service at a real forwarder: served, and turned away or failed.
+    pub named: [usize; 2],
     /// What broke.
     pub broken: Vec<String>,
 }
@@ -114,7 +121,11 @@
     fn metered(&mut self, name: &str, meter: Meter) {
         let seconds = meter.begun.elapsed().as_secs_f64();
         let share = |now: Duration, before: Duration| now.saturating_sub(before).as_secs_f64() / seconds;
-        let planner = meter.planners.iter().map(|(pid, before)| share(processor(*pid), *before));
+        // One that was started meanwhile has used nothing before.
+        let before =
+            |pid: u32| meter.planners.iter().find(|(p, _)| *p == pid).map_or(Duration::ZERO, |p| p.1);
+        let running = self.bed.planners.iter().filter_map(|p| p.pid());
+        let planner: Vec<f64> = running.map(|pid| share(processor(pid), before(pid))).collect();
         let mut real: Vec<f64> = self
             .bed
             .real
@@ -126,7 +137,7 @@
         let cost = Cost {
             name: name.to_owned(),
             seconds,
-            planner: planner.fold(0.0, f64::max),
+            planner: planner.into_iter().fold(0.0, f64::max),
             control,
             loaded: real.into_iter().fold(0.0, f64::max),
         };
@@ -138,6 +149,12 @@
         let peak = |pid: u32| memory_kb(pid, Memory::Peak).unwrap_or(0);
         let planners = self.bed.planners.iter().filter_map(|p| p.pid()).map(peak).max().unwrap_or(0);
         let real = self.bed.real.iter().map(|r| peak(r.program.pid())).max().unwrap_or(0);
+        for planner in &self.bed.planners {
+            let told = planner.explain(&[]).unwrap_or_default();
+            if let (Some(pid), Some(wholes)) = (planner.pid(), wholes(&told)) {
+                self.seen.wholes.insert(pid, wholes);
+            }
+        }
         let [a, b] = self.seen.memory_kb;
         self.seen.memory_kb = [a.max(planners), b.max(real)];
     }
@@ -145,6 +162,7 @@
     /// Waits until all hollow nodes that run hold all that they have named; how long that took.
     fn until_held(&mut self, patience: Duration) -> Result<Duration, Failure> {
         let begun = Instant::now();
+        let mut told = Duration::ZERO;
         loop {
             let status = self.bed.all(&serde_json::json!({"do": "status"}))?;
             let sum = |key: &str| status.iter().filter_map(|s| s[key].as_u64()).sum::<u64>();
@@ -153,7 +171,19 @@
             if connected == running && held >= named {
                 return Ok(begun.elapsed());
             }
+            if begun.elapsed() > told + TELL {
+                told = begun.elapsed();
+                println!(
+                    "after {:.0} s {connected} of {running} nodes are connected and hold {held} of {named} services; \
+                     {} connections were made",
+                    told.as_secs_f64(),
+                    sum("made")
+                );
+            }
             if begun.elapsed() > patience {
+                for (why, count) in ends(&status) {
+                    println!("{count} connections ended: {why}");
+                }
                 self.seen.broken.push(format!(
                     "after {} s {connected} of {running} nodes are connected and hold {held} of {named} services",
                     patience.as_secs()
@@ -253,6 +283,11 @@
         let known = Instant::now();
         std::thread::sleep(GRACE * 2);
         let came = self.bed.boxes[place].came();
+        if came.iter().all(|c| c.at > begun) {
+            self.seen
+                .broken
+                .push(format!("box {} got nothing before it drained", self.bed.boxes[place].name));
+        }
         let last = came.iter().rev().map(|c| c.at).find(|at| *at > begun);
         self.seen.drained_ms.push(last.map_or(0, |at| at.duration_since(begun).as_millis() as u64));
         if let Some(late) = last.filter(|at| *at > known + GRACE) {
@@ -314,7 +349,10 @@
             day.seen.ready_s[1] = day.until_held(patience)?.as_secs_f64();
             Ok(())
         })?;
-        drop(namers);
+        for namer in &namers {
+            let (served, other) = namer.counts();
+            self.seen.named = [self.seen.named[0] + served, self.seen.named[1] + other];
+        }
         Ok(())
     }
 
@@ -380,6 +418,19 @@
     }
 }
 
+/// Why connections of hollow nodes ended, with how often.
+fn ends(status: &[Value]) -> BTreeMap<String, u64> {
+    let mut all = BTreeMap::new();
+    let each = status.iter().filter_map(|s| s["ended"].as_object()).flatten();
+    each.for_each(|(why, count)| *all.entry(why.clone()).or_default() += count.as_u64().unwrap_or(0));
+    all
+}
+
+/// How many wholes a planner says that it has sent: `..., 7 wholes`.
+pub fn wholes(told: &str) -> Option<u64> {
+    told.split(" wholes").next()?.rsplit(' ').next()?.parse().ok()
+}
+
 /// Whether a planner says that a change is in force everywhere: `in force at 7 of 7 ...`.
 pub fn in_force(told: &str) -> bool {
     let counts = told.split("in force at ").nth(1).unwrap_or_default();
--- a/crates/rig/src/scale_out/hollow.rs
+++ b/crates/rig/src/scale_out/hollow.rs
@@ -8,11 +8,11 @@
 use super::reported::Rounds;
 use crate::report::Failure;
 use laurelroute_channel::hello::Identity;
-use laurelroute_channel::subscription::Subscribing;
+use laurelroute_channel::subscription::{SessionError, Subscribing};
 use laurelroute_channel::tls::Tls;
 use laurelroute_plan::scramble;
 use laurelroute_plan::services::subscriber::{Change, Settings, Standing, Subscriber};
-use laurelroute_plan::wire::Role;
+use laurelroute_plan::wire::{Hello, Role};
 use laurelroute_policy::interface::Nanos;
 use laurelroute_rig::scale_model::awaited::{Awaited, State};
 use laurelroute_rig::scale_model::fleet::{server_named, service_name, Fleet, Size};
@@ -58,6 +58,10 @@
     }
 }
 
+/// Reasons for the end of a connection that are told apart, and how much of each is kept.
+const MOST_TEXTS: usize = 20;
+const MOST_TEXT: usize = 100;
+
 /// One life of a node.
 struct Life {
     subscriber: RefCell<Subscriber>,
@@ -84,9 +88,9 @@
     tls: Tls,
     nodes: RefCell<BTreeMap<usize, Node>>,
     awaited: RefCell<Awaited>,
-    /// Connections that were made, and those that ended or could not be made.
+    /// Connections that were made, and why some ended or could not be made, with how often.
     made: Cell<u64>,
-    ended: Cell<u64>,
+    ended: RefCell<BTreeMap<String, u64>>,
 }
 
 /// The least that it must be told at its start.
@@ -146,7 +150,7 @@
             nodes: RefCell::default(),
             awaited: RefCell::default(),
             made: Cell::new(0),
-            ended: Cell::new(0),
+            ended: RefCell::default(),
         });
         while let Some(line) = lines.recv().await {
             let answer = process.obey(&serde_json::from_str(&line)?);
@@ -208,6 +212,8 @@
             unknown_for: 10 * S,
             bytes_per_second: 1_500.0,
             burst: 8_000.0,
+            takes_per_second: 7_000.0,
+            takes_burst: 36_000.0,
             seed,
         };
         let life = Rc::new(Life {
@@ -250,9 +256,15 @@
             let changes = life.subscriber.borrow_mut().changes();
             self.take(node, changes);
         };
-        let noted = |_, how: Result<&_, &_>| {
-            let count = if how.is_ok() { &self.made } else { &self.ended };
-            count.set(count.get() + 1);
+        let noted = |_, how: Result<&Hello, &SessionError>| match how {
+            Ok(_) => self.made.set(self.made.get() + 1),
+            Err(error) => {
+                let mut ended = self.ended.borrow_mut();
+                let text: String = error.to_string().chars().take(MOST_TEXT).collect();
+                if ended.len() < MOST_TEXTS || ended.contains_key(&text) {
+                    *ended.entry(text).or_default() += 1;
+                }
+            }
         };
         let subscribing = Subscribing {
             subscriber: &life.subscriber,
@@ -369,7 +381,7 @@
             servers += figures.servers;
         }
         json!({"running": running, "connected": connected, "named": named, "held": held, "servers": servers,
-            "made": self.made.get(), "ended": self.ended.get()})
+            "made": self.made.get(), "ended": *self.ended.borrow()})
     }
 
     fn figures(&self) -> Value {
--- a/crates/rig/src/scale_out/mod.rs
+++ b/crates/rig/src/scale_out/mod.rs
@@ -30,6 +30,9 @@
     /// One real forwarder that uses 300 services of the whole list.
     #[arg(long)]
     pub one: bool,
+    /// Fewer nodes than the size has.
+    #[arg(long)]
+    pub nodes: Option<usize>,
 }
 
 /// Parts of `--seconds` that a stretch of the day lasts: with the default of 2 s, 20 s at full size and 2 s in the small form.
@@ -84,6 +87,7 @@
         (true, _) => Size::SMALL,
         _ => Size::FULL,
     };
+    let size = size.of_nodes(wanted.nodes.unwrap_or(size.nodes));
     check_room(&size)?;
     let stretch = if wanted.small { 1.0 } else { STRETCH };
     let part = Duration::from_secs_f64(common.seconds * stretch);
@@ -135,7 +139,17 @@
         "requests: {} served, {} refused, {} failed, {} lost, {} mixed up, {} not once; p99 {:.1} ms, {:.1} of it the boxes' own",
         became.served, became.refused, became.failed, became.lost, became.mixed, became.doubled, became.p99_ms, direct.0
     );
+    let wholes: u64 = day.seen.wholes.values().sum();
+    println!(
+        "wholes of services sent: {wholes}; wholes of the list told by discovery: {}",
+        day.bed.catalogue.wholes()
+    );
+    outcome.put("wholes", wholes as f64);
+    let [named, unnamed] = day.seen.named;
+    println!("requests that only named a service at a real forwarder: {named} served, {unnamed} not");
     for (key, value) in [
+        ("named_served", named as f64),
+        ("named_other", unnamed as f64),
         ("served", became.served as f64),
         ("refused", became.refused as f64),
         ("failed", became.failed as f64),
--- a/crates/rig/src/scale_out/traffic.rs
+++ b/crates/rig/src/scale_out/traffic.rs
@@ -18,21 +18,18 @@
 /// Bytes that a request carries.
 const BODY: usize = 200;
 
-/// What became of requests that only name a service.
+/// What became of requests that only name a service: served, and turned away or failed.
 #[derive(Debug, Default)]
-pub struct Named {
-    /// Served.
-    pub served: AtomicUsize,
-    /// Turned away or failed: the service was not there yet.
-    pub other: AtomicUsize,
+struct Named {
+    served: AtomicUsize,
+    other: AtomicUsize,
 }
 
 /// Names services for as long as it is kept.
 pub struct Namer {
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
-    /// What became of it.
-    pub named: Arc<Named>,
+    named: Arc<Named>,
     reached: Arc<AtomicUsize>,
 }
 
@@ -85,6 +82,11 @@
         self.reached.load(Ordering::SeqCst)
     }
 
+    /// How many of its requests were served, and how many not.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.named.served.load(Ordering::SeqCst), self.named.other.load(Ordering::SeqCst))
+    }
+
     /// Names the services that a real node of the bed uses.
     pub fn of(bed: &Bed, node: usize) -> Namer {
         let real = &bed.real[node];
