A list costs what it says, and no search of the whole fleet for each server

The module looked for each known server in the whole of a whole list, for a free place among all remembered servers at each new one, and at all servers of all zones after each change; it summed up all ranked servers at each cold one. So time to ready grew with the square of the list, and one changed server cost a walk over all.

Now the names of a whole list are looked up in a set; free places are kept apart from those that left too lately; a zone is looked at again only where its part, its members or their starts have changed, or cold ones inside may shift its edge. Where a part holds all (a plan, few nodes) only those who have come are placed. Ready servers are found by bisection, those who leave are taken out of the ranking together, and the size of those ranked is kept. `Balancer::steps` counts looks at servers.

One that drains costs those ranked behind it in its zone, as before: their places are numbers.

One fault that came up is mended: a ready server that moved to another zone without leaving was ranked in none, and its leaving broke the module where nobody had been in that zone.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -1,7 +1,6 @@
 //! All decisions. Types, events and actions: `interface.rs`.
 //!
-//! Sections: constants, state, list, ranking, queue estimate, choice (JSQ-DAS), cold servers, health,
-//! requests, admission, attempts, timers.
+//! Sections: constants, state, list, ranking, queue, choice (JSQ-DAS), cold, health, requests, and so on.
 
 #[path = "forecast.rs"]
 mod forecast;
@@ -20,7 +19,7 @@
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
 // ---- Constants: ratios of settings or of observations ----
 
@@ -62,8 +61,7 @@
 /// No more than this part of a zone is ejected on soft evidence.
 const EJECT_CAP: f64 = 0.5;
 /// Weights of a new answer in a server's and in the fleet's share of failures; the share above the fleet's
-/// that ejects, the one that ends the doubt, and what a sure failure costs in mean responses. What strikes
-/// all servers alike must not put the fleet out.
+/// that ejects (what strikes all must not), the one that ends the doubt, a failure's cost in mean responses.
 const FAULT_WEIGHT: f64 = 0.2;
 const FLEET_FAULT_WEIGHT: f64 = 0.02;
 const FAULTY: f64 = 0.35;
@@ -120,6 +118,7 @@
     endings: [u32; ENDINGS],
 }
 
+#[derive(Clone, Copy)]
 struct Attempt {
     node: usize,
     credit: f64,
@@ -128,6 +127,9 @@
     open: bool,
 }
 
+/// How an attempt has ended: whether the client has its answer, how long it took, and what came.
+type End = (bool, Nanos, Ending);
+
 #[derive(Default)]
 struct Pending {
     request: Request,
@@ -150,14 +152,28 @@
     Relist,
 }
 
+/// A zone's ready servers in one order, and those that are ranked. It is looked at again where its part would
+/// be another, which is 0 where somebody has come, left or started since, or warms up and may shift its edge.
+#[derive(Default)]
+struct Zone {
+    ready: Vec<usize>,
+    rank: Vec<usize>,
+    part: f64,
+    fresh: BTreeSet<usize>,
+    left: bool,
+    size: f64,
+}
+
 /// The decisions of one node. Equal settings, seed and events give equal actions.
 pub struct Balancer {
     settings: Settings,
     rng: Pcg64Mcg,
     nodes: Vec<Node>,
     by_endpoint: BTreeMap<Endpoint, usize>,
-    ready: Vec<Vec<usize>>,
-    ranks: Vec<Vec<usize>>,
+    zones: Vec<Zone>,
+    left: BTreeSet<(Nanos, usize)>,
+    free: BTreeSet<usize>,
+    steps: u64,
     epoch: Nanos,
     pending: BTreeMap<RequestId, Pending>,
     typical: Vec<f64>,
@@ -196,8 +212,10 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             nodes: Vec::new(),
             by_endpoint: BTreeMap::new(),
-            ready: Vec::new(),
-            ranks: Vec::new(),
+            zones: Vec::new(),
+            left: BTreeSet::new(),
+            free: BTreeSet::new(),
+            steps: 0,
             epoch: 0,
             pending: BTreeMap::new(),
             typical: settings.classes.iter().map(|c| c.aim as f64 / 3.0).collect(),
@@ -241,22 +259,17 @@
             Event::Request(request) => self.admit(now, request, sink),
             Event::Outcome { request, server, attempt, finished, took, ending, report } => {
                 self.learn(now, server, report);
-                self.outcome(now, (request, attempt), finished, took, ending, sink)
+                self.outcome(now, request, attempt, (finished, took, ending), sink)
             }
             Event::StreamStarted { request, .. } => {
-                if let Some(p) = self.pending.get_mut(&request) {
-                    p.streaming = true;
-                }
+                self.pending.get_mut(&request).into_iter().for_each(|p| p.streaming = true);
             }
             Event::ClientGone { request } => self.close(request, sink),
             Event::Probed { server, report, .. } => self.learn(now, server, report),
             Event::Message { .. } => {}
             Event::Timer { .. } => {
                 self.armed = Nanos::MAX;
-                while let Some(&Reverse((at, job))) = self.jobs.peek() {
-                    if at > now {
-                        break;
-                    }
+                while let Some(Reverse((_, job))) = self.jobs.peek().copied().filter(|j| j.0 .0 <= now) {
                     self.jobs.pop();
                     match job {
                         Job::Hedge(id) => self.hedge(now, id, sink),
@@ -273,6 +286,11 @@
         self.nodes.len()
     }
 
+    /// Servers looked at so far to follow lists, one for each look: what lists have cost.
+    pub fn steps(&self) -> u64 {
+        self.steps
+    }
+
     fn draw(&mut self, below: usize) -> usize {
         ((u64::from(self.rng.next_u32()) * below as u64) >> 32) as usize
     }
@@ -296,8 +314,10 @@
             ListKind::Full | ListKind::Changes => self.list_failures = 0,
         }
         if kind != ListKind::Changes {
+            let listed = servers.iter().map(|s| s.endpoint).collect::<BTreeSet<_>>();
+            self.steps += self.nodes.len() as u64;
             for i in 0..self.nodes.len() {
-                if !servers.iter().any(|s| s.endpoint == self.nodes[i].server.endpoint) {
+                if !listed.contains(&self.nodes[i].server.endpoint) {
                     self.leave(now, i, Phase::Gone);
                 }
             }
@@ -309,69 +329,105 @@
                 None => {}
             }
         }
-        (0..self.ready.len()).for_each(|zone| self.regroup(now, zone));
+        (0..self.zones.len()).for_each(|zone| self.regroup(now, zone));
     }
 
     /// Ranks this node's own part of a zone: with many nodes each would see any one server too seldom. Parts
     /// are windows of one order, set off by the golden ratio, so that all servers are in about as many.
     fn regroup(&mut self, now: Nanos, zone: usize) {
-        for pool in 0..=2 {
-            let all = self.ready[zone].iter().copied();
-            let servers = all.filter(|&i| self.nodes[i].pool == pool).collect::<Vec<_>>();
-            self.regroup_pool(now, zone, &servers);
+        if std::mem::take(&mut self.zones[zone].left) {
+            self.renumber(zone);
+        }
+        let ready = std::mem::take(&mut self.zones[zone].ready);
+        if self.split.is_none() {
+            self.regroup_pool(now, zone, &ready);
+        } else {
+            for pool in 0..=2 {
+                let all = ready.iter().copied();
+                let servers = all.filter(|&i| self.nodes[i].pool == pool).collect::<Vec<_>>();
+                self.regroup_pool(now, zone, &servers);
+                self.zones[zone].part = 0.0;
+            }
         }
+        self.zones[zone].ready = ready;
     }
 
     fn regroup_pool(&mut self, now: Nanos, zone: usize, servers: &[usize]) {
         let count = servers.len();
-        let nodes = f64::from(self.settings.group_size) / self.ready.len() as f64;
+        let nodes = f64::from(self.settings.group_size) / self.zones.len() as f64;
         // A plan has chosen already who is in the list.
-        let guided = self.guide.trust > 0.0;
-        let part = if guided { f64::INFINITY } else { self.part.size(count, nodes) };
+        let part = if self.guide.trust > 0.0 { f64::INFINITY } else { self.part.size(count, nodes) };
+        let same = std::mem::replace(&mut self.zones[zone].part, part) == part && self.split.is_none();
+        if same || count == 0 {
+            return;
+        }
         let start = f64::from(self.settings.ordinal) * 0.618_033_988_749_895 % 1.0 * count as f64;
-        let mut filled = 0.0;
-        for k in 0..count {
-            let i = servers[(start as usize + k) % count];
-            let inside = filled < part;
+        let first = servers[start as usize % count];
+        let fresh = std::mem::take(&mut self.zones[zone].fresh);
+        let all = part >= count as f64;
+        // Where all are inside, and all but those who have just come were, only these are looked at.
+        if all && self.split.is_none() && self.zones[zone].rank.len() + fresh.len() == count {
+            let fresh = fresh.into_iter().map(|i| (self.turn(first, i), i)).collect::<BTreeSet<_>>();
+            return fresh.into_iter().for_each(|(_, i)| self.place(zone, i));
+        }
+        let (mut filled, mut inside) = (0.0, 0);
+        while inside < count && filled < part {
+            let i = servers[(start as usize + inside) % count];
             // Cold ones count for what they can take: a fleet that grows must not leave a node with few warm.
             filled += self.cold_share(now, i);
-            match self.nodes[i].place {
-                None if inside => {
-                    self.nodes[i].place = Some(self.ranks[zone].len());
-                    self.ranks[zone].push(i);
-                    self.credit(i, 0.0);
+            inside += 1;
+            self.place(zone, i);
+        }
+        if inside < count {
+            let end = self.turn(first, servers[(start as usize + inside) % count]);
+            for i in self.zones[zone].rank.clone() {
+                if self.nodes[i].pool == self.nodes[first].pool && self.turn(first, i) >= end {
+                    self.nodes[i].place = None;
                 }
-                Some(_) if !inside => self.unrank(i),
-                _ => {}
             }
+            self.renumber(zone);
+        }
+        if !all && filled < inside as f64 {
+            self.zones[zone].part = 0.0;
         }
     }
 
-    fn unrank(&mut self, i: usize) {
-        let Some(place) = self.nodes[i].place.take() else { return };
-        let rank = &mut self.ranks[usize::from(self.nodes[i].server.zone)];
-        rank.remove(place);
-        for (k, &j) in rank.iter().enumerate().skip(place) {
-            self.nodes[j].place = Some(k);
+    /// Where a server comes in its zone's order as read from the first one.
+    fn turn(&self, first: usize, i: usize) -> (bool, Endpoint) {
+        let endpoint = self.nodes[i].server.endpoint;
+        (endpoint < self.nodes[first].server.endpoint, endpoint)
+    }
+
+    fn place(&mut self, zone: usize, i: usize) {
+        self.steps += 1;
+        if self.nodes[i].place.is_none() {
+            self.nodes[i].place = Some(self.zones[zone].rank.len());
+            self.zones[zone].rank.push(i);
+            self.zones[zone].size += self.nodes[i].size;
+            self.credit(i, 0.0);
         }
     }
 
+    /// Takes those out of a zone's ranking who have no place in it any more.
+    fn renumber(&mut self, zone: usize) {
+        let Zone { rank, size, .. } = &mut self.zones[zone];
+        self.steps += rank.len() as u64;
+        let nodes = &mut self.nodes;
+        rank.retain(|&i| nodes[i].place.is_some() && usize::from(nodes[i].server.zone) == zone);
+        rank.iter().enumerate().for_each(|(k, &i)| nodes[i].place = Some(k));
+        *size = rank.iter().map(|&i| nodes[i].size).sum();
+    }
+
     fn add(&mut self, now: Nanos, server: Server) {
         let size = if server.size > 0.0 && self.settings.sizes_known { f64::from(server.size) } else { 1.0 };
-        let node = Node {
-            server: Server { phase: Phase::Gone, ..server },
-            size,
-            silent_since: now,
-            lag: 1.0,
-            lag_at: now,
-            fault_at: now,
-            cold_rate: f64::INFINITY,
-            ..Node::default()
-        };
+        let node = Node { size, cold_rate: f64::INFINITY, ..Node::default() };
         // One that left so long ago that no request under way can have met it gives its place to the next.
         let forgotten = now.saturating_sub(2 * self.longest);
-        let free = |n: &Node| n.server.phase == Phase::Gone && n.out == 0 && n.left_at < forgotten;
-        let i = self.nodes.iter().position(free).unwrap_or(self.nodes.len());
+        while let Some((_, i)) = self.left.first().copied().filter(|l| l.0 < forgotten) {
+            self.left.pop_first();
+            self.free.insert(i);
+        }
+        let i = self.free.iter().copied().find(|&i| self.nodes[i].out == 0).unwrap_or(self.nodes.len());
         match self.nodes.get_mut(i) {
             Some(old) => drop(self.by_endpoint.remove(&std::mem::replace(old, node).server.endpoint)),
             None => self.nodes.push(node),
@@ -382,24 +438,32 @@
 
     fn update(&mut self, now: Nanos, i: usize, server: Server) {
         let restarted = server.started_at > self.nodes[i].server.started_at;
-        let fresh = self.nodes[i].server.phase != Phase::Ready;
         if server.phase != Phase::Ready || server.zone != self.nodes[i].server.zone {
             self.leave(now, i, server.phase);
         }
+        if server.phase != Phase::Gone {
+            self.left.remove(&(self.nodes[i].left_at, i));
+            self.free.remove(&i);
+        }
+        let fresh = self.nodes[i].server.phase != Phase::Ready;
+        if !fresh && server.started_at != self.nodes[i].server.started_at {
+            self.zones[usize::from(server.zone)].part = 0.0;
+        }
         self.nodes[i].server = server;
         if server.phase == Phase::Ready && (fresh || restarted) {
             let node = &mut self.nodes[i];
             (node.lag, node.lag_at, node.faults, node.strikes, node.blocked_until) = (1.0, now, 0.0, 0, 0);
             let zone = usize::from(server.zone);
-            if self.ranks.len() <= zone {
-                self.ranks.resize(zone + 1, Vec::new());
-                self.ready.resize(zone + 1, Vec::new());
+            if self.zones.len() <= zone {
+                self.zones.resize_with(zone + 1, Zone::default);
             }
             if fresh {
                 (node.score, node.planned) = (0.0, 0.0);
-                let at =
-                    self.ready[zone].partition_point(|&j| self.nodes[j].server.endpoint < server.endpoint);
-                self.ready[zone].insert(at, i);
+                let zone = &mut self.zones[zone];
+                let at = zone.ready.partition_point(|&j| self.nodes[j].server.endpoint < server.endpoint);
+                zone.ready.insert(at, i);
+                zone.fresh.insert(i);
+                zone.part = 0.0;
             }
             // Every node hears of a cold server at about the same time: first sends are spread over an
             // interval, or all of them together would spend its tipping budget at once.
@@ -413,12 +477,20 @@
 
     /// Takes a server out of the ranking: nothing new goes to one that drains or is gone.
     fn leave(&mut self, now: Nanos, i: usize, phase: Phase) {
-        if self.nodes[i].server.phase == Phase::Ready {
-            self.unrank(i);
-            self.ready[usize::from(self.nodes[i].server.zone)].retain(|&j| j != i);
+        let server = self.nodes[i].server;
+        if server.phase == Phase::Ready {
+            let zone = &mut self.zones[usize::from(server.zone)];
+            let at = zone.ready.partition_point(|&j| self.nodes[j].server.endpoint < server.endpoint);
+            zone.ready.remove(at);
+            zone.fresh.remove(&i);
+            zone.part = 0.0;
+            if self.nodes[i].place.take().is_some() {
+                (zone.left, zone.size) = (true, zone.size - self.nodes[i].size);
+            }
         }
-        if self.nodes[i].server.phase != Phase::Gone {
+        if server.phase != Phase::Gone {
             self.nodes[i].left_at = now;
+            self.left.insert((now, i));
         }
         self.nodes[i].server.phase = if phase == Phase::Ready { Phase::Gone } else { phase };
     }
@@ -443,7 +515,7 @@
     fn credit(&mut self, i: usize, by: f64) {
         self.nodes[i].score += by;
         let Some(mut at) = self.nodes[i].place else { return };
-        let rank = &mut self.ranks[usize::from(self.nodes[i].server.zone)];
+        let rank = &mut self.zones[usize::from(self.nodes[i].server.zone)].rank;
         let score = self.nodes[i].score;
         while at > 0 && self.nodes[rank[at - 1]].score < score {
             rank[at] = rank[at - 1];
@@ -509,8 +581,7 @@
         self.nodes[i].faults * (-age / self.memory).exp()
     }
 
-    /// How much longer than usual the fleet takes to answer. It fades: a node that refuses all has to find
-    /// out that a jam is over.
+    /// How much longer than usual the fleet takes to answer. It fades: who refuses all must find a jam over.
     fn pressure_now(&self, now: Nanos) -> f64 {
         let faded = (-(now.saturating_sub(self.pressure_at) as f64) / self.relief).exp();
         1.0 + (self.pressure - 1.0) * faded
@@ -532,20 +603,19 @@
     /// A keyed request that may have run stays with the servers that drop its repeats, in their time.
     fn inside(&self, now: Nanos, i: usize, pending: &Pending) -> bool {
         let class = &self.settings.classes[usize::from(pending.request.class)];
-        let Some((first, until)) = pending.fence.filter(|_| class.effect == Effect::Keyed) else {
-            return true;
-        };
-        let (a, b) = (&self.nodes[first].server, &self.nodes[i].server);
-        let same = match class.group {
-            Group::All => true,
-            Group::Zone => a.zone == b.zone,
-            Group::Cell => a.cell == b.cell,
-        };
-        same && now < until
+        pending.fence.filter(|_| class.effect == Effect::Keyed).is_none_or(|(first, until)| {
+            let (a, b) = (&self.nodes[first].server, &self.nodes[i].server);
+            let same = match class.group {
+                Group::All => true,
+                Group::Zone => a.zone == b.zone,
+                Group::Cell => a.cell == b.cell,
+            };
+            same && now < until
+        })
     }
 
     fn choose_in(&mut self, now: Nanos, zone: usize, pending: &Pending) -> Option<(usize, f64)> {
-        let rank = self.ranks.get(zone)?;
+        let rank = &self.zones.get(zone)?.rank;
         let lane = self.lane.map(|lane| {
             let inside = |i: &usize| self.nodes[*i].pool == 0 || self.nodes[*i].pool == lane;
             rank.iter().copied().filter(inside).collect::<Vec<_>>()
@@ -564,7 +634,7 @@
             let (mut tries, goal) = (0, have + want.min(to - from));
             while have < goal && tries < 4 * want {
                 let place = from + self.draw(to - from);
-                let i = lane.as_ref().unwrap_or(&self.ranks[zone])[place];
+                let i = lane.as_ref().unwrap_or(&self.zones[zone].rank)[place];
                 tries += 1;
                 if !drawn[..have].contains(&i) && self.usable(now, i, pending) {
                     drawn[have] = i;
@@ -579,22 +649,14 @@
         }
         if have == 0 {
             // Nearly all are out: take any that is left.
-            drawn[0] = *self.ready[zone].iter().find(|&&i| self.usable(now, i, pending))?;
+            drawn[0] = *self.zones[zone].ready.iter().find(|&&i| self.usable(now, i, pending))?;
             have = 1;
         }
-        drawn[..have]
-            .iter()
-            .map(|&i| {
-                let queue =
-                    self.queue(now, i, mean, weight) * if favourite == Some(i) { KEY_BONUS } else { 1.0 };
-                (i, queue)
-            })
-            .min_by(|a, b| {
-                let cost = |s: &(usize, f64)| ((s.1 + self.suspect(now, s.0)) / TIE_STEP).round();
-                let (qa, qb) = (cost(a), cost(b));
-                let place = |i: usize| self.nodes[i].place.unwrap_or(usize::MAX);
-                qa.total_cmp(&qb).then(place(a.0).cmp(&place(b.0)))
-            })
+        let bonus = |i| if favourite == Some(i) { KEY_BONUS } else { 1.0 };
+        let rated = drawn[..have].iter().map(|&i| (i, self.queue(now, i, mean, weight) * bonus(i)));
+        let cost = |s: &(usize, f64)| ((s.1 + self.suspect(now, s.0)) / TIE_STEP).round();
+        let place = |i: usize| self.nodes[i].place.unwrap_or(usize::MAX);
+        rated.min_by(|a, b| cost(a).total_cmp(&cost(b)).then(place(a.0).cmp(&place(b.0))))
     }
 
     /// The server that has most likely met the key: highest hash of key and server.
@@ -604,7 +666,7 @@
             return None;
         }
         let hash = |i: usize| self.nodes[i].server.endpoint.affinity(key);
-        let best = *self.ranks[zone].iter().max_by_key(|&&i| (hash(i), i))?;
+        let best = *self.zones[zone].rank.iter().max_by_key(|&&i| (hash(i), i))?;
         Some(best).filter(|&i| self.usable(now, i, pending))
     }
 
@@ -614,19 +676,16 @@
         let (mean, aim) = (self.typical[class], self.settings.classes[class].aim as f64);
         let home = usize::from(self.settings.zone);
         let local = self.choose_in(now, home, pending);
-        if local.is_some_and(|(_, q)| q * mean < WIDEN_AT * aim) || self.ranks.len() < 2 {
+        if local.is_some_and(|(_, q)| q * mean < WIDEN_AT * aim) || self.zones.len() < 2 {
             return local;
         }
-        let skip = self.draw(self.ranks.len());
+        let skip = self.draw(self.zones.len());
         let mut best = local.map(|(i, q)| (i, q, q * CROSS_GAIN));
-        for k in 0..self.ranks.len() {
-            let zone = (k + skip) % self.ranks.len();
-            if zone != home {
-                if let Some((i, q)) = self.choose_in(now, zone, pending) {
-                    if best.is_none_or(|b| q < b.2) {
-                        best = Some((i, q, q));
-                    }
-                }
+        for k in 0..self.zones.len() {
+            let zone = (k + skip) % self.zones.len();
+            let found = if zone == home { None } else { self.choose_in(now, zone, pending) };
+            if let Some((i, q)) = found.filter(|f| best.is_none_or(|b| f.1 < b.2)) {
+                best = Some((i, q, q));
             }
         }
         best.map(|(i, q, _)| (i, q))
@@ -644,8 +703,8 @@
     fn cold_interval(&self, now: Nanos, i: usize) -> f64 {
         let home = usize::from(self.settings.zone);
         let near = usize::from(self.nodes[i].server.zone) == home;
-        let counts = self.ranks.iter().enumerate().filter(|(zone, _)| !near || *zone == home);
-        let size: f64 = counts.flat_map(|(_, r)| r).map(|&j| self.nodes[j].size).sum();
+        let counts = self.zones.iter().enumerate().filter(|(zone, _)| !near || *zone == home);
+        let size: f64 = counts.map(|(_, r)| r.size).sum();
         let rate = self.arrivals.since_start(now, self.settings.ramp as f64) / size.max(self.nodes[i].size);
         let own = COLD_SHARE * self.cold_share(now, i) * rate * self.nodes[i].size;
         1e9 / own.min(self.nodes[i].cold_rate).max(1e-6)
@@ -659,11 +718,9 @@
             return;
         }
         let hard = ending == Ending::ConnectFailed;
-        if !hard && self.nodes[i].strikes == 0 && self.faults_now(now, i) < FAULTY + self.faults {
-            return;
-        }
-        let out = self.ranks[zone].iter().filter(|&&j| self.nodes[j].blocked_until > now).count();
-        if !hard && out as f64 >= EJECT_CAP * self.ranks[zone].len() as f64 {
+        let sound = self.nodes[i].strikes == 0 && self.faults_now(now, i) < FAULTY + self.faults;
+        let out = self.zones[zone].rank.iter().filter(|&&j| self.nodes[j].blocked_until > now).count();
+        if !hard && (sound || out as f64 >= EJECT_CAP * self.zones[zone].rank.len() as f64) {
             return;
         }
         let jitter = 0.75 + 0.5 * self.chance();
@@ -681,7 +738,7 @@
         let ramp = self.settings.ramp as f64;
         self.arrivals.count(now, ramp);
         if self.part.follow(now, || self.arrivals.since_start(now, ramp), self.memory) {
-            (0..self.ready.len()).for_each(|zone| self.regroup(now, zone));
+            (0..self.zones.len()).for_each(|zone| self.regroup(now, zone));
         }
         let most = 1.0 + RETRY_SHARE * self.arrivals.read(now, ramp) * ramp / 1e9;
         // Copies into a jam make it worse: the budget dries up as answers take longer than usual.
@@ -698,18 +755,16 @@
                 let over = recent.clamp(SHORTAGE_OVER.0, SHORTAGE_OVER.1);
                 self.turned_away += (turned_away - self.turned_away) / over;
                 if wait <= 0.0 {
-                    if let Some(rate) = self.tenants.get_mut(request.tenant as usize) {
-                        rate.count(now, self.memory);
-                    }
+                    let tenant = self.tenants.get_mut(request.tenant as usize);
+                    tenant.into_iter().for_each(|rate| rate.count(now, self.memory));
                     self.classes[class].count(now, self.memory);
                     self.pending.insert(request.id, pending);
                     self.send(now, request.id, (i, queue), sink);
                     let class = &self.settings.classes[class];
-                    if class.effect == Effect::Safe && self.settings.second_copies && !class.stream {
-                        let at = now + (HEDGE_AT * class.aim as f64) as Nanos;
-                        if at < request.give_up_at {
-                            self.jobs.push(Reverse((at, Job::Hedge(request.id))));
-                        }
+                    let at = now + (HEDGE_AT * class.aim as f64) as Nanos;
+                    let copies = self.settings.second_copies && !class.stream && at < request.give_up_at;
+                    if class.effect == Effect::Safe && copies {
+                        self.jobs.push(Reverse((at, Job::Hedge(request.id))));
                     }
                     return;
                 }
@@ -738,24 +793,21 @@
 
     fn beyond(&self, now: Nanos, rate: &Rate, fair: f64) -> bool {
         // One node of many sees a few of a tenant's requests: chance alone must not put it over.
-        let seconds = self.memory / 1e9;
-        rate.read(now, self.memory) > fair + CHANCE * (fair / seconds).sqrt()
+        rate.read(now, self.memory) > fair + CHANCE * (fair / (self.memory / 1e9)).sqrt()
     }
 
     /// The expected answer time beyond which the request is not worth its work.
     fn limit(&self, now: Nanos, request: &Request) -> f64 {
         let class = &self.settings.classes[usize::from(request.class)];
         let cost = |c: usize| if self.settings.worth_by_work { 1.0 } else { self.typical[c] };
-        let best = (0..self.typical.len())
-            .map(|c| self.settings.classes[c].worth / cost(c))
-            .fold(f64::MIN_POSITIVE, f64::max);
+        let worth = |c: usize| self.settings.classes[c].worth / cost(c);
+        let best = (0..self.typical.len()).map(worth).fold(f64::MIN_POSITIVE, f64::max);
         let known = self.answers[usize::from(request.class)] >= KNOWN_AFTER;
-        let value = if known { class.worth / cost(usize::from(request.class)) / best } else { 1.0 };
+        let value = if known { worth(usize::from(request.class)) / best } else { 1.0 };
         // Who takes more than the share has agreed to less: that counts however much room there is.
-        let mut over = 1.0f64;
-        if self.over_share(now, request.tenant as usize) || self.over_limit(now, usize::from(request.class)) {
-            over = self.settings.over_share_worth;
-        }
+        let over =
+            self.over_share(now, request.tenant as usize) || self.over_limit(now, usize::from(request.class));
+        let over = if over { self.settings.over_share_worth } else { 1.0 };
         let left = request.give_up_at.saturating_sub(now) as f64;
         // A late answer that still earns something is worth a longer wait.
         let most = (ADMIT_AIMS * (1.0 + class.late_worth) * class.aim as f64).min(left);
@@ -764,8 +816,7 @@
     }
 
     fn refuse(&mut self, id: RequestId, wait: f64, sink: &mut Vec<Action>) {
-        let spread = 0.5 + self.chance();
-        let advice = (wait * spread).min(self.settings.max_retry_after as f64) as Nanos;
+        let advice = (wait * (0.5 + self.chance())).min(self.settings.max_retry_after as f64) as Nanos;
         let retry_after = if self.settings.retry_after { advice } else { 0 };
         sink.push(Action::Refuse { request: id, retry_after });
     }
@@ -775,8 +826,7 @@
     fn send(&mut self, now: Nanos, id: RequestId, (i, expected): (usize, f64), sink: &mut Vec<Action>) {
         let credit = self.increment(now);
         let weight = self.pending.get(&id).map_or(1.0, |p| self.weight(&p.request));
-        let cold = self.cold_share(now, i) < 1.0;
-        let wait = cold.then(|| self.cold_interval(now, i) as Nanos);
+        let wait = (self.cold_share(now, i) < 1.0).then(|| self.cold_interval(now, i) as Nanos);
         self.nodes[i].cold_next = wait.map_or(0, |wait| now.saturating_add(wait));
         let node = &mut self.nodes[i];
         if node.out == 0 {
@@ -793,50 +843,32 @@
         }
     }
 
-    fn outcome(
-        &mut self,
-        now: Nanos,
-        (id, attempt): (RequestId, u8),
-        finished: bool,
-        took: Nanos,
-        ending: Ending,
-        sink: &mut Vec<Action>,
-    ) {
+    fn outcome(&mut self, now: Nanos, id: RequestId, attempt: u8, end: End, sink: &mut Vec<Action>) {
+        let (finished, took, ending) = end;
         let Some(p) = self.pending.get_mut(&id) else { return };
         let Some(a) = p.attempts.get_mut(usize::from(attempt)).filter(|a| a.open) else { return };
         a.open = false;
-        let (i, credit, weight, class) = (a.node, a.credit, a.weight, usize::from(p.request.class));
-        let hint = p.request.work_hint;
+        let (a, request, class) = (*a, p.request, usize::from(p.request.class));
         let window = self.settings.classes[class].window;
         if matches!(ending, Ending::Ok | Ending::TimedOut) && a.expected > 0.0 {
             self.line.met(a.expected, took as f64 / self.typical[class]);
         }
         if !ending.never_ran() && p.fence.is_none() {
-            p.fence = Some((i, now.saturating_sub(took).saturating_add(window)));
+            p.fence = Some((a.node, now.saturating_sub(took).saturating_add(window)));
         }
-        self.judge(now, i, (class, weight, hint), took, ending, credit, sink);
+        self.judge(now, a, request, end, sink);
         let Some(p) = self.pending.get(&id) else { return };
         if finished || p.answered {
-            return self.close(id, sink);
+            self.close(id, sink);
+        } else if p.open() == 0 || now >= p.request.give_up_at {
+            self.again(now, id, ending, sink);
         }
-        if p.open() > 0 && now < p.request.give_up_at {
-            return;
-        }
-        self.again(now, id, ending, sink);
     }
 
     /// What an ending says of its server.
-    #[allow(clippy::too_many_arguments)]
-    fn judge(
-        &mut self,
-        now: Nanos,
-        i: usize,
-        (class, weight, hint): (usize, f64, Option<Nanos>),
-        took: Nanos,
-        ending: Ending,
-        credit: f64,
-        sink: &mut Vec<Action>,
-    ) {
+    fn judge(&mut self, now: Nanos, a: Attempt, request: Request, end: End, sink: &mut Vec<Action>) {
+        let (Attempt { node: i, credit, weight, .. }, (_, took, ending)) = (a, end);
+        let class = usize::from(request.class);
         let fleet = self.pressure_now(now);
         let faults = self.faults_now(now, i);
         let node = &mut self.nodes[i];
@@ -850,7 +882,7 @@
             let answers = self.answers[class].saturating_add(1);
             self.answers[class] = answers;
             let typical = &mut self.typical[class];
-            if let Some(hint) = hint {
+            if let Some(hint) = request.work_hint {
                 self.hints[class].met(hint as f64, took as f64 - *typical);
             }
             // One answer that never comes is no jam: it tells of its server, and of the fleet only so much.
@@ -875,14 +907,10 @@
             (node.faults, node.fault_at) = (faults + (fault - faults) * FAULT_WEIGHT, now);
             self.faults += (fault - self.faults) * FLEET_FAULT_WEIGHT;
         }
+        node.served_at = if ending == Ending::Ok { Some(now) } else { node.served_at };
         match ending {
-            Ending::Ok => {
-                node.served_at = Some(now);
-                if node.blocked_until <= now && node.faults < SOUND + self.faults {
-                    node.strikes = 0;
-                }
-            }
-            Ending::Cancelled | Ending::NotSent => {}
+            Ending::Ok if node.blocked_until <= now && node.faults < SOUND + self.faults => node.strikes = 0,
+            Ending::Ok | Ending::Cancelled | Ending::NotSent => {}
             // A server that fails fast would drain its queue and climb: take back its credit.
             Ending::Error | Ending::Full | Ending::TimedOut | Ending::ConnectFailed | Ending::Reset => {
                 self.credit(i, -credit);
@@ -920,15 +948,9 @@
             }
         }
         self.pending.insert(id, p);
-        match next {
-            Some(next) => {
-                if !free {
-                    self.budget -= 1.0;
-                }
-                self.send(now, id, next, sink)
-            }
-            None => self.close(id, sink),
-        }
+        let Some(next) = next else { return self.close(id, sink) };
+        self.budget -= if free { 0.0 } else { 1.0 };
+        self.send(now, id, next, sink)
     }
 
     /// A second copy for a request that is slow to come back, within the budget.
@@ -941,10 +963,9 @@
         let fits = fits && self.budget >= 1.0 && now < p.request.give_up_at;
         let next = if fits { self.choose(now, &p).filter(|&(_, q)| q * mean < left) } else { None };
         self.pending.insert(id, p);
-        if let Some(next) = next {
-            self.budget -= 1.0;
-            self.send(now, id, next, sink);
-        }
+        let Some(next) = next else { return };
+        self.budget -= 1.0;
+        self.send(now, id, next, sink);
     }
 
     /// Nothing more is owed: calls off what is still out and forgets the request once all is in.
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -29,7 +29,7 @@
 
     /// The servers of a zone that this node ranks, the most accomplished first.
     pub fn ranking(&self, zone: usize) -> impl Iterator<Item = Endpoint> + '_ {
-        self.ranks.get(zone).into_iter().flatten().map(|&i| self.nodes[i].server.endpoint)
+        self.zones.get(zone).into_iter().flat_map(|z| &z.rank).map(|&i| self.nodes[i].server.endpoint)
     }
 
     /// Requests a second that were let in lately, by class and by tenant.
@@ -37,17 +37,13 @@
         [&self.classes, &self.tenants].map(|rates| rates.iter().map(|r| r.read(now, self.memory)).collect())
     }
 
-    /// Takes over what a plan says. What it adds to a counter fades as own counts do, so that these take over
-    /// where no further word comes.
+    /// Takes over what a plan says. What it adds to a counter fades as own counts do, which then take over.
     pub(super) fn follow_plan(&mut self, now: Nanos, guide: Guide) {
         let grown = self.increment(now) * guide.trust.clamp(0.0, 1.0);
-        let mut said: Vec<Option<&Standing>> = vec![None; self.nodes.len()];
-        for standing in &guide.servers {
-            if let Some(&i) = self.by_endpoint.get(&standing.server) {
-                said[i] = Some(standing);
-            }
-        }
-        for (i, said) in said.into_iter().enumerate() {
+        let known = guide.servers.iter().filter_map(|s| Some((*self.by_endpoint.get(&s.server)?, s)));
+        let standings = known.collect::<BTreeMap<_, _>>();
+        for i in 0..self.nodes.len() {
+            let said = standings.get(&i);
             let standing = said.map_or(0.0, |s| s.accomplished);
             let planned = if standing.is_finite() { standing.max(0.0) * grown } else { 0.0 };
             let node = &mut self.nodes[i];
@@ -59,20 +55,15 @@
         let regroup = (guide.trust > 0.0) != (self.guide.trust > 0.0);
         self.guide = Guide { servers: Vec::new(), ..guide };
         if regroup {
-            (0..self.ready.len()).for_each(|zone| self.regroup(now, zone));
+            (0..self.zones.len()).for_each(|zone| self.regroup(now, zone));
         }
     }
 
-    /// What it costs in the choice, not in admission, that others suspect a server and this node has met no
-    /// success there of late.
+    /// What others' suspicion costs in the choice, not in admission, without own success there of late.
     pub(super) fn suspect(&self, now: Nanos, i: usize) -> f64 {
         let node = &self.nodes[i];
         let own = (OWN_WORD * self.longest as f64) as Nanos;
         let suspected = node.suspected && node.served_at.is_none_or(|at| now.saturating_sub(at) > own);
-        if suspected {
-            SUSPECT_COST * self.guide.trust
-        } else {
-            0.0
-        }
+        SUSPECT_COST * if suspected { self.guide.trust } else { 0.0 }
     }
 }
--- a/crates/policy/src/pools.rs
+++ b/crates/policy/src/pools.rs
@@ -13,7 +13,7 @@
             node.pool = pool.map_or(0, |&new| if new { NEW } else { OLD });
         }
         self.split = split;
-        (0..self.ready.len()).for_each(|zone| self.regroup(now, zone));
+        (0..self.zones.len()).for_each(|zone| self.regroup(now, zone));
     }
 
     /// The pool that a request is meant for; a repeat goes to the old one: failures do not hurry the shift.
--- a/crates/policy/src/trial.rs
+++ b/crates/policy/src/trial.rs
@@ -1,7 +1,7 @@
 //! Servers that operators have put back: each is tried with one request, whatever its rank and zone.
 //!
-//! It comes back cold and without accomplishment, and one in another zone is met by chance only. An operator
-//! who has put a server back wants to see that it serves.
+//! It comes back cold and without accomplishment, and in another zone is met by chance only: who has put it
+//! back wants to see that it serves.
 
 use super::*;
 
@@ -20,12 +20,8 @@
     /// The server that this request is to try, with the answer time expected there. Only what may be repeated
     /// is used for that, and only where a cold server has room for it by now.
     pub(super) fn trial(&mut self, now: Nanos, pending: &Pending) -> Option<(usize, f64)> {
-        if self.trials.is_empty() {
-            return None;
-        }
-        let ready = |b: &Balancer, i: usize| b.nodes[i].server.phase == Phase::Ready;
         let mut trials = std::mem::take(&mut self.trials);
-        trials.retain(|t| ready(self, t.0));
+        trials.retain(|t| self.nodes[t.0].server.phase == Phase::Ready);
         let class = usize::from(pending.request.class);
         let safe = self.settings.classes[class].effect == Effect::Safe;
         let patience = (PICKY * self.settings.fall as f64) as Nanos;
