A changed server costs the fleet no walk over all servers

At each change the fleet walked twice over all servers: to see who shares an address with a newer one, and to forget who left long ago. Where many newer ones came at once at the addresses of others, each was looked for in the whole of what was told.

Now it is known who holds each address of the first wire, those that left wait in a queue by time, and what was told is found by its identity. `Fleet::steps` counts looks at servers.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -82,6 +82,12 @@
 #[derive(Default)]
 pub struct Fleet {
     upstreams: BTreeMap<Endpoint, Upstream>,
+    /// Who may be sent anything new at an address of the first wire: one process listens there.
+    holders: BTreeMap<SocketAddr, Endpoint>,
+    /// Those that the list does not have any more, by when they were closed.
+    departed: BTreeSet<(Nanos, Endpoint)>,
+    /// See [`Fleet::steps`].
+    steps: u64,
     /// Connections that one server may hold of this node's, over all wires.
     most_connections: Option<u32>,
     /// Servers that operators have taken out of use, whatever the list says.
@@ -101,6 +107,15 @@
     Endpoint { address: [h[0], h[1], h[2], h[3]], port: u16::from_be_bytes([h[4], h[5]]) }
 }
 
+/// A server does not hold its address any more.
+fn release(holders: &mut BTreeMap<SocketAddr, Endpoint>, endpoint: Endpoint, upstream: &Upstream) {
+    if let Some(Some(dial)) = upstream.dials.first() {
+        if holders.get(dial) == Some(&endpoint) {
+            holders.remove(dial);
+        }
+    }
+}
+
 impl Fleet {
     /// An empty fleet whose servers each hold at most so many connections of this node's, over all wires.
     pub fn with_cap(most_connections: Option<u32>) -> Self {
@@ -132,8 +147,12 @@
                 closed_at: None,
                 idle: Vec::new(),
             });
+            if let Some(at) = upstream.closed_at {
+                self.departed.remove(&(at, endpoint));
+            }
             if upstream.dials != dials || upstream.server.started_at != server.started_at {
                 // Another process: what was connected to the old one leads nowhere.
+                release(&mut self.holders, endpoint, upstream);
                 upstream.dials = dials;
                 upstream.idle.clear();
             }
@@ -143,23 +162,45 @@
                     self.restored.push(endpoint);
                 }
             } else {
-                upstream.close(now);
+                release(&mut self.holders, endpoint, upstream);
+                let at = upstream.close(now);
+                if listed.phase == Phase::Gone {
+                    self.departed.insert((at, endpoint));
+                }
             }
             servers.push(server);
         }
+        self.steps += servers.len() as u64;
         if matches!(kind, ListKind::Full | ListKind::Cached) {
             let listed: BTreeSet<_> = servers.iter().map(|s| s.endpoint).collect();
-            for (_, absent) in self.upstreams.iter_mut().filter(|(e, _)| !listed.contains(e)) {
-                absent.close(now);
+            self.steps += self.upstreams.len() as u64;
+            for (endpoint, absent) in self.upstreams.iter_mut().filter(|(e, _)| !listed.contains(e)) {
+                release(&mut self.holders, *endpoint, absent);
                 absent.listed.phase = Phase::Gone;
+                self.departed.insert((absent.close(now), *endpoint));
             }
         }
         self.displace(now, &mut servers);
-        let recent = |u: &Upstream| u.closed_at.is_none_or(|at| now.saturating_sub(at) < MEMORY);
-        self.upstreams.retain(|_, u| u.listed.phase != Phase::Gone || recent(u));
+        self.forget(now);
         servers
     }
 
+    /// Forgets those that left long ago.
+    fn forget(&mut self, now: Nanos) {
+        while let Some((at, endpoint)) = self.departed.first().copied() {
+            if now.saturating_sub(at) < MEMORY {
+                break;
+            }
+            self.departed.pop_first();
+            self.upstreams.remove(&endpoint);
+        }
+    }
+
+    /// Servers looked at so far to follow lists, one for each look: what lists have cost.
+    pub fn steps(&self) -> u64 {
+        self.steps
+    }
+
     /// What has changed by the operators' last word on these servers, in the module's words.
     pub fn reconsider(&mut self, now: Nanos, hosts: &[String]) -> Vec<Server> {
         let known = hosts.iter().filter_map(|host| self.upstreams.get(&self.endpoint(host)));
@@ -197,9 +238,18 @@
     /// One process listens at an address. Where a newer server has it, the older one is gone, also while the
     /// list still names it: what is sent there reaches the newer one, past all that is counted for it.
     fn displace(&mut self, now: Nanos, servers: &mut Vec<Server>) {
+        // Who is not in this list holds an address alone, or none.
+        let mut here = BTreeSet::new();
+        for endpoint in servers.iter().map(|s| s.endpoint) {
+            if let Some(dial) = self.dial(endpoint, Wire(0)) {
+                here.insert(endpoint);
+                here.extend(self.holders.get(&dial));
+            }
+        }
+        self.steps += here.len() as u64;
         let mut holders: BTreeMap<SocketAddr, Server> = BTreeMap::new();
         let mut gone = Vec::new();
-        for u in self.upstreams.values().filter(|u| u.closed_at.is_none()) {
+        for u in here.iter().filter_map(|endpoint| self.upstreams.get(endpoint)) {
             let Some(Some(dial)) = u.dials.first() else { continue };
             let Some(other) = holders.insert(*dial, u.listed) else { continue };
             let (older, newer) =
@@ -207,12 +257,18 @@
             holders.insert(*dial, newer);
             gone.push(older.endpoint);
         }
+        self.holders.extend(holders.into_iter().map(|(dial, server)| (dial, server.endpoint)));
+        if gone.is_empty() {
+            return;
+        }
+        let told = servers.iter().enumerate().rev();
+        let places: BTreeMap<Endpoint, usize> = told.map(|(at, s)| (s.endpoint, at)).collect();
         for endpoint in gone {
             let Some(upstream) = self.upstreams.get_mut(&endpoint) else { continue };
             upstream.close(now);
             let server = Server { phase: Phase::Gone, ..upstream.server };
-            match servers.iter_mut().find(|s| s.endpoint == endpoint) {
-                Some(listed) => *listed = server,
+            match places.get(&endpoint) {
+                Some(at) => servers[*at] = server,
                 None => servers.push(server),
             }
         }
@@ -306,8 +362,9 @@
 }
 
 impl Upstream {
-    fn close(&mut self, now: Nanos) {
-        self.closed_at.get_or_insert(now);
+    /// Since when it is closed.
+    fn close(&mut self, now: Nanos) -> Nanos {
         self.idle.clear();
+        *self.closed_at.get_or_insert(now)
     }
 }
