--- a/crates/core/tests/services.rs
+++ b/crates/core/tests/services.rs
@@ -37,7 +37,7 @@
         connect_timeout: 1_000 * MS,
         most_connections,
         classes: vec!["read".into()],
-        tenants: Vec::new(),
+        tenants: Default::default(),
     };
     let (calls, _) = mpsc::unbounded_channel();
     let gateway = Gateway::new(site, calls).unwrap();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -18,4 +18,5 @@
 pub mod site;
 mod source;
 mod staff;
+mod tenants;
 mod upgrade;
