A planner counts the boxes that it does not plan for and says so, and holds 200,000

Word of boxes over the limit of 40,000 was dropped without a trace: with 180,000 all figures were those of 40,000.

The limit is 200,000 (180,000 and those that left in the last minute). Ready boxes over it are counted, once each, and `explain` and the planner's log (seldom) say how many; asked for one of them, `explain` says that it is over the limit. A forwarder still takes 40,000 at most: what a subset has beyond that is left out, counted and told as well, instead of having the forwarder refuse the whole plan.

--- a/crates/node/src/plan.rs
+++ b/crates/node/src/plan.rs
@@ -65,6 +65,8 @@
     connections: Cell<u64>,
     peers: Cell<usize>,
     log: RefCell<Seldom>,
+    /// Of what is not planned for.
+    limits: RefCell<Seldom>,
 }
 
 /// Counts a peer for as long as it lives.
@@ -98,6 +100,7 @@
         connections: Cell::new(0),
         peers: Cell::new(0),
         log: RefCell::default(),
+        limits: RefCell::default(),
     });
     let discovery = watch::Sender::new(config.discovery);
     let watcher = Watcher::new(desk.sink(), &config, &site, discovery.subscribe());
@@ -144,11 +147,21 @@
             }
             let members = entries.into_iter().map(source::member).collect();
             let now = desk.clock.now();
-            desk.planner.borrow_mut().membership(now, version, kind == ListKind::Full, members);
+            let mut planner = desk.planner.borrow_mut();
+            planner.membership(now, version, kind == ListKind::Full, members);
+            desk.tell_limits(&planner);
             desk.news.notify_waiters();
         })
     }
 
+    /// What is not planned for is written down, seldom.
+    fn tell_limits(&self, planner: &Planner) {
+        let limits = planner.limits().join("; ");
+        if !limits.is_empty() {
+            self.limits.borrow_mut().warn(|more| format!("{limits}{more}"));
+        }
+    }
+
     async fn tick(self: Rc<Self>) {
         loop {
             self.planner.borrow_mut().poll(self.clock.now());
--- a/crates/plan/src/explain.rs
+++ b/crates/plan/src/explain.rs
@@ -1,6 +1,7 @@
 //! What a plan says and why, in lines for people.
 
-use crate::planner::{Planner, Server};
+use crate::follower::MOST_ROWS;
+use crate::planner::{Planner, Server, MOST_BOXES, MOST_COUNTED};
 use crate::wire::{Ask, Suspicion};
 use laurelroute_policy::interface::Phase;
 use std::fmt::Write;
@@ -17,6 +18,10 @@
             let id = self.by_name.get(&ask.server);
             return match id.and_then(|id| self.servers.get(id)) {
                 Some(server) => self.explain_server(server),
+                None if self.is_over_limit(&ask.server) => format!(
+                    "box {} is over the limit of {MOST_BOXES} and not planned for\n",
+                    ask.server.chars().take(256).collect::<String>()
+                ),
                 None => format!("no box is named `{}`\n", ask.server.chars().take(256).collect::<String>()),
             };
         }
@@ -42,7 +47,7 @@
             0 => "no limit of connections".to_owned(),
             n => format!("{n} connections each"),
         };
-        format!(
+        let mut text = format!(
             "site {}, membership {version}, {}\nboxes: {} ready, {} draining, {} gone lately, {suspects} suspected\n\
              forwarders: {} connected, {} hold the plan as it is now, {} follow a planner\neach box has {} forwarders, with {limit}\n",
             self.settings.site,
@@ -54,7 +59,26 @@
             self.up_to_date(),
             self.forwarders.values().filter(|f| !f.following.is_empty()).count(),
             cover.forwarders,
-        )
+        );
+        self.limits().iter().for_each(|line| text.extend([line, "\n"]));
+        text
+    }
+
+    /// What is not planned for, and for want of room: a line each.
+    pub fn limits(&self) -> Vec<String> {
+        let mut lines = Vec::new();
+        if self.over_limit() > 0 {
+            let over = self.over_limit();
+            let more = if over >= MOST_COUNTED { " or more" } else { "" };
+            lines.push(format!("{over}{more} boxes over the limit of {MOST_BOXES} are not planned for"));
+        }
+        if self.left_out() > 0 {
+            let out = self.left_out();
+            lines.push(format!(
+                "{out} boxes over the {MOST_ROWS} that a forwarder takes are left out of subsets"
+            ));
+        }
+        lines
     }
 
     fn explain_server(&self, server: &Server) -> String {
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -6,6 +6,7 @@
 //!
 //! Work follows changes: a report's row touches one box, a box's change touches the forwarders that use it.
 
+use crate::follower::MOST_ROWS;
 use crate::grade;
 use crate::member::{Member, LONGEST_NAME};
 use crate::share;
@@ -13,10 +14,13 @@
 use crate::wire::{Because, Facts, Part, Portion, Reply, Report, Row, Seen, Suspicion};
 use laurelroute_policy::interface::{Nanos, Phase, ENDINGS};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 const MS: Nanos = 1_000_000;
-/// Boxes that a planner holds at most, departed ones among them; word of further ones is dropped.
-pub const MOST_BOXES: usize = 40_000;
+/// Boxes that a planner holds at most, departed ones among them; further ones are counted, and not planned for.
+pub const MOST_BOXES: usize = 200_000;
+/// Boxes over the limit that are counted; of more it is only known that there are at least so many.
+pub(crate) const MOST_COUNTED: usize = 200_000;
 /// Forwarders that a planner serves at most.
 pub const MOST_FORWARDERS: usize = 10_000;
 /// A planner collects reports for this long before its first plan, where nothing else is set: fewer forwarders than
@@ -211,6 +215,10 @@
     swept_at: Nanos,
     zones: BTreeMap<u8, Zone>,
     connected: usize,
+    /// Boxes that are ready and over the limit, by a hash of their names.
+    over: BTreeSet<u64>,
+    /// Boxes that forwarders do not get because they have as many as they take: how many, by forwarder.
+    left_out: BTreeMap<u32, usize>,
     /// Places of the names of classes and of tenants.
     places: [BTreeMap<String, usize>; 2],
 }
@@ -252,6 +260,8 @@
             swept_at: now,
             zones: BTreeMap::new(),
             connected: 0,
+            over: BTreeSet::new(),
+            left_out: BTreeMap::new(),
         }
     }
 
@@ -270,12 +280,28 @@
         self.cover
     }
 
+    /// Boxes that are ready and not planned for, as there are more than a planner holds. One of them comes in when the
+    /// membership names it again and there is room.
+    pub fn over_limit(&self) -> usize {
+        self.over.len()
+    }
+
+    pub(crate) fn is_over_limit(&self, name: &str) -> bool {
+        self.over.contains(&hash(name))
+    }
+
+    /// Boxes that would be a forwarder's and are left out, as it takes no more: summed over forwarders.
+    pub fn left_out(&self) -> usize {
+        self.left_out.values().sum()
+    }
+
     // ---- Membership ----
 
     /// The membership has spoken: a whole list, or changes to it.
     pub fn membership(&mut self, now: Nanos, version: u64, whole: bool, members: Vec<Member>) {
         self.membership = Some(version);
         if whole {
+            self.over.clear();
             let named: BTreeSet<&str> = members.iter().map(|m| m.name.as_str()).collect();
             let absent = |s: &&u32| !named.contains(self.servers[*s].member.name.as_str());
             let absent: Vec<u32> = self.servers.keys().filter(absent).copied().collect();
@@ -286,8 +312,17 @@
 
     fn member(&mut self, now: Nanos, version: u64, member: Member) {
         let known = self.by_name.get(&member.name).copied();
-        if known.is_none() && (member.server.phase != Phase::Ready || self.servers.len() >= MOST_BOXES) {
-            return;
+        if known.is_none() {
+            let ready = member.server.phase == Phase::Ready;
+            let full = self.servers.len() >= MOST_BOXES;
+            if !ready || !full {
+                self.over.remove(&hash(&member.name));
+            } else if self.over.len() < MOST_COUNTED {
+                self.over.insert(hash(&member.name));
+            }
+            if !ready || full {
+                return;
+            }
         }
         let id = known.unwrap_or_else(|| self.add(member.clone(), version));
         if member.server.phase != Phase::Ready {
@@ -720,8 +755,13 @@
                 }
             }
         }
+        self.left_out.clear();
         for (id, mut subset) in dealt {
             subset.sort_unstable();
+            if subset.len() > MOST_ROWS {
+                self.left_out.insert(id, subset.len() - MOST_ROWS);
+                subset.truncate(MOST_ROWS);
+            }
             self.assign(id, subset);
         }
     }
@@ -926,6 +966,12 @@
     }
 }
 
+fn hash(name: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    name.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Number, zone and name of a box or a forwarder.
 type Named<'a> = (u32, u8, &'a str);
 
