Measure slopes of what is shipped and make the capacity page of them

'rig capacity' counts bytes, allocations and instructions where it can and takes processor time where not, keeps slopes in docs/capacity-slopes.json and makes and checks the tables of docs/CAPACITY.md. Not measured yet: a request against tenants.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,6 +3,7 @@
 
 mod boxes;
 mod bulk;
+mod capacity;
 mod compare;
 mod cost;
 mod demo;
@@ -193,6 +194,16 @@
     Bulk(Common),
     /// What a planner costs as forwarders and boxes grow.
     Scale(Common),
+    /// How the cost of what is shipped grows with servers, tenants, nodes and changes; the page of it and its check.
+    Capacity {
+        #[command(flatten)]
+        common: Common,
+        #[command(flatten)]
+        wanted: capacity::Wanted,
+    },
+    /// Work whose cost `capacity` has counted.
+    #[command(hide = true)]
+    Probe { name: String, size: usize, times: usize },
     /// A shift to drawn new pools in simulated time: false halts, what is found and when, against stepping by the clock and a
     /// fixed canary; its course as a plot; what it costs a request.
     Shift {
@@ -259,6 +270,8 @@
         Command::Silence { common, rounds, output } => silence::run(&common, rounds, output.as_deref()),
         Command::Bulk(common) => bulk::run(&common),
         Command::Scale(common) => scale::run(&common),
+        Command::Capacity { common, wanted } => capacity::run(&common, &wanted),
+        Command::Probe { name, size, times } => capacity::probe(&name, size, times),
         Command::Shift { common, seeds, svg, cost } => {
             shift::run(&common, &shift::Wanted { seeds, svg: svg.as_deref(), cost })
         }
--- a/crates/rig/src/members.rs
+++ b/crates/rig/src/members.rs
@@ -36,6 +36,16 @@
     Some((times.iter().min()? / MS, times.iter().max()? / MS, rate / members as f64))
 }
 
+/// Bytes a second that a member sends at rest; `None` where the members do not settle.
+pub fn rest(members: usize, seed: u64) -> Option<f64> {
+    let mut fleet = Fleet::new(members, seed, S);
+    fleet.settle(60 * S)?;
+    fleet.run(3 * S);
+    let sent: u64 = fleet.sent().iter().sum();
+    fleet.run(4 * S);
+    Some((fleet.sent().iter().sum::<u64>() - sent) as f64 / 4.0 / members as f64)
+}
+
 /// Members that are put out though they run, in a minute of loss with one pause of up to two seconds.
 fn rough_minute(seed: u64, loss: f64) -> usize {
     let mut fleet = Fleet::new(MEMBERS, seed, S);
--- a/crates/rig/src/replica.rs
+++ b/crates/rig/src/replica.rs
@@ -19,7 +19,7 @@
 const BANS: [u64; 2] = [20, 6];
 
 /// How long a ban takes to all members, and bytes a second a member at rest and in the second after it.
-fn one_ban(members: usize, seed: u64, loss: f64) -> Option<(Nanos, f64, f64)> {
+pub fn one_ban(members: usize, seed: u64, loss: f64) -> Option<(Nanos, f64, f64)> {
     let mut fleet = Fleet::new(members, seed, S);
     fleet.with_copies(Planted::default());
     fleet.settle(60 * S)?;
