Requests that wait for services leave room; others' word ends without planners

With no planner, requests for a service that is not held wait for seconds, and each holds a client's place: those of services that are held found none. At most a quarter of the places may wait now, further ones are refused at once. What others have met of servers no longer counts after 30 s without a planner, and again with the next one.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -2,8 +2,10 @@
 //!
 //! A front reads the name with the request's head and asks for it at once; while the body comes in, so does the service.
 
+use crate::clock::Clock;
 use crate::gateway::Gateway;
 use laurelroute_policy::interface::{Nanos, Settings};
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -53,6 +55,32 @@
     /// The service's servers have not come in time.
     #[error("the service is not known in time")]
     Late,
+    /// So many requests wait for services that no further one may.
+    #[error("too many wait for a service")]
+    Crowded,
+}
+
+/// Requests that wait for their services. Each holds its client's place, which those of services that are known need too:
+/// with no planner there, one service that is not known must not take all of them.
+#[derive(Debug, Default)]
+pub struct Waits(Cell<usize>);
+
+/// One that waits.
+struct Wait<'a>(&'a Waits);
+
+impl Waits {
+    fn enter(&self, most: usize) -> Option<Wait<'_>> {
+        (self.0.get() < most).then(|| {
+            self.0.set(self.0.get() + 1);
+            Wait(self)
+        })
+    }
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        self.0 .0.set(self.0 .0.get() - 1);
+    }
 }
 
 /// A request's service, pinned for as long as this lives.
@@ -79,21 +107,25 @@
         Ok(Routed { services: services.clone(), service })
     }
 
-    /// The service's gateway, waited for until `latest` at most; and whether it had to be waited for.
+    /// The service's gateway, waited for until `latest` at most, and by no more than so many at once; and whether it had to
+    /// be waited for.
     pub async fn gateway(
         &self,
-        clock: &crate::clock::Clock,
+        clock: &Clock,
         latest: Nanos,
+        (waits, most): (&Waits, usize),
     ) -> Result<(Rc<Gateway>, bool), Unrouted> {
-        let mut waited = false;
+        let mut wait = None;
         loop {
             match self.services.want(&self.service) {
-                Standing::Held(gateway) => return Ok((gateway, waited)),
+                Standing::Held(gateway) => return Ok((gateway, wait.is_some())),
                 Standing::Unknown => return Err(Unrouted::Unknown),
                 Standing::NoRoom => return Err(Unrouted::NoRoom),
                 Standing::Waiting => {}
             }
-            waited = true;
+            if wait.is_none() {
+                wait = Some(waits.enter(most).ok_or(Unrouted::Crowded)?);
+            }
             let left = Duration::from_nanos(latest.saturating_sub(clock.now()));
             let changed = self.services.changed(&self.service);
             if left.is_zero() || tokio::time::timeout(left, changed).await.is_err() {
--- a/crates/core/tests/services.rs
+++ b/crates/core/tests/services.rs
@@ -5,7 +5,7 @@
 use laurelroute_core::connect::{connect, Held, NoLink};
 use laurelroute_core::fleet::{Entry, Kept};
 use laurelroute_core::gateway::{Attempt, Gateway, Site};
-use laurelroute_core::route::{latest, Routed, Services, Standing, Unrouted};
+use laurelroute_core::route::{latest, Routed, Services, Standing, Unrouted, Waits};
 use laurelroute_policy::interface::{Endpoint, ListKind, Nanos, Phase, Server, Settings};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
@@ -243,17 +243,22 @@
         let script = Rc::new(Script::default());
         let services: Rc<dyn Services> = script.clone();
         let clock = Clock::start();
+        let waits_here = Waits::default();
+        let room = (&waits_here, 1);
         let far = || clock.now() + 60_000 * MS;
         let routed = || Routed::new(&services, "shop".to_owned());
         // In vain, and at once where no time is left.
         let waits = routed().unwrap();
         assert_eq!(script.pins.get(), 1);
-        assert_eq!(waits.gateway(&clock, clock.now() + 10 * MS).await.err(), Some(Unrouted::Late));
-        assert_eq!(waits.gateway(&clock, clock.now()).await.err(), Some(Unrouted::Late));
+        assert_eq!(waits.gateway(&clock, clock.now() + 10 * MS, room).await.err(), Some(Unrouted::Late));
+        assert_eq!(waits.gateway(&clock, clock.now(), room).await.err(), Some(Unrouted::Late));
         // One that leaves is not counted any longer.
         {
-            let mut waiting = pin!(waits.gateway(&clock, far()));
+            let mut waiting = pin!(waits.gateway(&clock, far(), room));
             assert!(tokio::time::timeout(Duration::from_millis(1), &mut waiting).await.is_err());
+            // Meanwhile there is no room for a second one to wait.
+            let second = routed().unwrap();
+            assert_eq!(second.gateway(&clock, far(), room).await.err(), Some(Unrouted::Crowded));
         }
         drop(waits);
         assert_eq!(script.pins.get(), 0);
@@ -265,9 +270,12 @@
             *script.held.borrow_mut() = Some(first(None));
             script.news.notify_waiters();
         };
-        let (gateway, ()) = tokio::join!(waits.gateway(&clock, far()), come);
+        let (gateway, ()) = tokio::join!(waits.gateway(&clock, far(), room), come);
         assert!(gateway.is_ok_and(|(_, waited)| waited));
-        assert!(waits.gateway(&clock, 0).await.is_ok_and(|(_, waited)| !waited), "held ones cost no wait");
+        assert!(
+            waits.gateway(&clock, 0, room).await.is_ok_and(|(_, waited)| !waited),
+            "held ones cost no wait"
+        );
         drop(waits);
         script.held.take();
         // It turns out not to exist while somebody waits.
@@ -276,7 +284,7 @@
             script.unknown.set(true);
             script.news.notify_waiters();
         };
-        let (unknown, ()) = tokio::join!(waits.gateway(&clock, far()), come);
+        let (unknown, ()) = tokio::join!(waits.gateway(&clock, far(), room), come);
         assert_eq!(unknown.err(), Some(Unrouted::Unknown));
         drop(waits);
         assert_eq!(routed().err(), Some(Unrouted::Unknown));
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -18,7 +18,7 @@
 use laurelroute_core::call::{Call, GivenUp, Reply, Verdict};
 use laurelroute_core::gateway::{route_key, Gateway};
 use laurelroute_core::leaving::LOOK;
-use laurelroute_core::route::{self, Routed, Unrouted};
+use laurelroute_core::route::{self, Routed, Unrouted, Waits};
 use laurelroute_policy::interface::{self, Effect, Nanos};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -62,6 +62,8 @@
 /// those that pause for longer, but only where there is no other place left.
 const STOPPED: Nanos = 700_000_000;
 
+/// One in so many of the places for clients may be held by requests that wait for their services.
+const WAITING_PART: usize = 4;
 /// Connections that go over to another process before those that went are closed here.
 const AT_ONCE: usize = 16;
 
@@ -154,6 +156,7 @@
     gateway: Rc<Gateway>,
     /// Where requests name services; without it the gateway carries all.
     routing: Option<Routing>,
+    waits: Waits,
     open: RefCell<HashMap<u64, Rc<Client>>>,
     next: Cell<u64>,
     /// Connections on which a request is under way.
@@ -175,6 +178,7 @@
         Rc::new(Clients {
             gateway,
             routing,
+            waits: Waits::default(),
             open: RefCell::default(),
             next: Cell::new(0),
             busy: Cell::new(0),
@@ -511,7 +515,8 @@
         None => gateway.clone(),
         Some(routed) => {
             let latest = route::latest(&gateway.site.settings, head.class, now + head.wait);
-            let (carrier, waited) = routed.gateway(&gateway.clock, latest).await?;
+            let room = (&clients.waits, (gateway.budget.most_clients() / WAITING_PART).max(1));
+            let (carrier, waited) = routed.gateway(&gateway.clock, latest, room).await?;
             if waited && client.socket.left_behind(client.requests.get() == 1).await {
                 return Err(Fault::Left);
             }
--- a/crates/node/src/services/directory.rs
+++ b/crates/node/src/services/directory.rs
@@ -25,6 +25,8 @@
 const REPORTED: usize = 8;
 /// A gateway without requests is looked at for so long beyond the time that its connections may stand idle.
 const STILL_SWEPT: Nanos = 2_000_000_000;
+/// What others have met of servers counts for so long without a planner: nobody takes it back.
+const HINTS_LAST: Nanos = 30_000_000_000;
 /// How often the service without a name is asked for, where it is always in use.
 const KEPT: Duration = Duration::from_secs(1);
 
@@ -65,6 +67,12 @@
     waiting: Waiting,
     /// Services in use lately, and when; one that is not carried goes with the next look.
     used: RefCell<BTreeMap<String, Nanos>>,
+    /// What counts of others' word on servers, by service; none where nothing is said.
+    guides: RefCell<BTreeMap<String, Guide>>,
+    /// Since when there is no planner, where what others said counts still.
+    alone_since: Cell<Option<Nanos>>,
+    /// Without a planner for too long: others' word does not count.
+    mistrusts: Cell<bool>,
     /// The service whose turn in reports is over.
     reported: RefCell<String>,
     /// Where servers speak Thrift whose entry does not say.
@@ -87,6 +95,9 @@
             carried: RefCell::default(),
             waiting: Waiting::default(),
             used: RefCell::default(),
+            guides: RefCell::default(),
+            alone_since: Cell::new(None),
+            mistrusts: Cell::new(false),
             reported: RefCell::default(),
             thrift_port,
             refused: Cell::new(false),
@@ -135,15 +146,16 @@
                 }
                 Change::Hints { service, words } => {
                     let Some(gateway) = self.gateway(&service) else { continue };
-                    let guide = match words.is_empty() {
-                        true => Guide::default(),
-                        false => {
-                            let view = View { words, trust: 1.0, ..View::default() };
-                            let known = |name: &str| gateway.fleet(|f| f.known(name));
-                            lead::guide(&view, known, &[], std::iter::empty())
-                        }
-                    };
-                    gateway.guide(guide);
+                    if words.is_empty() {
+                        self.guides.borrow_mut().remove(&service);
+                        gateway.guide(Guide::default());
+                        continue;
+                    }
+                    let view = View { words, trust: 1.0, ..View::default() };
+                    let known = |name: &str| gateway.fleet(|f| f.known(name));
+                    let guide = lead::guide(&view, known, &[], std::iter::empty());
+                    gateway.guide(self.weighed(&guide));
+                    self.guides.borrow_mut().insert(service, guide);
                 }
                 Change::Unknown(service) => self.wake(&service),
                 Change::Dropped(service) => self.drop_service(&service),
@@ -155,6 +167,28 @@
         came.iter().for_each(|service| self.wake(service));
     }
 
+    /// A guide as far as it counts now.
+    fn weighed(&self, guide: &Guide) -> Guide {
+        let trust = if self.mistrusts.get() { 0.0 } else { guide.trust };
+        Guide { trust, ..guide.clone() }
+    }
+
+    /// What others said of servers counts no longer where no planner has been there for long, and again with the next one.
+    fn look_at_trust(&self) {
+        let now = self.now();
+        let alone = self.subscriber.borrow().planner().is_none();
+        let since = alone.then(|| self.alone_since.get().unwrap_or(now));
+        self.alone_since.set(since);
+        let mistrusts = since.is_some_and(|at| now.saturating_sub(at) >= HINTS_LAST);
+        if self.mistrusts.replace(mistrusts) != mistrusts {
+            for (service, guide) in &*self.guides.borrow() {
+                if let Some(gateway) = self.gateway(service) {
+                    gateway.guide(self.weighed(guide));
+                }
+            }
+        }
+    }
+
     fn wake(&self, service: &str) {
         if let Some(notify) = self.waiting.borrow().get(service) {
             notify.notify_waiters();
@@ -162,6 +196,7 @@
     }
 
     fn drop_service(&self, service: &str) {
+        self.guides.borrow_mut().remove(service);
         if service.is_empty() {
             self.first.list(ListKind::Full, Vec::new());
         } else if let Some(carried) = self.carried.borrow_mut().remove(service) {
@@ -175,6 +210,7 @@
 
     /// Closes kept connections that are too old, in the services that may have any.
     pub(crate) fn sweep(&self) {
+        self.look_at_trust();
         let now = self.now();
         let swept = self.first.site.conn_idle + STILL_SWEPT;
         let carried = self.carried.borrow();
--- a/crates/node/tests/services.rs
+++ b/crates/node/tests/services.rs
@@ -231,6 +231,36 @@
     assert!(scene.served("shop"));
 }
 
+#[test]
+fn requests_that_wait_leave_room_for_those_that_need_not() {
+    let mut scene = Scene::without_nodes(1, &[&["shop"], &["stock"]]);
+    scene.forwarder("f0", BY_HOST, Wishes { sockets: 64, ..Wishes::default() });
+    assert!(scene.served("shop"));
+    scene.planners[0].kill();
+    let ask = || Ask::new(Class::Read).of("stock");
+    let mut waiting: Vec<Client> = Vec::new();
+    // More than may wait: the last one is told at once, long before its own time is up.
+    let refused = loop {
+        let mut client = Client::connect(Wire::Http, scene.nodes[0].http).unwrap();
+        client.send(&ask());
+        if !client.silent_for(Duration::from_millis(100)) {
+            break client.answer();
+        }
+        waiting.push(client);
+        assert!(waiting.len() < 16, "they take all places");
+    };
+    assert!(matches!(refused, Some(Answer::Refused(Some(_)))), "{refused:?}");
+    assert!(!waiting.is_empty());
+    for _ in 0..20 {
+        assert!(scene.served("shop"));
+    }
+    scene.planners[0].start();
+    // What waits is served as the planner comes back, or was told to come back before.
+    let answers: Vec<_> = waiting.iter_mut().map(Client::answer).collect();
+    let told = |a: &Option<Answer>| matches!(a, Some(Answer::Served(_) | Answer::Refused(_)));
+    assert!(answers.iter().all(told), "{answers:?}");
+}
+
 #[test]
 fn a_change_is_in_force_where_all_have_acknowledged_it_and_who_lags_is_named() {
     let mut scene = Scene::new(1, &[&["shop"], &["shop"], &["stock"]]);
