A planner starts few forwarders at once and tells each one update a turn

At 2,100 nodes the start did not end: a planner wrote each forwarder's whole burst in one go, hundreds of them in a round, beats waited behind that, forwarders took it for lost and came back with all their interests. Now at most 32 forwarders are starting at a planner at once (until they have their first burst, 0.3 s at most); others wait for up to 2 s for their turn before they are greeted and are then sent elsewhere. After each update all others have a turn.

--- a/crates/channel/src/subscription.rs
+++ b/crates/channel/src/subscription.rs
@@ -17,7 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt};
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::{mpsc, Notify, Semaphore, SemaphorePermit};
 use tokio::time::{sleep_until, timeout, Instant};
 
 /// How often a subscriber and a publisher are asked what time brings.
@@ -39,6 +39,13 @@
 const ANSWERS: usize = 64;
 /// The longest part of a refusal's text that is kept.
 const MOST_REASON: usize = 500;
+/// Forwarders that are just starting at a planner, at once: the first seconds of each cost it far more than all that follows.
+/// Those that it has must go on being told of changes, and hear that it lives, while hundreds come.
+pub const STARTING: usize = 32;
+/// A forwarder is starting until it has been told what the bytes for a burst allow, but for no longer than this.
+const START: Duration = Duration::from_millis(300);
+/// A forwarder waits for so long until its turn to start comes, and else goes to another planner or comes again.
+const QUEUE: Duration = Duration::from_secs(2);
 /// Between two looks for updates there is at least this: a publisher whose time has come meanwhile loses nothing by it.
 const LEAST_PAUSE: Nanos = 2_000_000;
 
@@ -69,6 +76,9 @@
     /// What a forwarder says cannot be used.
     #[error("{0}")]
     Publish(#[from] PublishError),
+    /// As many forwarders are starting as may at once.
+    #[error("{STARTING} forwarders are just starting here")]
+    Starting,
     /// A newer connection of the same forwarder has come.
     #[error("a newer connection of the same name has come")]
     Replaced,
@@ -291,6 +301,7 @@
     /// Bounded by the publisher, which takes no more forwarders than it is told.
     seats: RefCell<BTreeMap<String, Seat>>,
     connections: Cell<u64>,
+    starting: Semaphore,
 }
 
 impl std::fmt::Debug for Publishing {
@@ -329,6 +340,7 @@
             now,
             seats: RefCell::default(),
             connections: Cell::new(0),
+            starting: Semaphore::new(STARTING),
         }
     }
 
@@ -368,6 +380,11 @@
             let _ = timeout(PART, hello::refused(&mut stream, reason)).await;
             return Err(SessionError::NoServices);
         }
+        let Ok(Ok(start)) = timeout(QUEUE, self.starting.acquire()).await else {
+            let reason = format!("to {}: {}", own.name, SessionError::Starting);
+            let _ = timeout(PART, hello::refused(&mut stream, reason)).await;
+            return Err(SessionError::Starting);
+        };
         let zone = peer.zone.min(255) as u8;
         if let Err(error) = self.with(|publisher, now| publisher.joined(now, &peer.name, zone)) {
             let _ = timeout(PART, hello::refused(&mut stream, format!("to {}: {error}", own.name))).await;
@@ -384,7 +401,7 @@
         let (mut reader, mut writer) = tokio::io::split(stream);
         let ended = tokio::select! {
             ended = self.hear(&seated, &mut reader) => ended,
-            ended = self.say(&seated, &news, &mut writer) => ended,
+            ended = self.say(&seated, &news, &mut writer, start) => ended,
         };
         if let Err(error @ (SessionError::Publish(_) | SessionError::Replaced)) = &ended {
             let refusal = Refusal { reason: format!("to {}: {error}", own.name) };
@@ -424,8 +441,16 @@
         }
     }
 
-    async fn say(&self, seated: &Seated<'_>, news: &Notify, writer: &mut (impl AsyncWrite + Unpin)) -> Ended {
+    async fn say(
+        &self,
+        seated: &Seated<'_>,
+        news: &Notify,
+        writer: &mut (impl AsyncWrite + Unpin),
+        start: SemaphorePermit<'_>,
+    ) -> Ended {
         let name = seated.name;
+        let mut start = Some((start, Instant::now() + START));
+        let mut told = false;
         loop {
             let pause = loop {
                 if !seated.current() {
@@ -437,12 +462,21 @@
                     let wake_at = self.publisher.borrow().wake_at(now, name);
                     break wake_at.saturating_sub(now).clamp(LEAST_PAUSE, subscriber::SILENCE);
                 };
+                told |= update.number > 0;
                 timeout(WRITE, frames::write(writer, Body::Update(update))).await.map_err(late)??;
-                // One at a time and in turn: as many forwarders start, none is to be silent to all the others meanwhile.
+                // One update a turn: the others hear theirs meanwhile.
                 tokio::task::yield_now().await;
             };
+            let mut pause = Duration::from_nanos(pause);
+            if let Some((permit, until)) = start.take() {
+                let now = Instant::now();
+                if !told && now < until {
+                    pause = pause.min(until - now);
+                    start = Some((permit, until));
+                }
+            }
             // A notice that comes while this one is written is kept.
-            let _ = timeout(Duration::from_nanos(pause), news.notified()).await;
+            let _ = timeout(pause, news.notified()).await;
         }
     }
 }
--- a/crates/channel/tests/subscription.rs
+++ b/crates/channel/tests/subscription.rs
@@ -2,7 +2,7 @@
 
 use laurelroute_channel::frames;
 use laurelroute_channel::hello::{self, HelloError, Identity};
-use laurelroute_channel::subscription::{Publishing, SessionError, Subscribing};
+use laurelroute_channel::subscription::{Publishing, SessionError, Subscribing, STARTING};
 use laurelroute_plan::member::Member;
 use laurelroute_plan::services::publisher::{self, Listed, Publisher};
 use laurelroute_plan::services::subscriber::{self, Change, Standing, Subscriber};
@@ -302,6 +302,34 @@
     });
 }
 
+#[test]
+fn only_so_many_start_at_once_and_the_others_come_in_turn() {
+    run(async {
+        let now = clock();
+        let planner = Planner::new(&now, "p0", 1_000);
+        planner.list(1, true, both());
+        let mut streams = Vec::new();
+        for k in 0..STARTING {
+            let mut stream = planner.connect().unwrap();
+            let own = identity(Role::Forwarder, &format!("f{k}"), 1);
+            hello::greet(&mut stream, &own, Role::Planner).await.unwrap();
+            streams.push(stream);
+        }
+        assert_eq!(planner.forwarders(), STARTING);
+        // Each of them has wanted nothing yet. The next one waits for its turn, which comes as they are through.
+        let mut stream = planner.connect().unwrap();
+        let own = identity(Role::Forwarder, "late", 1);
+        hello::greet(&mut stream, &own, Role::Planner).await.unwrap();
+        assert_eq!(planner.forwarders(), STARTING + 1);
+        // Many that want something are through as soon as they have it.
+        let forwarders: Vec<_> = (0..3 * STARTING)
+            .map(|k| Forwarder::start(&now, &format!("g{k}"), std::slice::from_ref(&planner)).0)
+            .collect();
+        until("all hold what they want", || forwarders.iter().all(|f| f.want("shop") == Standing::Held))
+            .await;
+    });
+}
+
 #[test]
 fn who_does_not_go_by_services_hears_so() {
     run(async {
