--- a/crates/channel/src/subscription.rs
+++ b/crates/channel/src/subscription.rs
@@ -438,6 +438,8 @@
                     break wake_at.saturating_sub(now).clamp(LEAST_PAUSE, subscriber::SILENCE);
                 };
                 timeout(WRITE, frames::write(writer, Body::Update(update))).await.map_err(late)??;
+                // One at a time and in turn: as many forwarders start, none is to be silent to all the others meanwhile.
+                tokio::task::yield_now().await;
             };
             // A notice that comes while this one is written is kept.
             let _ = timeout(Duration::from_nanos(pause), news.notified()).await;
--- a/crates/rig/src/scale_out/day.rs
+++ b/crates/rig/src/scale_out/day.rs
@@ -17,7 +17,7 @@
 /// A drained box may be sent to for so long after its forwarders know; the rest is for what is on its way on a busy machine.
 const GRACE: Duration = Duration::from_millis(250 + 500);
 /// How often it is said how far a long wait is.
-const TELL: Duration = Duration::from_secs(10);
+const TELL: Duration = Duration::from_secs(3);
 /// Servers of a small fleet change seldom: a stretch has this many of the day's changes at least.
 const LEAST_STEPS: f64 = 12.0;
 
@@ -179,11 +179,11 @@
                     told.as_secs_f64(),
                     sum("made")
                 );
-            }
-            if begun.elapsed() > patience {
                 for (why, count) in ends(&status) {
-                    println!("{count} connections ended: {why}");
+                    println!("    {count} ended: {why}");
                 }
+            }
+            if begun.elapsed() > patience {
                 self.seen.broken.push(format!(
                     "after {} s {connected} of {running} nodes are connected and hold {held} of {named} services",
                     patience.as_secs()
