--- a/crates/plan/src/services/publisher/forwarders.rs
+++ b/crates/plan/src/services/publisher/forwarders.rs
@@ -91,10 +91,21 @@
                 self.interested(now, id, interest)?;
             }
         }
+        if subscribe.all {
+            self.withdraw_stale(now, id);
+        }
         self.stirred.insert(id);
         Ok(())
     }
 
+    /// What a forwarder has not named again since it connected is no longer wanted.
+    pub(super) fn withdraw_stale(&mut self, now: Nanos, id: u32) {
+        let here = |f: &&Forwarder| f.left_at.is_none();
+        let stale = self.forwarders.get(&id).filter(here).into_iter().flat_map(|f| &f.subscriptions);
+        let stale: Vec<u32> = stale.filter(|(_, s)| s.stale).map(|(service, _)| *service).collect();
+        stale.into_iter().for_each(|service| self.withdraw(now, id, service));
+    }
+
     pub(super) fn id_of(&self, name: &str) -> Result<u32, PublishError> {
         self.forwarder_ids.get(name).copied().ok_or_else(|| PublishError::Stranger(name.to_owned()))
     }
--- a/crates/plan/src/services/publisher/mod.rs
+++ b/crates/plan/src/services/publisher/mod.rs
@@ -34,7 +34,8 @@
 const MOST_SERVED: usize = 64;
 /// Services that one forwarder may subscribe to.
 pub const MOST_INTERESTS: usize = 16_384;
-/// A forwarder that has connected says anew what it wants; what it has not named again by then it no longer wants.
+/// A forwarder that has connected says anew what it wants, and when that was all; what it has not named again by then, or
+/// within this, it no longer wants.
 const ANEW: Nanos = 30 * S;
 /// A forwarder that is lost lags for so long; then it is no longer one of the fleet.
 pub const FORGET: Nanos = 600 * S;
@@ -357,14 +358,7 @@
             }
             self.due.pop_first();
             match due {
-                Due::Stale(id) => {
-                    let here = |f: &&Forwarder| f.left_at.is_none();
-                    let stale =
-                        self.forwarders.get(&id).filter(here).into_iter().flat_map(|f| &f.subscriptions);
-                    let stale: Vec<u32> =
-                        stale.filter(|(_, s)| s.stale).map(|(service, _)| *service).collect();
-                    stale.into_iter().for_each(|service| self.withdraw(now, id, service));
-                }
+                Due::Stale(id) => self.withdraw_stale(now, id),
                 Due::Forget(id) => {
                     let long = |f: &Forwarder| f.left_at.is_some_and(|at| now.saturating_sub(at) >= FORGET);
                     if self.forwarders.get(&id).is_some_and(long) {
--- a/crates/plan/src/services/subscriber/mod.rs
+++ b/crates/plan/src/services/subscriber/mod.rs
@@ -149,6 +149,8 @@
     say_closed: bool,
     /// The planner has not been told yet how many bytes are left.
     say_allowance: bool,
+    /// The planner has not been told yet that it has heard of all that is wanted.
+    say_all: bool,
     tokens: f64,
     takes: f64,
     tokens_at: Nanos,
@@ -180,6 +182,7 @@
             left: VecDeque::new(),
             say_closed: false,
             say_allowance: false,
+            say_all: false,
             changed: BTreeMap::new(),
             ended: Vec::new(),
             reported: BTreeMap::new(),
@@ -247,7 +250,7 @@
         self.again.clear();
         self.to_ask = self.by_use.iter().rev().map(|(_, service)| service.clone()).collect();
         self.services.values_mut().for_each(|held| held.whole = None);
-        (self.say_closed, self.say_allowance) = (false, true);
+        (self.say_closed, self.say_allowance, self.say_all) = (false, true, true);
         self.reported.clear();
     }
 
--- a/crates/plan/src/services/subscriber/words.rs
+++ b/crates/plan/src/services/subscriber/words.rs
@@ -65,7 +65,10 @@
             size += interest.encoded_len() + 3;
             word.interests.push(interest);
         }
-        if word.interests.is_empty() && word.closed.is_empty() {
+        if self.say_all && self.to_ask.is_empty() {
+            (self.say_all, word.all) = (false, true);
+        }
+        if word.interests.is_empty() && word.closed.is_empty() && !word.all {
             return None;
         }
         if std::mem::take(&mut self.say_allowance) {
--- a/crates/plan/src/wire.rs
+++ b/crates/plan/src/wire.rs
@@ -367,6 +367,9 @@
     /// Bytes that it takes at once now, for a planner that it comes to; 0 where it does not say.
     #[prost(uint32, tag = "4")]
     pub allowance: u32,
+    /// What was said on this connection so far is all that it wants.
+    #[prost(bool, tag = "5")]
+    pub all: bool,
 }
 
 /// A forwarder's interest in one service, and what it holds of it.
