Try who is out for failures where nobody else is left, one request each

Of 1,015 endings 155 were connections that did not come up within the 60 ms of the settings, though they would have a little later; a failed connection puts a server out for up to eight deadlines, whatever part of the zone is out already.

Lines at fault: choose_in and choose_near gave nobody where all are out, and admit refused. Now the one that is to be tried first gets the request, at home before elsewhere, and one request at a time as any that comes back. Who is out is still passed over wherever anybody else is left, also in another zone.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -71,13 +71,11 @@
 const ADMIT_AIMS: f64 = 0.75;
 /// Lesser worth for the work lowers the limit with this power of its ratio to the best.
 const WORTH_POWER: f64 = 0.5;
-/// ... fully where this part of all requests is turned away, and less where less is: with room for nearly
-/// all, little is gained by keeping the least worthy out. It is averaged over as many requests as come while
-/// the lag of a server is believed, within these bounds: a node with few must not remember a jam for longer.
+/// ... fully where this part of all requests is turned away, less where there is room for nearly all. It is
+/// averaged over as many as come while a lag is believed, within bounds: few must not remember a jam.
 const SHORTAGE: f64 = 0.2;
 const SHORTAGE_OVER: (f64, f64) = (5.0, 100.0);
-/// A class's answer time is a guess until so many answers have come that chance has little part in it.
-/// Compared by it with classes that are known to be quick, it would be refused, and never get to be known.
+/// A class's answer time is a guess until so many answers have come. Refused by it, it would never be known.
 const KNOWN_AFTER: u32 = 20;
 /// Who meets full servers only is to stay away for this part of the aim at least, however quick they are.
 const LEAST_PAUSE: f64 = 0.1;
@@ -589,9 +587,10 @@
 
     // ---- Choice: JSQ-DAS within a zone ----
 
-    fn usable(&self, now: Nanos, i: usize, pending: &Pending) -> bool {
+    /// Whether a request may go there now, or (`out`) could, were it not out for failures.
+    fn usable(&self, now: Nanos, i: usize, pending: &Pending, out: bool) -> bool {
         let node = &self.nodes[i];
-        node.blocked_until <= now
+        (out || node.blocked_until <= now)
             && (node.strikes == 0 || node.out == 0)
             && (node.cold_next <= now || self.cold_share(now, i) >= 1.0)
             && (node.place.is_some() || self.cold_share(now, i) >= 1.0)
@@ -636,7 +635,7 @@
                 let place = from + self.draw(to - from);
                 let i = lane.as_ref().unwrap_or(&self.zones[zone].rank)[place];
                 tries += 1;
-                if !drawn[..have].contains(&i) && self.usable(now, i, pending) {
+                if !drawn[..have].contains(&i) && self.usable(now, i, pending, false) {
                     drawn[have] = i;
                     have += 1;
                 }
@@ -649,7 +648,7 @@
         }
         if have == 0 {
             // Nearly all are out: take any that is left.
-            drawn[0] = *self.zones[zone].ready.iter().find(|&&i| self.usable(now, i, pending))?;
+            drawn[0] = *self.zones[zone].ready.iter().find(|&&i| self.usable(now, i, pending, false))?;
             have = 1;
         }
         let bonus = |i| if favourite == Some(i) { KEY_BONUS } else { 1.0 };
@@ -667,7 +666,7 @@
         }
         let hash = |i: usize| self.nodes[i].server.endpoint.affinity(key);
         let best = *self.zones[zone].rank.iter().max_by_key(|&&i| (hash(i), i))?;
-        Some(best).filter(|&i| self.usable(now, i, pending))
+        Some(best).filter(|&i| self.usable(now, i, pending, false))
     }
 
     /// The home zone first; another where the local answer would be late and the other much sooner.
@@ -676,7 +675,7 @@
         let (mean, aim) = (self.typical[class], self.settings.classes[class].aim as f64);
         let home = usize::from(self.settings.zone);
         let local = self.choose_in(now, home, pending);
-        if local.is_some_and(|(_, q)| q * mean < WIDEN_AT * aim) || self.zones.len() < 2 {
+        if local.is_some_and(|(_, q)| q * mean < WIDEN_AT * aim) {
             return local;
         }
         let skip = self.draw(self.zones.len());
@@ -688,7 +687,18 @@
                 best = Some((i, q, q));
             }
         }
-        best.map(|(i, q, _)| (i, q))
+        best.map(|(i, q, _)| (i, q)).or_else(|| self.last_resort(now, pending))
+    }
+
+    /// Where all are out for failures, who is to be tried first, at home before elsewhere, one request each:
+    /// connections that come up late put all out at once, and to refuse then fails for sure.
+    fn last_resort(&self, now: Nanos, pending: &Pending) -> Option<(usize, f64)> {
+        let (mean, weight) =
+            (self.typical[usize::from(pending.request.class)], self.weight(&pending.request));
+        let out = self.zones.iter().flat_map(|z| &z.ready).filter(|&&i| self.usable(now, i, pending, true));
+        let order =
+            |&&i: &&usize| (self.nodes[i].server.zone != self.settings.zone, self.nodes[i].blocked_until);
+        out.min_by_key(order).map(|&i| (i, self.queue(now, i, mean, weight)))
     }
 
     // ---- Cold servers ----
@@ -697,13 +707,11 @@
         self.nodes[i].server.warmth(now, self.settings.cold_from, self.settings.ramp)
     }
 
-    /// Time between two sends to a cold server: its ramp share of what this node sends a like warm server.
-    /// Elsewhere all nodes may cross to it, so that each has its part of the whole fleet only. After a
-    /// release all are cold, and depots without a node of their own would be of no use for a ramp.
+    /// Time between two sends to a cold server: its ramp share of what a like warm one is sent here. Elsewhere
+    /// all nodes may cross to it, each with its part; after a release all are cold, also where no node is.
     fn cold_interval(&self, now: Nanos, i: usize) -> f64 {
-        let home = usize::from(self.settings.zone);
-        let near = usize::from(self.nodes[i].server.zone) == home;
-        let counts = self.zones.iter().enumerate().filter(|(zone, _)| !near || *zone == home);
+        let (home, zone) = (usize::from(self.settings.zone), usize::from(self.nodes[i].server.zone));
+        let counts = self.zones.iter().enumerate().filter(|(z, _)| zone != home || *z == home);
         let size: f64 = counts.map(|(_, r)| r.size).sum();
         let rate = self.arrivals.since_start(now, self.settings.ramp as f64) / size.max(self.nodes[i].size);
         let own = COLD_SHARE * self.cold_share(now, i) * rate * self.nodes[i].size;
@@ -746,32 +754,29 @@
         self.budget = (self.budget + RETRY_SHARE * calm).min(most);
         let pending = Pending { request, arrived: now, ..Pending::default() };
         let class = usize::from(request.class);
-        if class < self.settings.classes.len() {
-            let tried = self.trial(now, &pending);
-            if let Some((i, queue)) = tried.or_else(|| self.choose(now, &pending)) {
-                let wait = self.line.read(queue) * self.typical[class] - self.limit(now, &request);
-                let turned_away = if wait > 0.0 { 1.0 } else { 0.0 };
-                let recent = self.arrivals.since_start(now, ramp) * self.memory / 1e9;
-                let over = recent.clamp(SHORTAGE_OVER.0, SHORTAGE_OVER.1);
-                self.turned_away += (turned_away - self.turned_away) / over;
-                if wait <= 0.0 {
-                    let tenant = self.tenants.get_mut(request.tenant as usize);
-                    tenant.into_iter().for_each(|rate| rate.count(now, self.memory));
-                    self.classes[class].count(now, self.memory);
-                    self.pending.insert(request.id, pending);
-                    self.send(now, request.id, (i, queue), sink);
-                    let class = &self.settings.classes[class];
-                    let at = now + (HEDGE_AT * class.aim as f64) as Nanos;
-                    let copies = self.settings.second_copies && !class.stream && at < request.give_up_at;
-                    if class.effect == Effect::Safe && copies {
-                        self.jobs.push(Reverse((at, Job::Hedge(request.id))));
-                    }
-                    return;
-                }
-                return self.refuse(request.id, wait, sink);
-            }
+        let known = class < self.settings.classes.len();
+        let tried = if known { self.trial(now, &pending) } else { None };
+        let found = tried.or_else(|| if known { self.choose(now, &pending) } else { None });
+        let Some((i, queue)) = found else { return self.refuse(request.id, self.longest as f64, sink) };
+        let wait = self.line.read(queue) * self.typical[class] - self.limit(now, &request);
+        let turned_away = if wait > 0.0 { 1.0 } else { 0.0 };
+        let recent = self.arrivals.since_start(now, ramp) * self.memory / 1e9;
+        let over = recent.clamp(SHORTAGE_OVER.0, SHORTAGE_OVER.1);
+        self.turned_away += (turned_away - self.turned_away) / over;
+        if wait > 0.0 {
+            return self.refuse(request.id, wait, sink);
+        }
+        let tenant = self.tenants.get_mut(request.tenant as usize);
+        tenant.into_iter().for_each(|rate| rate.count(now, self.memory));
+        self.classes[class].count(now, self.memory);
+        self.pending.insert(request.id, pending);
+        self.send(now, request.id, (i, queue), sink);
+        let class = &self.settings.classes[class];
+        let at = now + (HEDGE_AT * class.aim as f64) as Nanos;
+        let copies = self.settings.second_copies && !class.stream && at < request.give_up_at;
+        if class.effect == Effect::Safe && copies {
+            self.jobs.push(Reverse((at, Job::Hedge(request.id))));
         }
-        self.refuse(request.id, self.longest as f64, sink);
     }
 
     // ---- Admission ----
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -474,6 +474,12 @@
     pub faults: f64,
 }
 
+impl From<Observed> for Known {
+    fn from(o: Observed) -> Known {
+        Known { server: o.server, accomplished: o.accomplished, lag: o.lag, faults: o.faults }
+    }
+}
+
 /// What a node tells its balancer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
--- a/crates/policy/src/learnt.rs
+++ b/crates/policy/src/learnt.rs
@@ -9,12 +9,7 @@
     /// What this process has learnt.
     pub fn learnt(&self, now: Nanos) -> Learnt {
         let classes = self.typical.iter().zip(&self.answers);
-        let servers = self.observed(now).map(|o| Known {
-            server: o.server,
-            accomplished: o.accomplished,
-            lag: o.lag,
-            faults: o.faults,
-        });
+        let servers = self.observed(now).map(Known::from);
         Learnt {
             rate: self.arrivals.since_start(now, self.settings.ramp as f64),
             classes: classes.map(|(&typical, &answers)| (typical as Nanos, answers)).collect(),
