Both processes of a takeover are led by services, neither pushes the other out

Two processes of one forwarder have one name while one takes over from the other; the planner took the newer connection for the same one and ended the older, which came back and ended the newer. Now each life of a name is led by itself, two of them at most (a third takes the oldest one's place), and one that has gone lags nowhere while another is there.

--- a/crates/channel/src/subscription.rs
+++ b/crates/channel/src/subscription.rs
@@ -294,12 +294,20 @@
     news: Rc<Notify>,
 }
 
+/// Processes of one forwarder that are led at once: the one that runs, and the one that takes over from it.
+const LIVES: usize = 2;
+
+/// The processes of a forwarder that are connected: when each one's life began, and the name that it has at the publisher.
+type Lives = Vec<(u64, String)>;
+
 /// A publisher and the connections of its forwarders.
 pub struct Publishing {
     publisher: RefCell<Publisher>,
     now: Box<dyn Fn() -> Nanos>,
     /// Bounded by the publisher, which takes no more forwarders than it is told.
     seats: RefCell<BTreeMap<String, Seat>>,
+    /// By the names that forwarders have given.
+    lives: RefCell<BTreeMap<String, Lives>>,
     connections: Cell<u64>,
     starting: Semaphore,
 }
@@ -313,22 +321,32 @@
 /// Gives a forwarder's seat up, however its connection ends.
 struct Seated<'a> {
     publishing: &'a Publishing,
-    name: &'a str,
+    peer: &'a Hello,
+    /// Its name at the publisher.
+    name: String,
     number: u64,
 }
 
 impl Seated<'_> {
     fn current(&self) -> bool {
-        self.publishing.seats.borrow().get(self.name).is_some_and(|s| s.number == self.number)
+        self.publishing.seats.borrow().get(&self.name).is_some_and(|s| s.number == self.number)
     }
 }
 
 impl Drop for Seated<'_> {
     fn drop(&mut self) {
-        if self.current() {
-            self.publishing.seats.borrow_mut().remove(self.name);
-            self.publishing.with(|publisher, now| publisher.left(now, self.name));
+        if !self.current() {
+            return;
         }
+        self.publishing.seats.borrow_mut().remove(&self.name);
+        let others = self.publishing.forget(self.peer);
+        self.publishing.with(|publisher, now| {
+            // Where another process of the same forwarder is there, this one does not lag: it has gone.
+            if others {
+                let _ = publisher.subscribe(now, &self.name, &Subscriber::last_word());
+            }
+            publisher.left(now, &self.name);
+        });
     }
 }
 
@@ -339,6 +357,7 @@
             publisher: RefCell::new(publisher),
             now,
             seats: RefCell::default(),
+            lives: RefCell::default(),
             connections: Cell::new(0),
             starting: Semaphore::new(STARTING),
         }
@@ -360,6 +379,43 @@
         done
     }
 
+    /// The name that a process of a forwarder has at the publisher. One that takes over is there beside the one that it takes
+    /// over from: both have requests, and both must hear of drains.
+    fn place(&self, peer: &Hello) -> Result<String, SessionError> {
+        let mut lives = self.lives.borrow_mut();
+        let here = lives.entry(peer.name.clone()).or_default();
+        if let Some((_, name)) = here.iter().find(|(life, _)| *life == peer.life) {
+            return Ok(name.clone());
+        }
+        let mut name = peer.name.clone();
+        if here.len() >= LIVES {
+            // The oldest one has to go, and its name goes over.
+            let oldest = here.iter().enumerate().min_by_key(|(_, (life, _))| *life).map(|(k, _)| k);
+            let (life, former) = here.swap_remove(oldest.unwrap_or(0));
+            if peer.life < life {
+                here.push((life, former));
+                return Err(SessionError::Replaced);
+            }
+            name = former;
+        } else if here.iter().any(|(_, other)| *other == name) {
+            name = format!("{name}~{:x}", peer.life);
+        }
+        here.push((peer.life, name.clone()));
+        Ok(name)
+    }
+
+    /// A process has gone; whether another one of the same forwarder is there.
+    fn forget(&self, peer: &Hello) -> bool {
+        let mut lives = self.lives.borrow_mut();
+        let Some(here) = lives.get_mut(&peer.name) else { return false };
+        here.retain(|(life, _)| *life != peer.life);
+        let others = !here.is_empty();
+        if !others {
+            lives.remove(&peer.name);
+        }
+        others
+    }
+
     /// Tells the publisher the time, for good.
     pub async fn tick(&self) -> std::convert::Infallible {
         loop {
@@ -386,17 +442,27 @@
             return Err(SessionError::Starting);
         };
         let zone = peer.zone.min(255) as u8;
-        if let Err(error) = self.with(|publisher, now| publisher.joined(now, &peer.name, zone)) {
-            let _ = timeout(PART, hello::refused(&mut stream, format!("to {}: {error}", own.name))).await;
-            return Err(error.into());
-        }
+        let joined = self.place(peer).and_then(|name| {
+            let joined = self.with(|publisher, now| publisher.joined(now, &name, zone));
+            if joined.is_err() && !self.seats.borrow().contains_key(&name) {
+                self.forget(peer);
+            }
+            Ok((joined?, name).1)
+        });
+        let name = match joined {
+            Ok(name) => name,
+            Err(error) => {
+                let _ = timeout(PART, hello::refused(&mut stream, format!("to {}: {error}", own.name))).await;
+                return Err(error);
+            }
+        };
         let number = self.connections.get() + 1;
         self.connections.set(number);
         let news = Rc::new(Notify::new());
-        let former = self.seats.borrow_mut().insert(peer.name.clone(), Seat { number, news: news.clone() });
+        let former = self.seats.borrow_mut().insert(name.clone(), Seat { number, news: news.clone() });
         // It finds that it is not the latest any longer.
         former.inspect(|f| f.news.notify_one());
-        let seated = Seated { publishing: self, name: &peer.name, number };
+        let seated = Seated { publishing: self, peer, name, number };
         timeout(WRITE, hello::answered(&mut stream, own)).await.map_err(late)??;
         let (mut reader, mut writer) = tokio::io::split(stream);
         let ended = tokio::select! {
@@ -422,7 +488,7 @@
             if !seated.current() {
                 return Err(SessionError::Replaced);
             }
-            let name = seated.name;
+            let name = seated.name.as_str();
             match body {
                 Some(Body::Subscribe(subscribe)) if subscribe == Subscribe::default() => {}
                 Some(Body::Subscribe(subscribe)) => {
@@ -448,7 +514,7 @@
         writer: &mut (impl AsyncWrite + Unpin),
         start: SemaphorePermit<'_>,
     ) -> Ended {
-        let name = seated.name;
+        let name = seated.name.as_str();
         let mut start = Some((start, Instant::now() + START));
         let mut told = false;
         loop {
--- a/crates/node/tests/services.rs
+++ b/crates/node/tests/services.rs
@@ -301,6 +301,39 @@
     assert_eq!(scene.nodes[0].call("POST", "/_servers/detach/who"), Some(404));
 }
 
+#[test]
+fn a_process_that_takes_over_is_led_beside_the_old_one_and_nothing_is_lost() {
+    let mut scene = Scene::without_nodes(1, &[&["shop"], &["shop"], &["shop"]]);
+    scene.forwarder("f0", BY_HOST, Wishes { managed: true, ..Wishes::default() });
+    scene.goes_to("shop", &[0, 1, 2]);
+    let load = Load::asking(Wire::Http, scene.nodes[0].http, 3, &Ask::new(Class::Read).of("shop"));
+    let next = scene.nodes[0].successor();
+    until("the new process takes clients", || next.call("GET", "/_ready") == Some(200));
+    let came = |scene: &Scene| scene.boxes.iter().map(|b| b.came().len()).sum::<usize>();
+    let before = came(&scene);
+    until("the load goes on", || came(&scene) > before + 50);
+    // Both have requests of the service, and both must hear.
+    let change = scene.tell(|k, e| if k == 0 { e.leaving() } else { e });
+    let told = scene.discovery.told(change);
+    thread::sleep(GRACE);
+    let before = came(&scene);
+    until("the load goes on", || came(&scene) > before + 50);
+    scene.nodes[0].signal("TERM");
+    until("the old process ends", || !scene.nodes[0].running());
+    let before = came(&scene);
+    until("the load goes on", || came(&scene) > before + 50);
+    assert_eq!(scene.boxes[0].since(told + GRACE), 0, "sent to a server that drains");
+    let tally = load.finish();
+    assert_eq!((tally.failed, tally.lost.len()), (0, 0), "{tally:?}");
+    // The one that has gone lags nowhere.
+    scene.nodes[0] = next;
+    let back = scene.tell(|_, e| e);
+    until("it is in force at the one that is left", || {
+        let told = scene.planners[0].explain(&["--change", &back.to_string()]);
+        told.is_ok_and(|t| t.contains("in force at 1 of 1 since"))
+    });
+}
+
 #[test]
 fn a_cap_of_connections_to_a_server_holds_over_its_services() {
     let mut scene = Scene::without_nodes(1, &[&["shop", "stock", "till"]]);
