--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -3,6 +3,7 @@
 
 mod boxes;
 mod bulk;
+mod capacity;
 mod compare;
 mod cost;
 mod demo;
@@ -201,6 +202,16 @@
         #[command(flatten)]
         wanted: scale_out::Wanted,
     },
+    /// How the cost of what is shipped grows with servers, tenants, nodes and changes; the page of it and its check.
+    Capacity {
+        #[command(flatten)]
+        common: Common,
+        #[command(flatten)]
+        wanted: capacity::Wanted,
+    },
+    /// Work whose cost `capacity` has counted.
+    #[command(hide = true)]
+    Probe { name: String, size: usize, times: usize },
     /// A shift to drawn new pools in simulated time: false halts, what is found and when, against stepping by the clock and a
     /// fixed canary; its course as a plot; what it costs a request.
     Shift {
@@ -272,6 +283,8 @@
         Command::Scale(common) => scale::run(&common),
         Command::ScaleOut { common, wanted } => scale_out::run(&common, &wanted),
         Command::Hollow => scale_out::hollow::run(),
+        Command::Capacity { common, wanted } => capacity::run(&common, &wanted),
+        Command::Probe { name, size, times } => capacity::probe(&name, size, times),
         Command::Shift { common, seeds, svg, cost } => {
             shift::run(&common, &shift::Wanted { seeds, svg: svg.as_deref(), cost })
         }
