--- a/crates/node/src/services/directory.rs
+++ b/crates/node/src/services/directory.rs
@@ -157,8 +157,7 @@
                     gateway.guide(self.weighed(&guide));
                     self.guides.borrow_mut().insert(service, guide);
                 }
-                Change::Unknown(service) => self.wake(&service),
-                Change::Dropped(service) => self.drop_service(&service),
+                Change::Unknown(service) | Change::Dropped(service) => self.drop_service(&service),
             }
         }
         // Those whose servers are known now, also where there are none.
