--- a/crates/rig/src/scale_out/day.rs
+++ b/crates/rig/src/scale_out/day.rs
@@ -182,6 +182,9 @@
                 for (why, count) in ends(&status) {
                     println!("    {count} ended: {why}");
                 }
+                if let Some(least) = status.iter().find_map(|s| s["least"].as_str()) {
+                    println!("    {least}");
+                }
             }
             if begun.elapsed() > patience {
                 self.seen.broken.push(format!(
--- a/crates/rig/src/scale_out/hollow.rs
+++ b/crates/rig/src/scale_out/hollow.rs
@@ -370,7 +370,8 @@
 
     fn status(&self) -> Value {
         let (mut running, mut connected, mut named, mut held, mut servers) = (0, 0, 0, 0, 0);
-        for node in self.nodes.borrow().values() {
+        let mut least: Option<(usize, String)> = None;
+        for (number, node) in self.nodes.borrow().iter() {
             let Some((life, _)) = &node.life else { continue };
             let subscriber = life.subscriber.borrow();
             let figures = subscriber.figures();
@@ -379,8 +380,17 @@
             named += life.uses.len();
             held += figures.services;
             servers += figures.servers;
+            let lacks = life.uses.len().saturating_sub(figures.services);
+            if lacks > 0 && least.as_ref().is_none_or(|(most, _)| lacks > *most) {
+                let planner = subscriber.planner();
+                let text = format!(
+                    "node {number}, begun {} times, at planner {planner:?}: {figures:?}",
+                    node.starts
+                );
+                least = Some((lacks, text));
+            }
         }
-        json!({"running": running, "connected": connected, "named": named, "held": held, "servers": servers,
+        json!({"running": running, "connected": connected, "named": named, "held": held, "servers": servers, "least": least.map(|l| l.1),
             "made": self.made.get(), "ended": *self.ended.borrow()})
     }
 
