--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod ids;
 pub mod leaving;
 pub mod line;
+pub mod names;
 pub mod payload;
 pub mod route;
 pub mod tally;
