Draw schedules for services by subscription, and hold their machines to what is promised

The machines of services by subscription are to be met in simulated time before they run in processes: a list that changes all the while, planners that hear it late, forwarders that are killed and paused, links that lose and break. What was so at which time is kept, and promises are held against that record. The machines are not there yet: it builds, and has played nothing.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -20,6 +20,7 @@
 mod shift;
 mod silence;
 mod site;
+mod subscriptions;
 mod thrift;
 mod two_level;
 mod upgrade;
@@ -227,6 +228,21 @@
         #[arg(long)]
         cost: bool,
     },
+    /// Services by subscription in simulated time under drawn faults: every promise, seed after seed.
+    Subscriptions {
+        #[command(flatten)]
+        common: Common,
+        /// How many seeds, from `--seed` on.
+        #[arg(long, default_value_t = 10_000)]
+        seeds: u64,
+        /// Has the machines' messages do something wrong (lost-on-resume, drain-behind, dropped-counted), which is to be
+        /// found.
+        #[arg(long, value_name = "DEFECT")]
+        planted: Option<String>,
+        /// Seeds at a time; 0 for one on each core.
+        #[arg(long, default_value_t = 0)]
+        workers: usize,
+    },
     /// A node, as the measurements run it.
     #[command(hide = true)]
     Node {
@@ -288,6 +304,9 @@
         Command::Shift { common, seeds, svg, cost } => {
             shift::run(&common, &shift::Wanted { seeds, svg: svg.as_deref(), cost })
         }
+        Command::Subscriptions { common, seeds, planted, workers } => {
+            subscriptions::run(&common, seeds, planted.as_deref(), workers)
+        }
         Command::Node { site } => site::node(&site),
         Command::Boxes { form, count } => boxes::run(&form, count),
         Command::Passthrough { boxes } => passthrough::run(boxes),
--- a/crates/simulation/src/lib.rs
+++ b/crates/simulation/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod members;
 pub mod rules;
 pub mod schedule;
+pub mod services;
 pub mod shift;
 pub mod world;
 
