--- a/crates/simulation/src/services/link.rs
+++ b/crates/simulation/src/services/link.rs
@@ -4,7 +4,7 @@
 use super::check::Snapshot;
 use crate::Nanos;
 use laurelroute_plan::wire::{Acknowledge, Report, Subscribe, Update};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// What is under way.
 #[derive(Clone, Debug)]
@@ -82,6 +82,8 @@
     pub(super) open: [bool; 2],
     /// The services that the forwarder wants by what has arrived, and when that was said.
     pub(super) interests: BTreeMap<String, Nanos>,
+    /// Services that were wanted on the connection before, and have not been named on this one.
+    pub(super) stale: BTreeSet<String>,
     /// The planner has been told that the forwarder is elsewhere.
     pub(super) leaving: bool,
     /// What the forwarder held as it was last connected here.
@@ -103,6 +105,7 @@
             ways: Default::default(),
             open: [true, true],
             interests: BTreeMap::new(),
+            stale: BTreeSet::new(),
             leaving: false,
             frozen: None,
             wake: None,
--- a/crates/simulation/src/services/source.rs
+++ b/crates/simulation/src/services/source.rs
@@ -65,6 +65,20 @@
     }
 }
 
+/// Services and the server that an entry names.
+pub(super) fn named(listed: &Listed) -> Vec<(String, String)> {
+    services_of(listed).into_iter().map(|s| (s.to_owned(), listed.member.name.clone())).collect()
+}
+
+/// Services and servers in which two lists differ.
+pub(super) fn differing(
+    before: &BTreeMap<String, Listed>,
+    after: &BTreeMap<String, Listed>,
+) -> BTreeSet<(String, String)> {
+    let names = before.keys().chain(after.keys()).filter(|name| before.get(*name) != after.get(*name));
+    names.flat_map(|name| before.get(name).into_iter().chain(after.get(name))).flat_map(named).collect()
+}
+
 fn long(name: &str) -> String {
     format!("{name}{}", "x".repeat(256 - name.len()))
 }
