--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -707,7 +707,7 @@
         self.nodes[i].server.warmth(now, self.settings.cold_from, self.settings.ramp)
     }
 
-    /// Time between two sends to a cold server: its ramp share of what a like warm one is sent here. All nodes
+    /// Time between two sends to a cold server: its ramp share of what a like warm one gets. All nodes
     /// may cross to one elsewhere, each with its part; after a release all are cold, also where no node is.
     fn cold_interval(&self, now: Nanos, i: usize) -> f64 {
         let (home, zone) = (usize::from(self.settings.zone), usize::from(self.nodes[i].server.zone));
