--- a/crates/rig/src/scale_model/fleet.rs
+++ b/crates/rig/src/scale_model/fleet.rs
@@ -104,7 +104,7 @@
 fn shuffled(rng: &mut Pcg64Mcg, n: usize) -> Vec<usize> {
     let mut all: Vec<usize> = (0..n).collect();
     for k in (1..n).rev() {
-        all.swap(k, (u64::from(rng.next_u32()) * (k as u64 + 1) >> 32) as usize);
+        all.swap(k, ((u64::from(rng.next_u32()) * (k as u64 + 1)) >> 32) as usize);
     }
     all
 }
--- a/crates/simulation/src/services/check.rs
+++ b/crates/simulation/src/services/check.rs
@@ -123,7 +123,8 @@
                     may.insert((*f, service.as_str()));
                     has.insert((*f, service.as_str()));
                 }
-                for service in connection.interests.keys().filter(|s| heard.whole || heard.named.contains(*s)) {
+                for service in connection.interests.keys().filter(|s| heard.whole || heard.named.contains(*s))
+                {
                     if connection.leaving {
                         continue;
                     }
@@ -241,7 +242,10 @@
             !self.planners[p].feed.state.values().any(serves)
         };
         let connection = self.forwarders[f].connection.map(|c| self.connections[c].planner);
-        if !used(service) || !self.source.services.iter().any(|s| s == service) || connection.is_some_and(ended) {
+        if !used(service)
+            || !self.source.services.iter().any(|s| s == service)
+            || connection.is_some_and(ended)
+        {
             return;
         }
         // Were all services that are real and in use too many?
@@ -313,7 +317,9 @@
                 let open = member.server.phase == Phase::Ready;
                 // It holds a later list than its planner's, by its number.
                 let held = forwarder.subscriber.as_ref().and_then(|s| s.version_of(service));
-                let ahead = held.is_some_and(|(.., source)| Some(source) > planner.publisher.as_ref().and_then(|p| p.source()));
+                let ahead = held.is_some_and(|(.., source)| {
+                    Some(source) > planner.publisher.as_ref().and_then(|p| p.source())
+                });
                 if still && open && !ahead && !self.source.since(server, service, batch, Some(tag(member))) {
                     broken.push(format!(
                         "{} does not know that `{server}` of `{service}` is closed, {} ms after planner {p} does",
