--- a/crates/plan/src/services/publisher/stream.rs
+++ b/crates/plan/src/services/publisher/stream.rs
@@ -289,8 +289,9 @@
             slices: service.slices.len() as u32,
             ..head
         };
-        // A slice has some dozens of servers: they are looked at, and no order of hints is kept.
-        for (name, _) in slice.rows.iter().filter(|(_, row)| row.there) {
+        // A slice has some dozens of servers: they are looked at where there is a hint, and no order of hints is kept.
+        let hinted = slice.hinted > s.hinted;
+        for (name, _) in slice.rows.iter().filter(|(_, row)| hinted && row.there) {
             self.figures.steps += 1;
             let Some(server) = self.servers.get(name).filter(|server| server.standing.number > s.hinted)
             else {
