--- a/crates/plan/src/services/publisher/forwarders.rs
+++ b/crates/plan/src/services/publisher/forwarders.rs
@@ -222,8 +222,11 @@
             if word.membership > source && same_life {
                 let phase = if word.gone { Phase::Gone } else { Phase::Draining };
                 let names = server.services.iter().filter_map(|id| self.services.get(id));
-                let services = names.map(|s| s.name.to_string()).collect();
-                entries.push(Listed { services, member: server.member.clone().in_phase(phase) });
+                let services: Vec<String> = names.map(|s| s.name.to_string()).collect();
+                let (name, own) = (Name::from(word.name.as_str()), server.member.clone());
+                entries.push(Listed { services: services.clone(), member: own.clone().in_phase(phase) });
+                self.overruled.entry(name).or_insert((now + STUBBORN, Listed { services, member: own }));
+                self.due.insert((now + STUBBORN, Due::Overruled));
             }
         }
         if !entries.is_empty() {
@@ -231,6 +234,18 @@
         }
     }
 
+    /// Where the own list has not come to say so, the source has lost its versions, and the own list counts.
+    pub(super) fn look_at_overruled(&mut self, now: Nanos) {
+        let Some(source) = self.source else { return };
+        let due: Vec<Name> =
+            self.overruled.iter().filter(|(_, (until, _))| *until <= now).map(|(n, _)| n.clone()).collect();
+        let back = due.iter().filter_map(|name| self.overruled.remove(name));
+        let back: Vec<Listed> = back.map(|(_, listed)| listed).collect();
+        if !back.is_empty() {
+            self.take(now, (source, false), false, back);
+        }
+    }
+
     fn unsubscribe(&mut self, now: Nanos, id: u32, service: &str) {
         if let Some(f) = self.forwarders.get_mut(&id) {
             f.absent.remove(service);
@@ -261,6 +276,10 @@
     }
 
     pub(super) fn part_with(&mut self, now: Nanos, id: u32) {
+        if let Some(f) = self.forwarders.get_mut(&id) {
+            f.early.clear();
+            f.absent.clear();
+        }
         let services = self.forwarders.get(&id).map(|f| f.subscriptions.keys().copied().collect::<Vec<_>>());
         services.into_iter().flatten().for_each(|service| self.withdraw(now, id, service));
     }
--- a/crates/plan/src/services/publisher/list.rs
+++ b/crates/plan/src/services/publisher/list.rs
@@ -10,6 +10,11 @@
             return Dropped::default();
         }
         let first = self.source.replace(version).is_none();
+        // What the list says counts from here on.
+        match whole {
+            true => self.overruled.clear(),
+            false => entries.iter().for_each(|e| drop(self.overruled.remove(e.member.name.as_str()))),
+        }
         let dropped = self.take(now, (version, true), whole, entries);
         // Those who held a later list than this one was.
         let waiting: Vec<u32> = self.waiting.iter().copied().collect();
@@ -201,6 +206,10 @@
             (0..number).for_each(|k| self.tell(id, k, &mut record));
         }
         if record.touched.is_empty() {
+            // A version that comes again, after the source's restart, no longer says what it said.
+            if told {
+                self.batches.remove(&source);
+            }
             return;
         }
         record.since = (record.waiting == 0).then_some(now);
--- a/crates/plan/src/services/publisher/mod.rs
+++ b/crates/plan/src/services/publisher/mod.rs
@@ -261,6 +261,8 @@
     Forget(u32),
     /// A forwarder that holds a later list.
     Later(u32),
+    /// Servers that were closed by others' word.
+    Overruled,
 }
 
 /// One planner's services and their subscribers.
@@ -281,6 +283,8 @@
     /// Changes of the list by the batch that took them in, and the batch of each version: versions may come again.
     records: BTreeMap<u64, Record>,
     batches: BTreeMap<u64, u64>,
+    /// Servers that are closed here by others' word of a later list, as the own list has them, and until when that counts.
+    overruled: BTreeMap<Name, (Nanos, Listed)>,
     due: BTreeSet<(Nanos, Due)>,
     stirred: BTreeSet<u32>,
     batch: u64,
@@ -306,6 +310,7 @@
             waiting: BTreeSet::new(),
             records: BTreeMap::new(),
             batches: BTreeMap::new(),
+            overruled: BTreeMap::new(),
             due: BTreeSet::new(),
             stirred: BTreeSet::new(),
             batch: 0,
@@ -366,6 +371,7 @@
                     }
                 }
                 Due::Later(id) => self.look_at_later(now, id),
+                Due::Overruled => self.look_at_overruled(now),
             }
         }
     }
--- a/crates/plan/src/services/subscriber/choice.rs
+++ b/crates/plan/src/services/subscriber/choice.rs
@@ -12,13 +12,15 @@
 const SPREAD: Nanos = 2 * S;
 /// Before a planner that failed is tried again: from the first, doubled up to the last.
 const PAUSE_FIRST: Nanos = 250 * MS;
-const PAUSE_LAST: Nanos = 4 * S;
+const PAUSE_LAST: Nanos = 3 * S;
 /// Before one that was lost, or that is better than the present one, is tried again.
 const RETURN: Nanos = 10 * S;
 
 #[derive(Clone, Copy, Debug)]
 struct Slot {
     try_at: Nanos,
+    /// The same where no planner is there at all.
+    alone_at: Nanos,
     pause: Nanos,
 }
 
@@ -48,7 +50,7 @@
         let mut order: Vec<usize> = (0..planners.len()).collect();
         order.sort_by_key(|&k| std::cmp::Reverse(scramble(me ^ mix(9, planners[k].as_bytes()))));
         Choice {
-            slots: vec![Slot { try_at: now, pause: PAUSE_FIRST }; planners.len()],
+            slots: vec![Slot { try_at: now, alone_at: now, pause: PAUSE_FIRST }; planners.len()],
             order,
             current: None,
             trying: None,
@@ -74,7 +76,10 @@
         }
         let current = self.current.map(|c| c.planner);
         let better = self.order.iter().take_while(|k| Some(**k) != current);
-        let next = better.copied().find(|&k| self.slots[k].try_at <= now);
+        let mut next = better.copied().find(|&k| self.slots[k].try_at <= now);
+        if current.is_none() {
+            next = next.or_else(|| self.order.iter().copied().find(|&k| self.slots[k].alone_at <= now));
+        }
         self.trying = next;
         next
     }
@@ -90,9 +95,9 @@
     pub(super) fn failed(&mut self, now: Nanos, planner: usize) {
         self.trying = self.trying.filter(|k| *k != planner);
         let Some(slot) = self.slots.get(planner).copied() else { return };
-        let time = if self.current.is_some() { RETURN } else { slot.pause };
-        let try_at = now + self.spread(time);
-        self.slots[planner] = Slot { try_at, pause: (slot.pause * 2).min(PAUSE_LAST) };
+        let alone_at = now + self.spread(slot.pause);
+        let try_at = if self.current.is_some() { now + self.spread(RETURN) } else { alone_at };
+        self.slots[planner] = Slot { try_at, alone_at, pause: (slot.pause * 2).min(PAUSE_LAST) };
     }
 
     pub(super) fn lost(&mut self, now: Nanos, planner: usize) {
@@ -102,9 +107,9 @@
         }
         self.current = None;
         self.not_before = now + self.up_to(SPREAD);
-        let alone = self.slots.len() == 1;
-        let time = if alone { 0 } else { self.spread(RETURN) };
-        self.slots[planner].try_at = now + time;
+        let (try_at, alone_at) = (now + self.spread(RETURN), now + self.spread(PAUSE_FIRST));
+        let slot = &mut self.slots[planner];
+        (slot.try_at, slot.alone_at) = (try_at, alone_at);
     }
 
     pub(super) fn planner(&self) -> Option<usize> {
--- a/crates/plan/src/services/subscriber/held.rs
+++ b/crates/plan/src/services/subscriber/held.rs
@@ -109,9 +109,11 @@
             }
             Piece::Aside => {
                 self.aside(now, source, rows, changes, changed, left);
+                // An earlier list is not to undo it, also not one of the planner whose version this was.
+                self.raise(life, source);
                 return Ok(());
             }
-            Piece::First | Piece::Whole => self.begin(now, source, changes, changed, left),
+            Piece::First | Piece::Whole => self.begin(now, source, changes, changed),
             _ if changes.base == 0 && self.whole.is_none() => return Err(Because::Base),
             _ if changes.base != 0 && !(mine && changes.base <= self.version) => return Err(Because::Base),
             _ => {}
@@ -132,6 +134,7 @@
             self.remove(now, source, name, changed, left);
         }
         self.known = true;
+        self.raise(life, source);
         if matches!(piece, Piece::Last | Piece::Whole) {
             if changes.base == 0 {
                 let mentioned = self.whole.take().unwrap_or_default();
@@ -149,15 +152,16 @@
         Ok(())
     }
 
+    /// Something of this list has been taken in.
+    fn raise(&mut self, life: u64, source: u64) {
+        if self.life != life {
+            (self.life, self.version) = (0, 0);
+        }
+        self.source = self.source.max(source);
+    }
+
     /// A whole begins. What is another slice's now goes at once: nobody would tell of its drains.
-    fn begin(
-        &mut self,
-        now: Nanos,
-        source: u64,
-        changes: &Changes,
-        changed: &mut Changed,
-        left: &mut VecDeque<Left>,
-    ) {
+    fn begin(&mut self, now: Nanos, source: u64, changes: &Changes, changed: &mut Changed) {
         self.whole = Some(BTreeSet::new());
         if self.slices == changes.slices && self.slice == changes.slice {
             return;
@@ -165,7 +169,9 @@
         let (slice, slices) = (changes.slice as usize, changes.slices as usize);
         let other: Vec<String> =
             self.servers.keys().filter(|name| place(name, slices) != slice).cloned().collect();
-        other.iter().for_each(|name| self.remove(now, source, name, changed, left));
+        // They have not left the list: no planner is to be told so.
+        let mut moved = VecDeque::new();
+        other.iter().for_each(|name| self.remove(now, source, name, changed, &mut moved));
         (self.life, self.version) = (0, 0);
         (self.slice, self.slices) = (changes.slice, changes.slices);
     }
--- a/crates/plan/src/services/subscriber/mod.rs
+++ b/crates/plan/src/services/subscriber/mod.rs
@@ -230,6 +230,10 @@
     pub fn ended(&mut self, _now: Nanos, service: &str) {
         if let Some(held) = self.services.get_mut(service) {
             held.under_way = held.under_way.saturating_sub(1);
+            if held.under_way == 0 {
+                // What could not be dropped may be now.
+                self.make_room(service);
+            }
         }
     }
 
@@ -296,6 +300,10 @@
                 Because::Taken => self.take(now, update, changes),
                 _ => Err(because),
             };
+            if taken.is_err() && changes.piece() == Piece::Unknown {
+                // It is said once: it is asked for again, until it is known or believed.
+                self.again.insert((now + AGAIN, changes.service.clone()));
+            }
             if let Err(because) = taken {
                 refused.insert(&changes.service, because);
             }
@@ -335,7 +343,9 @@
         }
         let changed = self.changed.entry(changes.service.clone()).or_default();
         let taken = held.take(now, (update.life, update.source), changes, changed, &mut self.left);
-        held.count(now, changes.subscribers.saturating_mul(planners), changed);
+        if held.known {
+            held.count(now, changes.subscribers.saturating_mul(planners), changed);
+        }
         let is = (held.known, held.servers.len());
         self.count(was, is);
         if taken.is_ok() {
