--- a/crates/plan/src/services/subscriber/choice.rs
+++ b/crates/plan/src/services/subscriber/choice.rs
@@ -12,7 +12,7 @@
 const SPREAD: Nanos = 2 * S;
 /// Before a planner that failed is tried again: from the first, doubled up to the last.
 const PAUSE_FIRST: Nanos = 250 * MS;
-const PAUSE_LAST: Nanos = 4 * S;
+const PAUSE_LAST: Nanos = 3 * S;
 /// The same of one that is there and has no room, or no time: to come again soon would take from it what it lacks.
 const CROWDED_FIRST: Nanos = S;
 const CROWDED_LAST: Nanos = 8 * S;
@@ -22,6 +22,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Slot {
     try_at: Nanos,
+    /// The same where no planner is there at all.
+    alone_at: Nanos,
     pause: Nanos,
 }
 
@@ -51,7 +53,7 @@
         let mut order: Vec<usize> = (0..planners.len()).collect();
         order.sort_by_key(|&k| std::cmp::Reverse(scramble(me ^ mix(9, planners[k].as_bytes()))));
         Choice {
-            slots: vec![Slot { try_at: now, pause: PAUSE_FIRST }; planners.len()],
+            slots: vec![Slot { try_at: now, alone_at: now, pause: PAUSE_FIRST }; planners.len()],
             order,
             current: None,
             trying: None,
@@ -77,7 +79,10 @@
         }
         let current = self.current.map(|c| c.planner);
         let better = self.order.iter().take_while(|k| Some(**k) != current);
-        let next = better.copied().find(|&k| self.slots[k].try_at <= now);
+        let mut next = better.copied().find(|&k| self.slots[k].try_at <= now);
+        if current.is_none() {
+            next = next.or_else(|| self.order.iter().copied().find(|&k| self.slots[k].alone_at <= now));
+        }
         self.trying = next;
         next
     }
@@ -93,9 +98,9 @@
     pub(super) fn failed(&mut self, now: Nanos, planner: usize) {
         self.trying = self.trying.filter(|k| *k != planner);
         let Some(slot) = self.slots.get(planner).copied() else { return };
-        let time = if self.current.is_some() { RETURN } else { slot.pause };
-        let try_at = now + self.spread(time);
-        self.slots[planner] = Slot { try_at, pause: (slot.pause * 2).min(PAUSE_LAST) };
+        let alone_at = now + self.spread(slot.pause);
+        let try_at = if self.current.is_some() { now + self.spread(RETURN) } else { alone_at };
+        self.slots[planner] = Slot { try_at, alone_at, pause: (slot.pause * 2).min(PAUSE_LAST) };
     }
 
     /// It is there, and has no room or no time.
@@ -107,7 +112,7 @@
         }
         let try_at = now + self.spread(pause);
         if let Some(slot) = self.slots.get_mut(planner) {
-            *slot = Slot { try_at, pause: (pause * 2).min(CROWDED_LAST) };
+            *slot = Slot { try_at, alone_at: try_at, pause: (pause * 2).min(CROWDED_LAST) };
         }
     }
 
@@ -118,9 +123,9 @@
         }
         self.current = None;
         self.not_before = now + self.up_to(SPREAD);
-        let alone = self.slots.len() == 1;
-        let time = if alone { 0 } else { self.spread(RETURN) };
-        self.slots[planner].try_at = now + time;
+        let (try_at, alone_at) = (now + self.spread(RETURN), now + self.spread(PAUSE_FIRST));
+        let slot = &mut self.slots[planner];
+        (slot.try_at, slot.alone_at) = (try_at, alone_at);
     }
 
     pub(super) fn planner(&self) -> Option<usize> {
