--- a/crates/rig/src/capacity/tenants.rs
+++ b/crates/rig/src/capacity/tenants.rs
@@ -85,9 +85,12 @@
         node.until_ready()?;
         let mut client =
             Client::connect(Wire::Http, node.http).ok_or_else(|| Failure("the node takes nobody".into()))?;
-        let ask =
-            format!("GET /gauge HTTP/1.1\r\nHost: app.svc\r\nx-tenant-id: {}\r\n\r\n", name(tenants - 1));
         for k in 0..requests {
+            let ask = format!(
+                "GET /read HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {}\r\nX-Timeout-Ms: 5000\r\nX-Tenant-ID: {}\r\n\r\n",
+                laurelroute_testkit::fresh_id(),
+                name(tenants - 1)
+            );
             client.raw(ask.as_bytes());
             if !client.answer().is_some_and(|a| a.served()) {
                 return Err(Failure(format!("request {k} of {requests} was not served")));
