--- a/crates/rig/src/capacity/subject.rs
+++ b/crates/rig/src/capacity/subject.rs
@@ -31,7 +31,7 @@
     (Subject::List, "list", 1),
     (Subject::Change, "change", 8),
     (Subject::Tenants, "tenants", 1),
-    (Subject::Tenant, "tenant", 8),
+    (Subject::Tenant, "tenant", 400),
     (Subject::PlanBoxes, "plan-boxes", 1),
     (Subject::DrainBoxes, "drain-boxes", 2),
     (Subject::PlanForwarders, "plan-forwarders", 1),
--- a/crates/rig/src/slopes/page.rs
+++ b/crates/rig/src/slopes/page.rs
@@ -160,22 +160,29 @@
     rows(&["run", "figures", "command", "day"], &store.runs.iter().map(row).collect::<Vec<_>>())
 }
 
-/// The reckoning of one row in figures, and what it comes to.
-fn reckon(r: &Reckoning, slope: &Slope) -> (String, f64) {
+/// The reckoning of one row in figures, and what it comes to; `None` where a slope is not measured.
+fn reckon(r: &Reckoning, slope: &Slope, store: &Store) -> Option<(String, f64)> {
     let (fit, size) = (&slope.fit, grouped(r.at));
     let mut text = match fit.shape {
         Shape::Line => format!("{} + {size} x {}", figure(fit.base), figure(fit.slope)),
         Shape::Power => format!("{} x {size}^{:.2}", figure(fit.base), fit.slope),
     };
+    let mut comes_to = fit.at(r.at);
+    for (name, at) in r.also {
+        let further = store.latest(name)?;
+        text += &format!(" + {} x {} (`{name}`)", grouped(*at), figure(further.fit.slope));
+        comes_to += further.fit.slope * at;
+    }
     if r.times.0 != 1.0 {
         text = format!("({text}) x {} {}", figure(r.times.0), r.times.1);
     }
-    (text, fit.at(r.at) * r.times.0)
+    Some((text, comes_to * r.times.0))
 }
 
 fn role_table(role: &str, store: &Store) -> String {
     let row = |r: &Reckoning| {
-        let Some(slope) = store.latest(r.slope) else {
+        let reckoned = store.latest(r.slope).and_then(|slope| Some((slope, reckon(r, slope, store)?)));
+        let Some((slope, (text, comes_to))) = reckoned else {
             let dash = || "-".to_owned();
             return vec![
                 r.what.to_owned(),
@@ -187,7 +194,6 @@
                 dash(),
             ];
         };
-        let (text, comes_to) = reckon(r, slope);
         let most = slope.sizes.iter().copied().fold(0.0, f64::max);
         let headroom = r.allowed.map(|allowed| match comes_to <= allowed {
             true => format!("{} times", figure(allowed / comes_to)),
--- a/crates/rig/src/slopes/reckoning.rs
+++ b/crates/rig/src/slopes/reckoning.rs
@@ -6,6 +6,10 @@
 pub const SERVERS: f64 = 180_000.0;
 /// Services.
 pub const SERVICES: f64 = 6_700.0;
+/// Services that a node uses.
+pub const SERVICES_IN_USE: f64 = 300.0;
+/// Servers of a service in the mean.
+pub const MEAN_SERVERS: f64 = 27.0;
 /// Tenants in the settings.
 pub const TENANTS: f64 = 380_000.0;
 /// Requests a second of the mean node at the peak.
@@ -32,6 +36,8 @@
     pub slope: &'static str,
     /// The size asked for.
     pub at: f64,
+    /// Further slopes at their sizes, of which only what grows is added.
+    pub also: &'static [(&'static str, f64)],
     /// So often, or in so many places.
     pub times: (f64, &'static str),
     /// What is allowed, in the unit of the outcome.
@@ -52,7 +58,7 @@
     allowed: Option<f64>,
     unit: &'static str,
 ) -> Reckoning {
-    Reckoning { role, what, slope, at, times, allowed, unit }
+    Reckoning { role, what, slope, at, also: &[], times, allowed, unit }
 }
 
 /// Roles that have a table, in the order of the page.
@@ -127,12 +133,180 @@
     ),
     row(
         "node",
-        "instructions to find the last tenant",
-        "node.tenant.instructions",
-        TENANTS,
+        "memory of a process with the servers of 300 services",
+        "node.list.resident",
+        SERVICES_IN_USE * MEAN_SERVERS,
+        ONCE,
+        Some(NODE_MEMORY),
+        "bytes",
+    ),
+    row(
+        "node",
+        "processor time at rest, a second, with those",
+        "node.rest.cpu",
+        SERVICES_IN_USE * MEAN_SERVERS,
+        ONCE,
+        Some(NODE_CPU),
+        "ns",
+    ),
+    row(
+        "node",
+        "processor time of ten times the changes, a second, with those",
+        "node.change.cpu",
+        SERVICES_IN_USE * MEAN_SERVERS,
+        (10.0 * CHANGES_A_SECOND * SERVICES_IN_USE / SERVICES, "changes a second"),
+        Some(NODE_CPU),
+        "ns",
+    ),
+    row(
+        "node",
+        "bytes of ten times the changes, a second, with those",
+        "node.service_change.bytes",
+        SERVICES_IN_USE,
+        (10.0 * CHANGES_A_SECOND * SERVICES_IN_USE / SERVICES, "changes a second"),
+        Some(NODE_BYTES),
+        "bytes",
+    ),
+    Reckoning {
+        also: &[
+            ("node.list.resident", SERVICES_IN_USE * MEAN_SERVERS),
+            ("node.services.held", SERVICES_IN_USE),
+        ],
+        ..row(
+            "node",
+            "memory of all tenants, those servers and their subscriptions",
+            "node.tenants.resident",
+            TENANTS,
+            ONCE,
+            Some(NODE_MEMORY),
+            "bytes",
+        )
+    },
+    row(
+        "node",
+        "memory of 300 services by subscription",
+        "node.services.held",
+        SERVICES_IN_USE,
+        ONCE,
+        Some(NODE_MEMORY),
+        "bytes",
+    ),
+    row(
+        "node",
+        "bytes of a start with 300 services",
+        "node.services.start_bytes",
+        SERVICES_IN_USE,
         ONCE,
         None,
-        "instructions",
+        "bytes",
+    ),
+    row(
+        "node",
+        "time of that start, by the bytes a second that it may take",
+        "node.services.start",
+        SERVICES_IN_USE,
+        ONCE,
+        None,
+        "ns",
+    ),
+    row(
+        "node",
+        "allocations of one change at 300 services",
+        "node.service_change.allocations",
+        SERVICES_IN_USE,
+        ONCE,
+        None,
+        "allocations",
+    ),
+    row(
+        "node",
+        "memory of all services by subscription, where one uses all",
+        "node.services.held",
+        SERVICES,
+        ONCE,
+        Some(NODE_MEMORY),
+        "bytes",
+    ),
+    row(
+        "node",
+        "bytes of catching up after an hour, 300 services",
+        "node.absence.bytes",
+        3_600.0,
+        ONCE,
+        None,
+        "bytes",
+    ),
+    row(
+        "node",
+        "time of catching up after an hour",
+        "node.absence.caught_up",
+        3_600.0,
+        ONCE,
+        Some(IN_FORCE),
+        "ns",
+    ),
+    row(
+        "planner",
+        "memory, all servers in services of 27",
+        "planner.services.held",
+        SERVERS,
+        ONCE,
+        None,
+        "bytes",
+    ),
+    row(
+        "planner",
+        "memory besides, a third of all nodes with 300 services each",
+        "planner.subscriptions.held",
+        NODES / 3.0 * SERVICES_IN_USE,
+        ONCE,
+        None,
+        "bytes",
+    ),
+    row(
+        "planner",
+        "processor time of a whole list, by services",
+        "planner.services.list_cpu",
+        SERVERS,
+        ONCE,
+        Some(IN_FORCE),
+        "ns",
+    ),
+    row(
+        "planner",
+        "processor time of one change that 20 forwarders use",
+        "planner.service_change.cpu",
+        SERVERS,
+        ONCE,
+        None,
+        "ns",
+    ),
+    row(
+        "planner",
+        "servers and subscriptions looked at for it",
+        "planner.service_change.steps",
+        SERVERS,
+        ONCE,
+        None,
+        "steps",
+    ),
+    row(
+        "planner",
+        "bytes of a whole of the largest service (one slice of it)",
+        "planner.whole.bytes",
+        4_000.0,
+        ONCE,
+        None,
+        "bytes",
+    ),
+    row(
+        "planner",
+        "processor time of ten times the changes, a second, each used by 20",
+        "planner.service_change.cpu",
+        SERVERS,
+        (10.0 * CHANGES_A_SECOND, "changes a second"),
+        Some(1e9),
+        "ns",
     ),
     row("planner", "memory, all servers as one service", "planner.boxes.held", SERVERS, ONCE, None, "bytes"),
     row(
