--- a/crates/rig/src/capacity/mod.rs
+++ b/crates/rig/src/capacity/mod.rs
@@ -15,6 +15,7 @@
 use crate::Common;
 use clap::Args;
 use laurelroute_rig::slopes::fit::{Fit, Shape};
+use laurelroute_rig::slopes::reckoning::first_that_grows;
 use laurelroute_rig::slopes::store::{Run, Slope, Store};
 use laurelroute_rig::slopes::{page, text};
 use std::collections::BTreeMap;
@@ -155,7 +156,13 @@
         outcome.put(format!("{}.error", slope.name), slope.fit.error);
     }
     singles.into_iter().for_each(|(key, figure)| outcome.put(key, figure));
-    outcome.close("capacity", common)
+    outcome.close("capacity", common)?;
+    flat(&Store { slopes, ..Store::default() })
+}
+
+/// What is to cost the same whatever there is does.
+fn flat(store: &Store) -> Result<(), Failure> {
+    first_that_grows(store).map_or(Ok(()), |words| Err(Failure(words)))
 }
 
 fn slope(measured: Measured, shape: Shape, part: &str, label: &str) -> Result<Slope, Failure> {
@@ -208,6 +215,7 @@
         std::fs::write(&wanted.page, page::fill(&text, &store)?)?;
     } else {
         page::check(&text, &store).map_err(|e| Failure(format!("{}: {e}", wanted.page.display())))?;
+        flat(&store)?;
     }
     println!("RESULT capacity_page slopes={} runs={}", store.slopes.len(), store.runs.len());
     Ok(())
--- a/crates/rig/src/slopes/reckoning.rs
+++ b/crates/rig/src/slopes/reckoning.rs
@@ -1,5 +1,7 @@
 //! The sizes asked for, and what each slope comes to there.
 
+use super::store::Store;
+
 /// Nodes.
 pub const NODES: f64 = 2_100.0;
 /// Servers of all services.
@@ -61,6 +63,27 @@
     Reckoning { role, what, slope, at, also: &[], times, allowed, unit }
 }
 
+/// Slopes that are to be none: what costs the same whatever there is, within this part.
+pub const FLAT: &[&str] = &[
+    "node.request.instructions",
+    "node.change.allocations",
+    "node.service_change.allocations",
+    "planner.service_change.steps",
+    "planner.service_change.allocations",
+];
+/// See [`FLAT`].
+pub const FLAT_WITHIN: f64 = 0.1;
+
+/// The first slope that is to be none and is one, as it was measured last.
+pub fn first_that_grows(store: &Store) -> Option<String> {
+    FLAT.iter().filter_map(|name| store.latest(name)).find_map(|slope| {
+        let most = slope.values.iter().copied().fold(f64::NEG_INFINITY, f64::max);
+        let least = slope.values.iter().copied().fold(f64::INFINITY, f64::min);
+        let grows = most > least * (1.0 + FLAT_WITHIN);
+        grows.then(|| format!("`{}` goes from {least} to {most} {}", slope.name, slope.unit))
+    })
+}
+
 /// Roles that have a table, in the order of the page.
 pub const ROLES: [&str; 5] = ["node", "planner", "member", "copy", "source"];
 
--- a/crates/rig/tests/slopes.rs
+++ b/crates/rig/tests/slopes.rs
@@ -2,6 +2,7 @@
 
 use laurelroute_rig::slopes::fit::{Fit, FitError, Shape};
 use laurelroute_rig::slopes::page::{blank, check, fill, tables, PageError};
+use laurelroute_rig::slopes::reckoning::first_that_grows;
 use laurelroute_rig::slopes::store::{Slope, Store, StoreError};
 use laurelroute_rig::slopes::text;
 use std::path::PathBuf;
@@ -141,6 +142,19 @@
     check(&page.replace("Words.", "Other words."), &store).unwrap();
 }
 
+#[test]
+fn what_is_to_cost_the_same_and_grows_is_found() {
+    let mut store = store();
+    assert_eq!(first_that_grows(&store), None, "nothing is said of what is not measured, or may grow");
+    store.put(slope("node.request.instructions", "before", [75e3, 80e3, 95e3, 300e3]));
+    assert!(first_that_grows(&store).is_some_and(|w| w.contains("from 75000 to 300000")));
+    // The code as it stands counts.
+    store.put(slope("node.request.instructions", "after", [75e3, 76e3, 79e3, 82e3]));
+    assert_eq!(first_that_grows(&store), None);
+    store.put(slope("node.request.instructions", "after", [75e3, 76e3, 79e3, 83e3]));
+    assert!(first_that_grows(&store).is_some());
+}
+
 #[test]
 fn a_table_that_is_missing_open_unknown_or_there_twice_is_found() {
     let store = store();
