--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -15,10 +15,12 @@
 mod replica;
 mod report;
 mod scale;
+mod scale_out;
 mod seeds;
 mod shift;
 mod silence;
 mod site;
+mod subscriptions;
 mod thrift;
 mod two_level;
 mod upgrade;
@@ -194,6 +196,13 @@
     Bulk(Common),
     /// What a planner costs as forwarders and boxes grow.
     Scale(Common),
+    /// The size of two years from now: real planners and forwarders, hollow nodes beside them, a day in minutes.
+    ScaleOut {
+        #[command(flatten)]
+        common: Common,
+        #[command(flatten)]
+        wanted: scale_out::Wanted,
+    },
     /// How the cost of what is shipped grows with servers, tenants, nodes and changes; the page of it and its check.
     Capacity {
         #[command(flatten)]
@@ -219,6 +228,21 @@
         #[arg(long)]
         cost: bool,
     },
+    /// Services by subscription in simulated time under drawn faults: every promise, seed after seed.
+    Subscriptions {
+        #[command(flatten)]
+        common: Common,
+        /// How many seeds, from `--seed` on.
+        #[arg(long, default_value_t = 10_000)]
+        seeds: u64,
+        /// Has the machines' messages do something wrong (lost-on-resume, drain-behind, dropped-counted), which is to be
+        /// found.
+        #[arg(long, value_name = "DEFECT")]
+        planted: Option<String>,
+        /// Seeds at a time; 0 for one on each core.
+        #[arg(long, default_value_t = 0)]
+        workers: usize,
+    },
     /// A node, as the measurements run it.
     #[command(hide = true)]
     Node {
@@ -233,6 +257,9 @@
         #[arg(long)]
         count: usize,
     },
+    /// A process of hollow nodes, as the scale run has them.
+    #[command(hide = true)]
+    Hollow,
     /// A bare pass-through to these addresses.
     #[command(hide = true)]
     Passthrough { boxes: Vec<std::net::SocketAddr> },
@@ -270,11 +297,16 @@
         Command::Silence { common, rounds, output } => silence::run(&common, rounds, output.as_deref()),
         Command::Bulk(common) => bulk::run(&common),
         Command::Scale(common) => scale::run(&common),
+        Command::ScaleOut { common, wanted } => scale_out::run(&common, &wanted),
+        Command::Hollow => scale_out::hollow::run(),
         Command::Capacity { common, wanted } => capacity::run(&common, &wanted),
         Command::Probe { name, size, times } => capacity::probe(&name, size, times),
         Command::Shift { common, seeds, svg, cost } => {
             shift::run(&common, &shift::Wanted { seeds, svg: svg.as_deref(), cost })
         }
+        Command::Subscriptions { common, seeds, planted, workers } => {
+            subscriptions::run(&common, seeds, planted.as_deref(), workers)
+        }
         Command::Node { site } => site::node(&site),
         Command::Boxes { form, count } => boxes::run(&form, count),
         Command::Passthrough { boxes } => passthrough::run(boxes),
