--- a/crates/rig/src/capacity/mod.rs
+++ b/crates/rig/src/capacity/mod.rs
@@ -8,6 +8,7 @@
 mod planner;
 mod process;
 mod server_list;
+mod services;
 mod subject;
 mod tenants;
 
@@ -95,13 +96,14 @@
 
 type Part = (&'static str, fn(u64) -> Result<Vec<Measured>, Failure>);
 
-/// The parts. Those of services by subscription have their place here.
-const PARTS: [Part; 6] = [
+/// The parts.
+const PARTS: [Part; 7] = [
     ("list", server_list::measure),
     ("tenants", tenants::measure),
     ("process", process::measure),
     ("request", tenants::request),
     ("planner", planner::measure),
+    ("services", services::measure),
     ("fleet", fleet::measure),
 ];
 
