--- a/crates/rig/src/slopes/reckoning.rs
+++ b/crates/rig/src/slopes/reckoning.rs
@@ -256,7 +256,7 @@
     ),
     row(
         "planner",
-        "memory besides, a third of all nodes with 300 services each",
+        "memory, the same and a third of all nodes with 300 services each",
         "planner.subscriptions.held",
         NODES / 3.0 * SERVICES_IN_USE,
         ONCE,
@@ -274,7 +274,7 @@
     ),
     row(
         "planner",
-        "processor time of one change that 20 forwarders use",
+        "processor time of one change, with that of the 20 forwarders that use it",
         "planner.service_change.cpu",
         SERVERS,
         ONCE,
@@ -301,7 +301,7 @@
     ),
     row(
         "planner",
-        "processor time of ten times the changes, a second, each used by 20",
+        "the same, at ten times the changes, a second",
         "planner.service_change.cpu",
         SERVERS,
         (10.0 * CHANGES_A_SECOND, "changes a second"),
