--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -89,6 +89,8 @@
     holders: BTreeMap<SocketAddr, Endpoint>,
     /// Those that the list does not have any more, by when they were closed.
     departed: BTreeSet<(Nanos, Endpoint)>,
+    /// Servers that may have kept connections; those that turn out to have none go with the next sweep.
+    resting: BTreeSet<Endpoint>,
     /// See [`Fleet::steps`].
     steps: u64,
     /// Connections that one server may hold of this node's, over all wires.
@@ -233,7 +235,7 @@
         }
     }
 
-    /// Servers looked at so far to follow lists, one for each look: what lists have cost.
+    /// Servers looked at so far to follow lists and to sweep, one for each look.
     pub fn steps(&self) -> u64 {
         self.steps
     }
@@ -379,22 +381,29 @@
         if let Some(u) = self.upstreams.get_mut(&server).filter(|_| current) {
             if u.server.started_at <= opened && u.open.get() <= most {
                 u.idle.push(Idle { wire, connection, opened, since });
+                self.resting.insert(server);
             }
         }
     }
 
     /// Closes what has stood idle since before `oldest` or was closed by its server.
     pub fn sweep(&mut self, oldest: Nanos) {
-        for upstream in self.upstreams.values_mut() {
+        self.steps += self.resting.len() as u64;
+        let upstreams = &mut self.upstreams;
+        self.resting.retain(|server| {
+            let Some(upstream) = upstreams.get_mut(server) else { return false };
             upstream.idle.retain(|i| i.since >= oldest && i.connection.quiet());
-        }
+            !upstream.idle.is_empty()
+        });
     }
 
     /// Closes the connection that has stood idle longest; false where none is idle.
     pub fn evict(&mut self) -> bool {
-        let since = |u: &Upstream| u.idle.first().map(|i| i.since);
-        let upstreams = self.upstreams.values_mut().filter(|u| !u.idle.is_empty());
-        upstreams.min_by_key(|u| since(u)).map(|u| u.idle.remove(0)).is_some()
+        let since = |server: &&Endpoint| Some(self.upstreams.get(server)?.idle.first()?.since);
+        let resting = self.resting.iter().filter(|server| since(server).is_some());
+        let longest = resting.min_by_key(since).copied();
+        let upstream = longest.and_then(|server| self.upstreams.get_mut(&server));
+        upstream.map(|u| u.idle.remove(0)).is_some()
     }
 }
 
--- a/crates/core/tests/fleet.rs
+++ b/crates/core/tests/fleet.rs
@@ -1,7 +1,7 @@
 //! What lists cost the fleet, counted in looks at servers, and which of two servers has an address.
 
 use laurelroute_core::call::Wire;
-use laurelroute_core::fleet::{Entry, Fleet};
+use laurelroute_core::fleet::{Entry, Fleet, Kept};
 use laurelroute_policy::interface::{Endpoint, ListKind, Nanos, Phase, Server};
 use std::net::SocketAddr;
 
@@ -89,3 +89,40 @@
     fleet.follow(4 * SECOND, ListKind::Changes, vec![newer(Phase::Gone), entry(1, Phase::Ready)]);
     assert_eq!((named(&fleet, "box-1"), named(&fleet, "new")), (Some(address(1)), None));
 }
+
+struct Connection {
+    quiet: bool,
+}
+
+impl Kept for Connection {
+    fn quiet(&self) -> bool {
+        self.quiet
+    }
+}
+
+/// 1.5 us a second and server held, 6% of a core at 40,000, were for servers without any connection.
+#[test]
+fn a_sweep_looks_at_servers_that_have_connections() {
+    let mut fleet = fleet(20_000);
+    let keep = |fleet: &mut Fleet, k: u32, since: Nanos, quiet: bool| {
+        let server = fleet.known(&format!("box-{k}")).expect("known");
+        fleet.checkin(server, (Wire(0), address(k)), Box::new(Connection { quiet }), (since, since));
+    };
+    (0..4).for_each(|k| keep(&mut fleet, k, (2 + u64::from(k)) * SECOND, k != 3));
+    let before = fleet.steps();
+    fleet.sweep(3 * SECOND);
+    assert_eq!(fleet.steps() - before, 4, "one was too old, one had been closed");
+    fleet.sweep(3 * SECOND);
+    assert_eq!(fleet.steps() - before, 4 + 2, "of two there is nothing left");
+    // Who has stood idle longest goes first, until there is none.
+    let kept = |fleet: &mut Fleet, k: u32| {
+        let server = fleet.known(&format!("box-{k}")).expect("known");
+        fleet.checkout::<Connection>(server, Wire(0), 0).is_some()
+    };
+    assert!(fleet.evict());
+    assert_eq!([1, 2].map(|k| kept(&mut fleet, k)), [false, true]);
+    assert!(!fleet.evict());
+    // Each comes back with its next connection.
+    keep(&mut fleet, 1, 9 * SECOND, true);
+    assert!(fleet.evict());
+}
--- a/crates/rig/src/scale_out/figures.rs
+++ b/crates/rig/src/scale_out/figures.rs
@@ -31,11 +31,14 @@
     pub rates: Vec<[f64; 3]>,
 }
 
+/// What processes told of one change: its event, when it was pushed, how long each node took, how many lacked it, and which.
+type Told = (usize, u64, Vec<u64>, usize, Vec<String>);
+
 /// Sums up what all processes told.
 pub fn summed(told: &[Value]) -> Figures {
     let mut figures = Figures { events: vec![Event::default(); EVENTS.len()], ..Figures::default() };
     // A change's nodes are spread over processes.
-    let mut changes: BTreeMap<usize, (usize, u64, Vec<u64>, usize, Vec<String>)> = BTreeMap::new();
+    let mut changes: BTreeMap<usize, Told> = BTreeMap::new();
     let number = |v: &Value| v.as_u64().unwrap_or(0);
     for process in told {
         let rates = process["rates"].as_array().into_iter().flatten();
