--- a/crates/plan/src/services/publisher/forwarders.rs
+++ b/crates/plan/src/services/publisher/forwarders.rs
@@ -127,7 +127,10 @@
         }
         let service_id = self.by_name.get(interest.service.as_str()).copied();
         let empty = |s: &u32| self.services.get(s).is_none_or(|s| s.size() == 0);
+        let known = service_id;
         let Some(service_id) = service_id.filter(|s| interest.life != 0 || !empty(s)) else {
+            // What it held before it dropped the service is of no use: it is told nothing on top of that.
+            known.into_iter().for_each(|service| self.withdraw(now, id, service));
             let Some(f) = self.forwarders.get_mut(&id) else { return Ok(()) };
             if f.absent.len() >= MOST_INTERESTS {
                 return Err(PublishError::Services(MOST_INTERESTS));
