Give a service that comes again its own versions; nothing unwanted counts in force

Versions begin above all former ones now, and one who resumes at the present version has to hold its digest. Changes of a service that was dropped meanwhile were acknowledged and counted in force; they are refused as unwanted. A server that left without draining may only have left this service: other planners are not told that it is gone. Of the two tests that of unwanted changes was seen to fail without its mend; that of a service that comes again passes without as well, as the digest in the next word brings the whole: it is cover.

--- a/crates/plan/src/services/publisher/forwarders.rs
+++ b/crates/plan/src/services/publisher/forwarders.rs
@@ -159,7 +159,9 @@
         let mut s = Subscription { holds, ..Subscription::whole(k) };
         let resumes = alike && interest.life == own_life && interest.version > 0;
         let held = interest.version;
-        if resumes && (slice.horizon..=slice.version).contains(&held) {
+        // What is held of the present version is what is here, or something has been lost.
+        let sound = held != slice.version || interest.digest == slice.digest;
+        if resumes && sound && (slice.horizon..=slice.version).contains(&held) {
             // All changes of that version were taken in, so that the next one is the first to come.
             s.resume(held);
         } else if alike && interest.digest == slice.digest {
@@ -303,21 +305,22 @@
         if acknowledge.life != self.settings.life {
             return;
         }
-        let refused: BTreeSet<u32> = acknowledge
-            .refused
-            .iter()
-            .filter_map(|r| self.by_name.get(r.service.as_str()).copied())
-            .collect();
+        let refused = acknowledge.refused.iter();
+        let refused: BTreeMap<u32, Because> =
+            refused.filter_map(|r| Some((*self.by_name.get(r.service.as_str())?, r.because()))).collect();
         while let Some(f) = self.forwarders.get_mut(&id) {
             if f.under_way.front().is_none_or(|(number, ..)| *number > acknowledge.number) {
                 break;
             }
             let Some((number, _, brought)) = f.under_way.pop_front() else { break };
             for (service, version) in brought {
-                if number == acknowledge.number && refused.contains(&service) {
-                    self.start_anew(id, service);
-                } else if let Some(version) = version {
-                    self.acknowledged(now, id, service, version);
+                let because = refused.get(&service).filter(|_| number == acknowledge.number);
+                match (because, version) {
+                    // Its word that it no longer wants it is on its way.
+                    (Some(Because::Unwanted), _) => self.withdraw(now, id, service),
+                    (Some(_), _) => self.start_anew(id, service),
+                    (None, Some(version)) => self.acknowledged(now, id, service, version),
+                    (None, None) => {}
                 }
             }
         }
--- a/crates/plan/src/services/publisher/list.rs
+++ b/crates/plan/src/services/publisher/list.rs
@@ -139,7 +139,9 @@
                     let (id, name) = (self.next_service, Name::from(name));
                     self.next_service += 1;
                     self.by_name.insert(name.clone(), id);
-                    self.services.insert(id, Service::new(name));
+                    // A slice's version grows by two a batch at most, where it is cut anew in it.
+                    let first = 2 * self.batch + 4;
+                    self.services.insert(id, Service::new(name, first));
                     id
                 }
             };
--- a/crates/plan/src/services/publisher/mod.rs
+++ b/crates/plan/src/services/publisher/mod.rs
@@ -17,7 +17,7 @@
 use crate::member::{Member, LONGEST_NAME};
 use crate::planner::ReportError;
 use crate::services::digest;
-use crate::wire::{Acknowledge, Closed, Interest, Subscribe};
+use crate::wire::{Acknowledge, Because, Closed, Interest, Subscribe};
 use hints::Standing;
 use laurelroute_policy::interface::{Nanos, Phase};
 use slice::{Name, Service};
--- a/crates/plan/src/services/publisher/slice.rs
+++ b/crates/plan/src/services/publisher/slice.rs
@@ -128,8 +128,9 @@
 }
 
 impl Service {
-    pub(super) fn new(name: Name) -> Service {
-        Service { name, slices: vec![Slice::default()] }
+    /// Its versions begin after `first`, which is above those of any former service of this name.
+    pub(super) fn new(name: Name, first: u64) -> Service {
+        Service { name, slices: vec![Slice { version: first, horizon: first, ..Slice::default() }] }
     }
 
     /// Servers that it has.
--- a/crates/plan/src/services/subscriber/held.rs
+++ b/crates/plan/src/services/subscriber/held.rs
@@ -226,7 +226,10 @@
         let Some(server) = self.servers.remove(name) else { return };
         self.digest = self.digest.wrapping_sub(server.digest);
         let started_at = server.member.server.started_at;
-        left.push_back(Left { name: name.to_owned(), started_at, source, at: now });
+        // One that did not drain may only have left this service.
+        if server.member.server.phase == Phase::Draining {
+            left.push_back(Left { name: name.to_owned(), started_at, source, at: now });
+        }
         if left.len() > MOST_LEFT {
             left.pop_front();
         }
--- a/crates/plan/src/services/subscriber/mod.rs
+++ b/crates/plan/src/services/subscriber/mod.rs
@@ -336,8 +336,8 @@
     fn take(&mut self, now: Nanos, update: &Update, changes: &Changes) -> Result<(), Because> {
         let insists = self.choice.insists(now, STUBBORN);
         let planners = self.settings.planners.len().max(1) as u32;
-        // Dropped since it was asked for: the planner is about to hear of that.
-        let Some(held) = self.services.get_mut(&changes.service) else { return Ok(()) };
+        // Dropped since it was asked for: it does not count as in force here.
+        let Some(held) = self.services.get_mut(&changes.service) else { return Err(Because::Unwanted) };
         if held.life != update.life && update.source < held.source && !insists {
             return Err(Because::OldMembership);
         }
--- a/crates/plan/src/wire.rs
+++ b/crates/plan/src/wire.rs
@@ -248,6 +248,8 @@
     OldMembership = 4,
     /// It holds something that makes no sense.
     Nonsense = 5,
+    /// It is of a service that is not wanted any longer.
+    Unwanted = 6,
 }
 
 /// What a forwarder has met since its last report. Each row replaces the one before.
--- a/crates/plan/tests/services.rs
+++ b/crates/plan/tests/services.rs
@@ -656,3 +656,42 @@
     exchange(S, &mut publisher, &mut f, "late", 0);
     equal(&publisher, &f, "late", "tide");
 }
+
+#[test]
+fn a_service_that_ends_and_comes_again_is_another_one() {
+    let mut publisher = publisher(7);
+    publisher.list(0, 1, true, servers("tide", 4));
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    f0.want(0, "tide");
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    f0.lost(S, 0);
+    publisher.left(S, "f0");
+    // It ends, and all who used it are forgotten; it comes again with others, by as many changes as it had before.
+    publisher.list(S, 2, true, servers("rain", 1));
+    publisher.poll(2_000 * S);
+    for (version, member) in [(3, "tide-0008"), (4, "tide-0009")] {
+        publisher.list(2_000 * S, version, false, vec![listed("tide", Member::warm(member))]);
+    }
+    join(2_001 * S, &mut publisher, &mut f0, "f0", (0, 7));
+    exchange(2_001 * S, &mut publisher, &mut f0, "f0", 0);
+    equal(&publisher, &f0, "f0", "tide");
+    assert_eq!(names(&f0, "tide"), ["tide-0008", "tide-0009"]);
+}
+
+#[test]
+fn what_comes_for_a_service_that_was_dropped_is_in_force_nowhere() {
+    let mut publisher = publisher(7);
+    publisher.list(0, 1, true, servers("tide", 4));
+    let mut f0 = connect(0, &mut publisher, "f0", 7);
+    f0.want(0, "tide");
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    publisher.list(S, 2, false, vec![gone("tide", "tide-0001")]);
+    let update = publisher.next_update(S, "f0").unwrap().unwrap();
+    // Unused for long, it is dropped just before the change comes.
+    f0.poll(700 * S);
+    assert_eq!(f0.members_of("tide"), None);
+    let answer = f0.receive(700 * S, 0, &update).unwrap();
+    assert_eq!(answer.refused.len(), 1);
+    publisher.acknowledge(700 * S, "f0", &answer);
+    assert_eq!(publisher.in_force(2).map(|force| (force.at, force.of)), Some((0, 0)));
+}
