--- a/crates/plan/src/services/publisher/forwarders.rs
+++ b/crates/plan/src/services/publisher/forwarders.rs
@@ -17,7 +17,7 @@
         let Some(f) = self.forwarders.get_mut(&id) else { return Ok(()) };
         self.connected += usize::from(!here);
         f.zone = zone;
-        f.left_at = None;
+        (f.left_at, f.joined_at) = (None, now);
         f.under_way.clear();
         f.sent_at = now;
         // What was sent on the former connection may not have come.
@@ -38,6 +38,7 @@
             name: name.to_owned(),
             zone: 0,
             left_at: Some(now),
+            joined_at: now,
             subscriptions: BTreeMap::new(),
             fresh: VecDeque::new(),
             dirty: BTreeSet::new(),
@@ -183,9 +184,11 @@
         }
         slice.subscribers.insert(id);
         if interest.source > self.source.unwrap_or(0) {
-            s.later = Some((interest.source, now + STUBBORN));
+            // From when it came, however often it asks: else it would wait for ever.
+            let until = (f.joined_at + STUBBORN).max(now);
+            s.later = Some((interest.source, until));
             self.waiting.insert(id);
-            self.due.insert((now + STUBBORN, Due::Later(id)));
+            self.due.insert((until, Due::Later(id)));
         }
         if holds {
             f.dirty.insert(service_id);
--- a/crates/plan/src/services/publisher/mod.rs
+++ b/crates/plan/src/services/publisher/mod.rs
@@ -209,6 +209,8 @@
     zone: u8,
     /// Since when it is not connected.
     left_at: Option<Nanos>,
+    /// When it last connected.
+    joined_at: Nanos,
     subscriptions: BTreeMap<u32, Subscription>,
     /// Services of which it has been told nothing yet, in the order in which it named them.
     fresh: VecDeque<u32>,
