--- a/crates/testkit/src/catalogue.rs
+++ b/crates/testkit/src/catalogue.rs
@@ -67,16 +67,16 @@
         line
     }
 
-    /// Lines that bring a watch which has this version, if any, up to the latest one.
-    fn since(&self, held: Option<u64>) -> (Vec<Arc<str>>, u64) {
+    /// Lines that bring a watch which has this version, if any, up to the latest one; whether that is the whole.
+    fn since(&self, held: Option<u64>) -> (Vec<Arc<str>>, bool) {
         let oldest = self.seq - self.changes.len() as u64;
         match held {
             Some(held) if held >= oldest && held <= self.seq => {
-                (self.changes.iter().skip((held - oldest) as usize).cloned().collect(), self.seq)
+                (self.changes.iter().skip((held - oldest) as usize).cloned().collect(), false)
             }
             _ => {
                 let whole = State::line(self.seq, true, self.hosts.iter().map(|h| &**h));
-                (vec![whole.into()], self.seq)
+                (vec![whole.into()], true)
             }
         }
     }
@@ -194,9 +194,10 @@
             return None;
         }
         let behind = has != Some(state.seq);
-        let (lines, seq) = if behind { state.since(has) } else { (Vec::new(), state.seq) };
+        let (lines, whole) = if behind { state.since(has) } else { (Vec::new(), false) };
+        let seq = state.seq;
         drop(state);
-        if has.is_none() {
+        if whole {
             shared.wholes.fetch_add(1, Ordering::SeqCst);
         }
         has = Some(seq);
