--- a/crates/rig/src/scale_out/mod.rs
+++ b/crates/rig/src/scale_out/mod.rs
@@ -114,6 +114,9 @@
     let figures = figures::summed(&day.told()?);
     let real: Vec<_> = day.bed.real.iter().map(|r| r.relay.rates(0)).collect();
     let mut outcome = Outcome::default();
+    for (key, count) in [("nodes", size.nodes), ("servers", size.servers), ("services", size.services)] {
+        outcome.put(key, count as f64);
+    }
     figures.tell(&mut outcome);
     tell_costs(&day.seen, &mut outcome);
     let (mean, most) = figures.bytes();
