One form of what was met of a box, one place for the check of reports, no state nobody reads

The rows of reports were made by two like functions; a subscription kept whether its forwarder holds anything, which nobody read.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod subset;
 pub mod wire;
 
+mod check;
 mod explain;
 
 /// A hash that is the same at every node and in every build (splitmix64's mixer over the bytes).
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -6,6 +6,7 @@
 //!
 //! Work follows changes: a report's row touches one box, a box's change touches the forwarders that use it.
 
+use crate::check::check;
 use crate::follower::MOST_ROWS;
 use crate::grade;
 use crate::member::{Member, LONGEST_NAME};
@@ -40,8 +41,6 @@
 const PATIENCE: Nanos = 1_500 * MS;
 /// Before a plan that was refused is offered again.
 const REFUSED_WAIT: Nanos = 1_000 * MS;
-/// Rows of one report that are taken; a forwarder says the rest in the next.
-const MOST_SEEN: usize = 4_096;
 /// A cold box gets this part of its ramp share of what a like warm one gets: as the decision module has it.
 const COLD_SHARE: f64 = 0.9;
 /// Budgets and portions that differ by less than this part are not told anew.
@@ -974,32 +973,3 @@
 
 /// Number, zone and name of a box or a forwarder.
 type Named<'a> = (u32, u8, &'a str);
-
-pub(crate) fn check(report: &Report) -> Result<(), ReportError> {
-    let rows = report.rows.len() + report.dropped.len() + report.closed.len();
-    if rows > MOST_SEEN {
-        return Err(ReportError::Rows(rows));
-    }
-    if report.following.len() > LONGEST_NAME {
-        return Err(ReportError::Name(report.following.len()));
-    }
-    let figure = |server: &str, field, value: f32, most: f32| {
-        if (0.0..=most).contains(&value) {
-            return Ok(());
-        }
-        let server = server.chars().take(LONGEST_NAME).collect();
-        Err(ReportError::Figure { server, field, value: value.to_string() })
-    };
-    for row in &report.rows {
-        if row.name.is_empty() || row.name.len() > LONGEST_NAME {
-            return Err(ReportError::Name(row.name.len()));
-        }
-        figure(&row.name, "accomplished", row.accomplished, 1e12)?;
-        figure(&row.name, "lag", row.lag, 1e9)?;
-        figure(&row.name, "faults", row.faults, 1.0)?;
-    }
-    for portion in report.classes.iter().chain(&report.tenants) {
-        figure(&portion.name, "rate", portion.rate, 1e9)?;
-    }
-    Ok(())
-}
--- a/crates/plan/src/reporter.rs
+++ b/crates/plan/src/reporter.rs
@@ -77,7 +77,7 @@
         for (name, observed) in &state.servers {
             let weight = self.told.get(*name).map_or(f64::INFINITY, |told| change(told, observed));
             if weight > 0.0 {
-                rows.push((weight, row(name, observed)));
+                rows.push((weight, seen(name, observed)));
             }
         }
         rows.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name)));
@@ -132,7 +132,8 @@
     }
 }
 
-fn row(name: &str, observed: &Observed) -> Seen {
+/// What was met of a box, in the messages' form.
+pub(crate) fn seen(name: &str, observed: &Observed) -> Seen {
     let mut endings = observed.endings.to_vec();
     let used = endings.iter().rposition(|&n| n > 0).map_or(0, |last| last + 1);
     endings.truncate(used.min(ENDINGS));
--- a/crates/plan/src/services/publisher/forwarders.rs
+++ b/crates/plan/src/services/publisher/forwarders.rs
@@ -157,7 +157,7 @@
             service.choose(&f.name, (interest.slice as usize, interest.slices as usize))
         };
         let slice = &mut service.slices[k];
-        let mut s = Subscription { holds, ..Subscription::whole(k) };
+        let mut s = Subscription::whole(k);
         let resumes = alike && interest.life == own_life && interest.version > 0;
         let held = interest.version;
         // What is held of the present version is what is here, or something has been lost.
@@ -335,13 +335,7 @@
         let Some(f) = self.forwarders.get_mut(&id) else { return };
         let Some(s) = f.subscriptions.get_mut(&service) else { return };
         let owes = std::mem::take(&mut s.owes);
-        *s = Subscription {
-            owes,
-            holds: true,
-            stale: s.stale,
-            later: s.later,
-            ..Subscription::whole(s.slice)
-        };
+        *s = Subscription { owes, stale: s.stale, later: s.later, ..Subscription::whole(s.slice) };
         f.dirty.insert(service);
         f.urgent.insert(service);
     }
--- a/crates/plan/src/services/publisher/hints.rs
+++ b/crates/plan/src/services/publisher/hints.rs
@@ -5,8 +5,8 @@
 
 use super::slice::Name;
 use super::{Forwarder, PublishError, Publisher};
+use crate::check::check;
 use crate::grade;
-use crate::planner::check;
 use crate::wire::{Report, Seen, Suspicion};
 use laurelroute_policy::interface::{Ending, Nanos};
 use std::collections::BTreeMap;
--- a/crates/plan/src/services/publisher/list.rs
+++ b/crates/plan/src/services/publisher/list.rs
@@ -263,7 +263,7 @@
             let Some(s) = f.subscriptions.get_mut(&id) else { continue };
             let k = service.choose(&f.name, (s.slice, former));
             let owes = std::mem::take(&mut s.owes);
-            *s = Subscription { owes, stale: s.stale, later: s.later, holds: true, ..Subscription::whole(k) };
+            *s = Subscription { owes, stale: s.stale, later: s.later, ..Subscription::whole(k) };
             service.slices[k].subscribers.insert(user);
             f.dirty.insert(id);
             f.urgent.insert(id);
--- a/crates/plan/src/services/publisher/mod.rs
+++ b/crates/plan/src/services/publisher/mod.rs
@@ -188,8 +188,6 @@
     whole: Option<u64>,
     /// What it holds has this digest and is what the slice had; it only has to be told the version.
     same: Option<u64>,
-    /// It holds servers of this service, by whatever version.
-    holds: bool,
     /// Hints up to this number have been sent.
     hinted: u64,
     acknowledged: Option<u64>,
@@ -414,7 +412,6 @@
             held: None,
             whole: None,
             same: None,
-            holds: false,
             hinted: 0,
             acknowledged: None,
             owes: VecDeque::new(),
--- a/crates/plan/src/services/publisher/stream.rs
+++ b/crates/plan/src/services/publisher/stream.rs
@@ -347,7 +347,6 @@
             s.ahead = s.sent.clone();
             s.held = Some(slice.version);
             s.told = slice.told;
-            s.holds = true;
         }
         changes.version = slice.version;
         changes.digest = slice.digest;
--- a/crates/plan/src/services/subscriber/words.rs
+++ b/crates/plan/src/services/subscriber/words.rs
@@ -1,8 +1,9 @@
 //! What a forwarder says to its planner: what it wants, what it knows better, and what it has met.
 
 use super::*;
-use crate::wire::{Interest, Report, Seen};
-use laurelroute_policy::interface::{Observed, ENDINGS};
+use crate::reporter::seen;
+use crate::wire::{Interest, Report};
+use laurelroute_policy::interface::Observed;
 
 /// Bytes of one message, about.
 const MESSAGE: usize = 2_000;
@@ -134,18 +135,3 @@
         Some(report)
     }
 }
-
-fn seen(name: &str, met: &Observed) -> Seen {
-    let mut endings = met.endings.to_vec();
-    let used = endings.iter().rposition(|&n| n > 0).map_or(0, |last| last + 1);
-    endings.truncate(used.min(ENDINGS));
-    Seen {
-        name: name.to_owned(),
-        accomplished: met.accomplished as f32,
-        in_flight: met.in_flight,
-        lag: met.lag as f32,
-        faults: met.faults.clamp(0.0, 1.0) as f32,
-        ejected: met.ejected,
-        endings,
-    }
-}
