A fault soak of real processes, judged by recorded histories

rig soak draws 27 kinds of fault from a seed so that two or three overlap: stops, reloads, restarts, kills, servers that are replaced, crash, hang, reset, close or spoil answers, discovery that is down, silent or hangs, clients that leave, stop or rest, and a C shim in the node's process (EINTR, short reads and writes, failing accept, socket and connect, failing disk, wall clock). Clients, servers, discovery and the driver write what they saw on one clock; the oracle reads nothing else, and its own test plants a defect for every rule.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -20,6 +20,7 @@
 mod shift;
 mod silence;
 mod site;
+mod soak;
 mod subscriptions;
 mod thrift;
 mod two_level;
@@ -243,6 +244,13 @@
         #[arg(long, default_value_t = 0)]
         workers: usize,
     },
+    /// Real processes under drawn faults, two or three at a time, judged by what clients, servers and discovery saw.
+    Soak {
+        #[command(flatten)]
+        common: Common,
+        #[command(flatten)]
+        wanted: soak::Wanted,
+    },
     /// A node, as the measurements run it.
     #[command(hide = true)]
     Node {
@@ -307,6 +315,7 @@
         Command::Subscriptions { common, seeds, planted, workers } => {
             subscriptions::run(&common, seeds, planted.as_deref(), workers)
         }
+        Command::Soak { common, wanted } => soak::run(&common, &wanted),
         Command::Node { site } => site::node(&site),
         Command::Boxes { form, count } => boxes::run(&form, count),
         Command::Passthrough { boxes } => passthrough::run(boxes),
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod process;
 pub mod program;
 pub mod silence;
+pub mod soak;
 pub mod suite;
 pub mod takeover;
 pub mod wire;
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -66,6 +66,10 @@
     pub thrift: String,
     /// Lists come only to those who ask for them.
     pub asked: bool,
+    /// ... and have to ask within so many milliseconds.
+    pub ask_within_ms: u64,
+    /// The node's number among the nodes of its tier, and how many these are.
+    pub ordinal: (usize, usize),
 }
 
 impl Default for Wishes {
@@ -93,6 +97,8 @@
             second_copies: false,
             thrift: String::new(),
             asked: false,
+            ask_within_ms: 10_000,
+            ordinal: (0, 1),
         }
     }
 }
@@ -339,13 +345,13 @@
         "limits": {"cores": 1.0, "memory_mb": 48, "sockets": wishes.sockets},
         "settings": {
             "classes": [class("read", "pure"), class("write", "side_effect"), class("keyed", "token")],
-            "tenants": [], "zone": 0, "zones": ["a"], "skus": ["m"], "ordinal": 0, "groupSize": 1,
+            "tenants": [], "zone": 0, "zones": ["a"], "skus": ["m"], "ordinal": wishes.ordinal.0, "groupSize": wishes.ordinal.1,
             "registryMode": if wishes.asked { "subscribe" } else { "automatic" },
             "caps": {"maxAttempts": wishes.max_attempts, "secondCopies": wishes.second_copies, "cancelling": wishes.cancelling,
                 "mayProbe": false, "peers": wishes.peers, "retryAfter": true, "maxRetryAfterNs": 2_000_000_000u64,
                 "connIdleNs": wishes.conn_idle_ms * 1_000_000, "connectTimeoutNs": wishes.connect_timeout_ms * 1_000_000},
             "guarantees": {"coldFrom": wishes.cold.0, "rampTimeNs": wishes.cold.1 * 1_000_000,
-                "tipMultiple": 3.0, "fallNs": 2_000_000_000u64, "askWithinNs": 10_000_000_000u64,
+                "tipMultiple": 3.0, "fallNs": 2_000_000_000u64, "askWithinNs": wishes.ask_within_ms * 1_000_000,
                 "stopSendingWithinNs": 250_000_000u64},
         },
     });
--- a/crates/testkit/src/wire.rs
+++ b/crates/testkit/src/wire.rs
@@ -40,7 +40,7 @@
 }
 
 /// The classes of the suite's site, one for each effect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Class {
     /// Safe to repeat.
     Read,
