--- /dev/null
+++ b/crates/node/tests/incidents.rs
@@ -0,0 +1,89 @@
+//! What the fault hunt has found (`docs/incidents/`), each as a test that failed before its mend.
+
+mod common;
+use common::*;
+use laurelroute_testkit::discovery::Discovery;
+use laurelroute_testkit::program::Wishes;
+use laurelroute_testkit::soak::shim::{self, Shim};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
+use std::thread;
+use std::time::Duration;
+
+/// The environment of a program under this shim.
+fn under(shim: &Shim) -> Vec<(String, String)> {
+    static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
+    let library = LIBRARY.get_or_init(|| {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("shim-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder can be made");
+        shim::build(&folder).expect("the shim can be built")
+    });
+    shim.environment(library)
+}
+
+fn keyed_request(id: &str) -> String {
+    format!(
+        "POST /keyed HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {id}\r\nX-Timeout-Ms: 4000\r\nIdempotency-Key: {id}\r\n\
+         Content-Length: 0\r\n\r\n"
+    )
+}
+
+/// An answer that ends with its connection has come whole when that is closed, and is the request's answer.
+#[test]
+fn answers_with_no_length_are_forwarded() {
+    let server = FakeServer::start(|_, stream| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole");
+        false
+    });
+    let discovery = Discovery::start(&[host("s1", server.address)]);
+    let program = Program::start(&discovery);
+    until("the server is used", || {
+        program.ask();
+        server.requests() > 0
+    });
+    for request in [safe_request, |id: &str| unsafe_request(id, "x"), keyed_request] {
+        let before = server.requests();
+        let answer = program.raw(request(&fresh_id()).as_bytes());
+        assert!(answer.starts_with("HTTP/1.1 200") && answer.ends_with("whole"), "{answer:?}");
+        assert_eq!(server.requests(), before + 1, "it ran once");
+    }
+}
+
+/// A reset is no end: what has come until then is no answer.
+#[test]
+fn answers_with_no_length_that_are_reset_are_none() {
+    let server = FakeServer::start(|_, stream| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhal");
+        thread::sleep(Duration::from_millis(20));
+        // Dropped with this set, a connection is reset.
+        let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+        false
+    });
+    let discovery = Discovery::start(&[host("s1", server.address)]);
+    let program = Program::start(&discovery);
+    until("the server is used", || {
+        let answer = program.raw(unsafe_request(&fresh_id(), "x").as_bytes());
+        assert!(!answer.starts_with("HTTP/1.1 200"), "{answer:?}");
+        server.requests() > 3
+    });
+}
+
+/// The disk fails while staff take a server out, and is well again long before the process is killed: the server is out still.
+#[test]
+fn a_ban_said_while_the_disk_fails_outlives_a_kill() {
+    let servers = [FakeServer::serving("first"), FakeServer::serving("second")];
+    let discovery = Discovery::start(&[host("s1", servers[0].address), host("s2", servers[1].address)]);
+    let failing = Shim::default().with("file_fail", 1.0).with("until", 3.0);
+    let wishes = Wishes { managed: true, environment: under(&failing), ..Wishes::default() };
+    let program = Program::wishing(&discovery, wishes);
+    assert_eq!(program.call("POST", "/_servers/detach/s1"), Some(200));
+    // The disk is well from 3 s on.
+    thread::sleep(Duration::from_millis(6_500));
+    program.signal("KILL");
+    let again = program.successor();
+    until("the next process serves", || again.ask().ends_with("second"));
+    for _ in 0..40 {
+        assert!(!again.ask().ends_with("first"), "a server that is taken out was used");
+    }
+}
