--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -268,20 +268,40 @@
     Part(Pieces, Incoming),
 }
 
+/// How an answer's end is told (RFC 9112, section 6.3).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// By its length.
+    Length,
+    /// By its last chunk.
+    Chunks,
+    /// By the close of its connection. A reset is no close, and an answer that is reset is none.
+    Close,
+}
+
+impl Framing {
+    /// `None` where the head names two ends.
+    fn of(headers: &HeaderMap) -> Option<Framing> {
+        let length = headers.contains_key(header::CONTENT_LENGTH);
+        match (length, headers.contains_key(header::TRANSFER_ENCODING)) {
+            (true, true) => None,
+            (true, false) => Some(Framing::Length),
+            (false, true) => Some(Framing::Chunks),
+            (false, false) => Some(Framing::Close),
+        }
+    }
+}
+
 /// Reads an answer's body, whole if it is not long. Held back until its end has come, an answer that turns out to be
 /// spoilt is never begun to a client and can still be replaced by another server's. This guards against all that can
-/// be wrong with an answer's length: none, two, one that is larger than what comes or than any answer may be.
+/// be wrong with an answer's length: two, one that is larger than what comes or than any answer may be.
 async fn take(
     link: &mut Link,
     mut body: Incoming,
     headers: &HeaderMap,
     mut pieces: Pieces,
 ) -> Result<Taken, Broken> {
-    let length = headers.contains_key(header::CONTENT_LENGTH);
-    if length == headers.contains_key(header::TRANSFER_ENCODING) {
-        // With neither it would end with its connection, and so does an answer that is cut.
-        return Err(Broken::Unclear);
-    }
+    let framing = Framing::of(headers).ok_or(Broken::Unclear)?;
     if body.size_hint().lower() > MOST_BODY {
         return Err(Broken::TooLong);
     }
@@ -291,7 +311,8 @@
         if !pieces.push(data) {
             return Err(Broken::NoRoom);
         }
-        let late = !length && begun.elapsed() > UNKNOWN_LENGTH;
+        // One that ends with its connection is held back: whether it comes whole is known only then.
+        let late = framing == Framing::Chunks && begun.elapsed() > UNKNOWN_LENGTH;
         if pieces.len() + body.size_hint().lower() > WHOLE || (late && !body.is_end_stream()) {
             return Ok(Taken::Part(pieces, body));
         }
--- a/crates/node/tests/incidents.rs
+++ b/crates/node/tests/incidents.rs
@@ -50,6 +50,30 @@
     }
 }
 
+/// One that is too long to be held back passes through, and what is reset in it ends as no whole answer.
+#[test]
+fn long_answers_with_no_length_pass_through() {
+    const LONG: usize = 300_000;
+    let server = FakeServer::start(|request, stream| {
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+        let _ = stream.write_all(&vec![b'x'; LONG]);
+        if request.body == b"cut" {
+            thread::sleep(Duration::from_millis(50));
+            let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+        }
+        false
+    });
+    let discovery = Discovery::start(&[host("s1", server.address)]);
+    let program = Program::start(&discovery);
+    until("the server is used", || {
+        program.ask();
+        server.requests() > 0
+    });
+    let whole = program.raw(unsafe_request(&fresh_id(), "whole").as_bytes());
+    assert!(whole.starts_with("HTTP/1.1 200") && whole.len() > LONG, "{} bytes", whole.len());
+    assert_eq!(program.raw(unsafe_request(&fresh_id(), "cut").as_bytes()), "");
+}
+
 /// A reset is no end: what has come until then is no answer.
 #[test]
 fn answers_with_no_length_that_are_reset_are_none() {
