--- /dev/null
+++ b/crates/node/tests/interrupted.rs
@@ -0,0 +1,76 @@
+//! System calls of the real program that are interrupted or move fewer bytes (EINTR, short reads and writes): on every wire
+//! no request is lost, none runs twice, none fails for it, and signals do their work.
+
+use laurelroute_testkit::load::Load;
+use laurelroute_testkit::program::{Bed, Wishes};
+use laurelroute_testkit::soak::shim::{self, Shim};
+use laurelroute_testkit::until;
+use laurelroute_testkit::wire::{Class, Wire, CLASSES};
+use std::path::{Path, PathBuf};
+use std::sync::OnceLock;
+use std::thread;
+use std::time::Duration;
+
+const CLIENTS: usize = 6;
+const LASTS: Duration = Duration::from_secs(3);
+
+fn interrupted(seed: u32) -> Wishes {
+    static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
+    let library = LIBRARY.get_or_init(|| {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("eintr-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder can be made");
+        shim::build(&folder).expect("the shim can be built")
+    });
+    let knobs = ["recv_eintr", "send_eintr", "recv_short", "send_short", "epoll_eintr"];
+    let shim = knobs.into_iter().fold(Shim::default(), |shim, knob| shim.with(knob, 0.01));
+    let environment = shim.with("unix_eintr", 0.05).with("seed", seed.into()).environment(library);
+    Wishes { environment, ..Wishes::default() }
+}
+
+fn bed(wire: Wire) -> Bed {
+    Bed::wishing(Path::new(env!("CARGO_BIN_EXE_laurelroute")), wire, 4, interrupted(7))
+}
+
+fn nothing_is_lost(wire: Wire) {
+    let bed = bed(wire);
+    let address = match wire {
+        Wire::Http => bed.node.http,
+        Wire::Thrift { .. } => bed.node.thrift,
+    };
+    let loads: Vec<_> =
+        CLASSES.iter().map(|class| Load::start(wire, address, CLIENTS, *class, 200)).collect();
+    thread::sleep(LASTS);
+    for (load, class) in loads.into_iter().zip(CLASSES) {
+        let tally = load.finish();
+        let ran = bed.ran();
+        let crossed = tally.crossed.iter().filter(|id| ran.contains_key(*id)).count();
+        let twice = if class == Class::Write { tally.twice(&ran) } else { 0 };
+        let seen = (tally.lost.len(), tally.mixed.len(), crossed, twice, tally.failed);
+        assert_eq!(
+            seen,
+            (0, 0, 0, 0, 0),
+            "{class:?}: lost, mixed, sent on and closed, twice, failed; {} served",
+            tally.served.len()
+        );
+        assert!(tally.served.len() > 500, "{class:?}: {} served", tally.served.len());
+    }
+}
+
+#[test]
+fn interrupted_calls_lose_nothing_http() {
+    nothing_is_lost(Wire::Http);
+}
+
+/// The library's own way to hear of signals ended the process at the first interrupted read of its pipe.
+#[test]
+fn interrupted_calls_spare_signals() {
+    let mut bed = bed(Wire::Http);
+    let discovery = bed.discovery.address;
+    for _ in 0..150 {
+        bed.configure(discovery);
+        thread::sleep(Duration::from_millis(5));
+    }
+    assert!(bed.node.running(), "the program ended on SIGHUP");
+    bed.node.signal("TERM");
+    until("the program ends on SIGTERM", || !bed.node.running());
+}
