--- a/crates/node/tests/incidents.rs
+++ b/crates/node/tests/incidents.rs
@@ -2,9 +2,12 @@
 
 mod common;
 use common::*;
+use laurelroute_testkit::boxes::Act;
+use laurelroute_testkit::client::{Client, LEAVINGS};
 use laurelroute_testkit::discovery::Discovery;
-use laurelroute_testkit::program::Wishes;
+use laurelroute_testkit::program::{Bed, Wishes};
 use laurelroute_testkit::soak::shim::{self, Shim};
+use laurelroute_testkit::wire::{Ask, Class, Wire};
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::sync::OnceLock;
@@ -111,3 +114,26 @@
         assert!(!again.ask().ends_with("first"), "a server that is taken out was used");
     }
 }
+
+/// A node is held up while a server turns a request away and its client leaves: once it runs again, the request goes nowhere.
+#[test]
+fn a_client_that_leaves_while_the_node_is_held_up_is_not_served() {
+    for wire in [Wire::Http, Wire::thrift("framed-binary")] {
+        let bed = Bed::new(Path::new(env!("CARGO_BIN_EXE_laurelroute")), wire, 4);
+        for round in 0..12 {
+            bed.plan.next(&[Act::TurnAwayWhenTold]);
+            let ask = Ask::new(Class::Read);
+            let mut client = Client::connect(wire, bed.node.address(wire)).expect("the node accepts");
+            client.send(&ask);
+            until("the request is with a server", || bed.arrivals(&ask.id) == 1);
+            bed.node.signal("STOP");
+            bed.plan.go_on();
+            thread::sleep(Duration::from_millis(5));
+            client.leave(LEAVINGS[round % LEAVINGS.len()]);
+            thread::sleep(Duration::from_millis(130));
+            bed.node.signal("CONT");
+            thread::sleep(Duration::from_millis(60));
+            assert_eq!(bed.arrivals(&ask.id), 1, "{wire:?}, round {round}: sent again for nobody");
+        }
+    }
+}
