Decide in one place whether an attempt may begin or a request be refused, and count what was not

Cause: nothing looked at the client between the end of one attempt and the start of the next; the poller's word on it may be read after the server's.

core::dispatch decides on repeats, second copies, groups, windows and refusals from what became of earlier attempts; Attempt::may_begin asks the kernel for the client, then window, deadline and server, right before the first byte on every wire. A close that was decided on is looked at again where it is done (a request that has come since is served).

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -1,6 +1,8 @@
 //! The seam between the wires and the gateway.
 
+use crate::events::Label;
 use crate::gateway::Attempt;
+use crate::leaving::Presence;
 use laurelroute_policy::interface::{Nanos, Request};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -19,6 +21,8 @@
     pub request: Request,
     /// When no answer is of use any more; attempts are called off then.
     pub give_up_at: Nanos,
+    /// What the client calls it, for those who look into an incident.
+    pub label: Label,
 }
 
 /// One request in the form of its wire, and the place of its answer. Both methods are called while the gateway is
@@ -30,6 +34,9 @@
 
     /// The final answer is none of a server's.
     fn give_up(&self, end: GivenUp);
+
+    /// Whether the client is still there, as the kernel has it now.
+    fn client(&self) -> Presence;
 }
 
 /// A final answer that the node itself makes.
--- /dev/null
+++ b/crates/core/src/dispatch.rs
@@ -0,0 +1,127 @@
+//! Whether an attempt may begin, and whether a request may be refused: the one place that decides it for every wire.
+//!
+//! The decision module says what it wants; this is asked right before it is done. What must not be done is not done, and
+//! where the module should have known, it is counted as a violation of the node's own invariants ([`crate::events`]).
+
+use laurelroute_policy::interface::{Effect, Ending, Group, Nanos};
+
+/// Why an attempt may not begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Denied {
+    /// The request has its final answer.
+    #[error("the request is answered")]
+    Answered,
+    /// As many attempts were made as the settings allow.
+    #[error("no attempt is left")]
+    NoAttemptLeft,
+    /// The client has closed or reset its connection.
+    #[error("the client has gone")]
+    ClientGone,
+    /// The client waits no longer.
+    #[error("its time is up")]
+    DeadlinePassed,
+    /// The server drains or is gone.
+    #[error("the server takes nothing new")]
+    ServerClosed,
+    /// A keyed request may have run, and servers drop its repeats no longer.
+    #[error("its window is over")]
+    WindowOver,
+    /// A keyed request may have run at a server that shares nothing with this one.
+    #[error("the server is of another group")]
+    OtherGroup,
+    /// A request that must not run twice may have run.
+    #[error("it may have run")]
+    MayHaveRun,
+    /// Another attempt is out, and two must not be.
+    #[error("another attempt is out")]
+    SecondCopy,
+}
+
+impl Denied {
+    /// The decision module knew all that it takes to see this.
+    pub fn is_violation(self) -> bool {
+        matches!(self, Denied::OtherGroup | Denied::MayHaveRun | Denied::SecondCopy)
+    }
+}
+
+/// Where a server belongs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Its zone.
+    pub zone: u8,
+    /// Its cell.
+    pub cell: u16,
+}
+
+/// An attempt that was made before.
+#[derive(Clone, Copy, Debug)]
+pub struct Earlier {
+    /// Where; `None` where that is forgotten.
+    pub place: Option<Place>,
+    /// How it ended; `None` while it is out.
+    pub ending: Option<Ending>,
+    /// When it was sent.
+    pub sent_at: Nanos,
+}
+
+impl Earlier {
+    fn may_have_run(&self) -> bool {
+        self.ending.is_none_or(|ending| !ending.never_ran())
+    }
+}
+
+/// What the settings say of a request's class and of attempts.
+#[derive(Clone, Copy, Debug)]
+pub struct Terms {
+    /// What a repeat does.
+    pub effect: Effect,
+    /// Who drops repeats of a keyed request.
+    pub group: Group,
+    /// For how long.
+    pub window: Nanos,
+    /// Two attempts of a request may be out at once.
+    pub second_copies: bool,
+}
+
+/// Whether one more attempt may be made at a server, by what became of the earlier ones.
+pub fn may_repeat(
+    terms: &Terms,
+    earlier: impl Iterator<Item = Earlier> + Clone,
+    place: Option<Place>,
+    now: Nanos,
+) -> Result<(), Denied> {
+    if !terms.second_copies && earlier.clone().any(|e| e.ending.is_none()) {
+        return Err(Denied::SecondCopy);
+    }
+    let mut ran = earlier.filter(Earlier::may_have_run);
+    match terms.effect {
+        Effect::Safe => Ok(()),
+        Effect::Unsafe => ran.next().map_or(Ok(()), |_| Err(Denied::MayHaveRun)),
+        Effect::Keyed => ran.try_for_each(|e| {
+            if now >= e.sent_at.saturating_add(terms.window) {
+                return Err(Denied::WindowOver);
+            }
+            same_group(terms.group, e.place, place).then_some(()).ok_or(Denied::OtherGroup)
+        }),
+    }
+}
+
+/// Whether two servers drop the repeats of each other's requests.
+fn same_group(group: Group, one: Option<Place>, other: Option<Place>) -> bool {
+    match (group, one, other) {
+        (Group::All, ..) => true,
+        (Group::Zone, Some(one), Some(other)) => one.zone == other.zone,
+        (Group::Cell, Some(one), Some(other)) => one.cell == other.cell,
+        _ => false,
+    }
+}
+
+/// Whether a client may be told that trying again is harmless.
+pub fn may_refuse(terms: &Terms, mut earlier: impl Iterator<Item = Earlier>) -> Result<(), Denied> {
+    let harmless = match terms.effect {
+        Effect::Safe => true,
+        Effect::Keyed if terms.group == Group::All => true,
+        Effect::Keyed | Effect::Unsafe => !earlier.any(|e| e.may_have_run()),
+    };
+    harmless.then_some(()).ok_or(Denied::MayHaveRun)
+}
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -336,6 +336,12 @@
         upstream.dials.get(usize::from(wire.0)).copied().flatten()
     }
 
+    /// Where a server belongs, as long as it is remembered.
+    pub fn place_of(&self, server: Endpoint) -> Option<crate::dispatch::Place> {
+        let server = self.upstreams.get(&server)?.server;
+        Some(crate::dispatch::Place { zone: server.zone, cell: server.cell })
+    }
+
     /// A place for one more connection to a server; where it holds all that it may, one that is kept on another
     /// wire makes room, and `None` says that there is none.
     pub(crate) fn place(&mut self, server: Endpoint, wire: Wire) -> Option<Place> {
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -7,8 +7,11 @@
 use crate::call::{Call, Exchange, GivenUp, HandOver, Verdict, Wire};
 use crate::clock::Clock;
 use crate::common::Common;
+use crate::dispatch::{self, Denied, Earlier, Place, Terms};
+use crate::events::{self, Kind, Label};
 use crate::fleet::{Entry, Fleet, Said};
 use crate::ids::Ids;
+use crate::leaving::Presence;
 use crate::names::Names;
 use laurelroute_handover::bans::{BanError, Bans, Word};
 use laurelroute_policy::interface::{
@@ -37,6 +40,9 @@
 /// Part of the idle time after which a server may close that a kept connection is used.
 const IDLE_PART: f64 = 0.6;
 
+/// A request's client is looked at as it comes; an attempt that begins within this does not look again.
+const LOOKED_AT: Nanos = 5_000_000;
+
 /// What the node is told of its site, apart from who its servers are.
 #[derive(Clone, Debug)]
 pub struct Site {
@@ -108,6 +114,10 @@
     give_up_at: Nanos,
     send_by: Nanos,
     handed: Handed,
+    exchange: Rc<dyn Exchange>,
+    /// When the request came.
+    came_at: Nanos,
+    label: Label,
 }
 
 impl Attempt {
@@ -134,6 +144,46 @@
         self.gateway.fleet(|f| f.dial(self.server, wire))
     }
 
+    /// Whether its first byte may be written now, and where to; asked once its connection is there.
+    pub async fn may_begin(&self, wire: Wire) -> Result<SocketAddr, Denied> {
+        let decided = self.decide(wire).await;
+        if let Err(denied) = decided {
+            self.gateway.denied(denied, self.label);
+            if denied == Denied::ClientGone {
+                self.gateway.client_gone(self.id.request);
+            }
+        }
+        decided
+    }
+
+    async fn decide(&self, wire: Wire) -> Result<SocketAddr, Denied> {
+        let clock = &self.gateway.clock;
+        // Last of all what needs no waiting: nothing may come between it and the first byte.
+        let looked = self.id.number == 0 && clock.now() < self.came_at.saturating_add(LOOKED_AT);
+        if !looked && self.client_gone().await {
+            return Err(Denied::ClientGone);
+        }
+        if clock.now() >= self.send_by {
+            return Err(Denied::WindowOver);
+        }
+        if clock.now() >= self.give_up_at {
+            return Err(Denied::DeadlinePassed);
+        }
+        self.dial(wire).ok_or(Denied::ServerClosed)
+    }
+
+    async fn client_gone(&self) -> bool {
+        match self.exchange.client() {
+            Presence::There => false,
+            Presence::Gone => true,
+            Presence::Unclear => {
+                // The poller has its turn before this goes on.
+                tokio::task::yield_now().await;
+                self.exchange.client() == Presence::Gone
+            }
+        }
+    }
+
     /// Who knows whether the last byte is handed over; told before the first byte goes out.
     pub fn writes_through(&self, connection: Rc<dyn HandOver>) {
         *self.handed.borrow_mut() = Some(connection);
@@ -163,6 +213,9 @@
     server: Endpoint,
     sent_at: Nanos,
     open: bool,
+    /// How it ended, once it has.
+    ending: Option<Ending>,
+    place: Option<Place>,
     /// The connection that it has, once it has one.
     handed: Handed,
     task: Option<AbortHandle>,
@@ -177,6 +230,8 @@
 
 struct Live {
     exchange: Rc<dyn Exchange>,
+    label: Label,
+    came_at: Nanos,
     request: Request,
     give_up_at: Nanos,
     /// The client has had no final answer yet.
@@ -186,6 +241,12 @@
     send_by: Nanos,
 }
 
+impl Live {
+    fn earlier(&self) -> impl Iterator<Item = Earlier> + Clone + '_ {
+        self.attempts.iter().map(|a| Earlier { place: a.place, ending: a.ending, sent_at: a.sent_at })
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Wake {
     Module(u32),
@@ -386,7 +447,16 @@
         }
         state.live.insert(
             id,
-            Live { exchange, request, give_up_at, owed: true, attempts: Vec::new(), send_by: Nanos::MAX },
+            Live {
+                exchange,
+                label: call.label,
+                came_at: self.clock.now(),
+                request,
+                give_up_at,
+                owed: true,
+                attempts: Vec::new(),
+                send_by: Nanos::MAX,
+            },
         );
         self.start_timer(&mut state, give_up_at, Wake::Deadline(id));
         self.handle(&mut state, Event::Request(request));
@@ -397,6 +467,7 @@
         let mut state = self.state.borrow_mut();
         let Some(live) = state.live.get_mut(&request) else { return };
         if std::mem::replace(&mut live.owed, false) {
+            events::note(self.clock.now(), Kind::ClientLeft, live.label);
             self.withdraw(&mut state, request);
             self.handle(&mut state, Event::ClientGone { request });
             self.forget(&mut state, request);
@@ -680,6 +751,7 @@
         let Some(live) = state.live.get_mut(&id.request) else { return };
         let Some(attempt) = live.attempts.get_mut(usize::from(id.number)).filter(|a| a.open) else { return };
         attempt.open = false;
+        attempt.ending = Some(ending);
         let took = self.clock.now().saturating_sub(attempt.sent_at);
         let class = self.site.settings.classes.get(usize::from(live.request.class));
         if let Some(class) = class.filter(|c| c.effect == Effect::Keyed && !ending.never_ran()) {
@@ -737,7 +809,11 @@
         match action {
             Action::Send { request, server, timeout } => self.send(state, request, server, timeout),
             Action::Refuse { request, retry_after } => {
-                self.answer(state, request, GivenUp::Refused { retry_after });
+                let end = match self.may_refuse(state, request) {
+                    Ok(()) => GivenUp::Refused { retry_after },
+                    Err(_) => GivenUp::Failed { late: false },
+                };
+                self.answer(state, request, end);
                 self.forget(state, request);
             }
             Action::Fail { request } => {
@@ -763,18 +839,35 @@
     }
 
     fn send(self: &Rc<Self>, state: &mut State, request: RequestId, server: Endpoint, timeout: Nanos) {
+        let place = state.fleet.place_of(server);
         let Some(live) = state.live.get_mut(&request) else { return };
         let id = AttemptId { request, number: live.attempts.len() as u8 };
         let (sent_at, handed) = (self.clock.now(), Handed::default());
-        let mut sent = Sent { server, sent_at, open: true, handed: handed.clone(), task: None };
-        let most = self.site.settings.max_attempts as usize;
-        let wanted = live.owed && live.attempts.len() < most;
+        let mut sent =
+            Sent { server, sent_at, open: true, ending: None, place, handed: handed.clone(), task: None };
+        let decided = self.may_send(live, place);
+        match decided {
+            Err(denied) => self.denied(denied, live.label),
+            Ok(()) if id.number == 0 => events::note(sent_at, Kind::AttemptBegun, live.label),
+            Ok(()) => events::note(sent_at, Kind::AttemptRepeated, live.label),
+        }
+        let wanted = decided.is_ok();
         if wanted {
             if let Some(shift) = &mut state.shift {
                 shift.sent(&live.request, server, live.attempts.len());
             }
             let (give_up_at, send_by) = (live.give_up_at, live.send_by);
-            let attempt = Attempt { gateway: self.clone(), id, server, give_up_at, send_by, handed };
+            let attempt = Attempt {
+                gateway: self.clone(),
+                id,
+                server,
+                give_up_at,
+                send_by,
+                handed,
+                exchange: live.exchange.clone(),
+                came_at: live.came_at,
+                label: live.label,
+            };
             sent.task = Some(live.exchange.clone().start(attempt));
         }
         live.attempts.push(sent);
@@ -786,11 +879,65 @@
         }
     }
 
+    /// Whether the module's order to send a request may be carried out, by what became of its earlier attempts.
+    fn may_send(&self, live: &Live, place: Option<Place>) -> Result<(), Denied> {
+        if !live.owed {
+            return Err(Denied::Answered);
+        }
+        if live.attempts.len() >= self.site.settings.max_attempts as usize {
+            return Err(Denied::NoAttemptLeft);
+        }
+        match self.terms(live) {
+            Some(terms) => dispatch::may_repeat(&terms, live.earlier(), place, self.clock.now()),
+            None => Ok(()),
+        }
+    }
+
+    fn may_refuse(&self, state: &State, request: RequestId) -> Result<(), Denied> {
+        let Some(live) = state.live.get(&request).filter(|l| l.owed) else { return Ok(()) };
+        let Some(terms) = self.terms(live) else { return Ok(()) };
+        dispatch::may_refuse(&terms, live.earlier()).inspect_err(|denied| self.denied(*denied, live.label))
+    }
+
+    fn terms(&self, live: &Live) -> Option<Terms> {
+        let settings = &self.site.settings;
+        let class = settings.classes.get(usize::from(live.request.class))?;
+        Some(Terms {
+            effect: class.effect,
+            group: class.group,
+            window: class.window,
+            second_copies: settings.second_copies,
+        })
+    }
+
+    /// Counts what was not done, and says so where the module should have known better.
+    fn denied(&self, denied: Denied, label: Label) {
+        let kind = match denied {
+            Denied::ClientGone => Kind::DeniedClientGone,
+            Denied::ServerClosed => Kind::DeniedServerClosed,
+            Denied::WindowOver => Kind::DeniedWindowOver,
+            Denied::DeadlinePassed => Kind::DeniedDeadline,
+            Denied::Answered | Denied::NoAttemptLeft => Kind::DeniedOver,
+            Denied::OtherGroup | Denied::MayHaveRun | Denied::SecondCopy => Kind::Violation,
+        };
+        events::note(self.clock.now(), kind, label);
+        if denied.is_violation() {
+            tracing::error!("the decision module wanted what a rule forbids: {denied}");
+        }
+        debug_assert!(!denied.is_violation(), "{denied}");
+    }
+
     /// Gives the final answer, unless one was given.
     fn answer(&self, state: &mut State, request: RequestId, end: GivenUp) -> bool {
         let Some(live) = state.live.get_mut(&request) else { return false };
         let owed = std::mem::replace(&mut live.owed, false);
         if owed {
+            let kind = match end {
+                GivenUp::Refused { .. } => Kind::Refused,
+                GivenUp::Failed { late: true } => Kind::FailedLate,
+                GivenUp::Failed { late: false } => Kind::Failed,
+            };
+            events::note(self.clock.now(), kind, live.label);
             live.exchange.give_up(end);
         }
         owed
--- a/crates/core/src/leaving.rs
+++ b/crates/core/src/leaving.rs
@@ -39,6 +39,30 @@
     matches!(peek(stream), Err(e) if meaning(&e) == Meaning::NotNow)
 }
 
+/// Whether a client is there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// It is.
+    There,
+    /// It has closed or reset its connection.
+    Gone,
+    /// It has sent more, behind which its end may be: once the poller has had its turn, this means that it is there.
+    Unclear,
+}
+
+/// Whether the peer is there, as the kernel has it now.
+pub fn presence(stream: &TcpStream) -> Presence {
+    if closed(stream) {
+        return Presence::Gone;
+    }
+    match peek(stream) {
+        Ok(0) => Presence::Gone,
+        Ok(_) => Presence::Unclear,
+        Err(e) if meaning(&e) == Meaning::Over => Presence::Gone,
+        Err(_) => Presence::There,
+    }
+}
+
 /// The same as [`closed`] for a request that has just been read, as the kernel has it: the poller may not have come to say so. The runtime
 /// reads a new connection before it hears anything of it, and an old one on the strength of what it heard earlier. On a
 /// connection's first request an end may be behind bytes that are unread: there the poller is given a turn.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod clock;
 pub mod common;
 pub mod connect;
+pub mod dispatch;
+pub mod events;
 pub mod fleet;
 pub mod gateway;
 mod ids;
--- a/crates/core/src/line.rs
+++ b/crates/core/src/line.rs
@@ -54,11 +54,11 @@
                 Err(NoLink::Exhausted) => return Err(Ending::NotSent),
             },
         };
-        // Connecting takes time, and the list may have changed: nothing new to a server that drains.
-        if self.attempt.dial(self.wire) != Some(self.dial) {
-            return Err(Ending::NotSent);
+        // Connecting takes time, and much may have changed meanwhile.
+        match self.attempt.may_begin(self.wire).await {
+            Ok(dial) if dial == self.dial => Ok(line),
+            _ => Err(Ending::NotSent),
         }
-        Ok(line)
     }
 
     /// Keeps a connection that has come to its answer's end.
--- a/crates/core/src/retry_io.rs
+++ b/crates/core/src/retry_io.rs
@@ -4,6 +4,7 @@
 use crate::tally;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -86,7 +87,19 @@
 
 /// A connection on which interrupted and short calls do no harm.
 #[derive(Debug)]
-pub struct Retried(pub TcpStream);
+pub struct Retried(Rc<TcpStream>);
+
+impl Retried {
+    /// Reads and writes this connection.
+    pub fn new(stream: TcpStream) -> Retried {
+        Retried(Rc::new(stream))
+    }
+
+    /// The connection, for those who only look at it.
+    pub fn connection(&self) -> &Rc<TcpStream> {
+        &self.0
+    }
+}
 
 impl AsyncRead for Retried {
     fn poll_read(
@@ -115,11 +128,12 @@
         true
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The kernel has what was written.
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(socket2::SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
     }
 }
--- a/crates/core/tests/services.rs
+++ b/crates/core/tests/services.rs
@@ -177,6 +177,10 @@
     fn give_up(&self, end: GivenUp) {
         self.0.set(Some(end));
     }
+
+    fn client(&self) -> laurelroute_core::leaving::Presence {
+        laurelroute_core::leaving::Presence::There
+    }
 }
 
 #[test]
@@ -189,7 +193,7 @@
         let ended = Rc::new(Cell::new(None));
         let give_up_at = shop.clock.now() + 5_000 * MS;
         let request = laurelroute_policy::interface::Request::new(0, give_up_at);
-        let call = laurelroute_core::call::Call { request, give_up_at };
+        let call = laurelroute_core::call::Call { request, give_up_at, label: Default::default() };
         let _claim = shop.submit(call, Rc::new(Stuck(ended.clone())));
         assert!(ended.get().is_none());
         let asked = tokio::time::Instant::now();
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -16,6 +16,7 @@
 use laurelroute_core::accept::Door;
 use laurelroute_core::budget::Slot;
 use laurelroute_core::call::{Call, GivenUp, Reply, Verdict};
+use laurelroute_core::events::{self, Kind, Label};
 use laurelroute_core::gateway::{route_key, Gateway};
 use laurelroute_core::leaving::LOOK;
 use laurelroute_core::route::{self, Routed, Unrouted, Waits};
@@ -135,14 +136,21 @@
                 }
                 let first = self.requests.get() == 0 && age >= FIRST_HEAD;
                 if first || now.saturating_sub(head) >= HEAD {
+                    events::count(now, Kind::ClosedSlow);
                     self.stop(true);
                 }
             }
             // One that was told so and is still here sits on a part of a head that came with the request before.
             Stage::Idle if age >= idle + HEAD => self.stop(true),
-            Stage::Idle if age >= idle && self.socket.quiet() => self.stop(false),
+            Stage::Idle if age >= idle && self.socket.quiet() => {
+                events::count(now, Kind::ClosedIdle);
+                self.stop(false);
+            }
             Stage::Writing if self.socket.moved.replace(false) => self.since.set(now),
-            Stage::Writing if age >= STUCK => self.stop(true),
+            Stage::Writing if age >= STUCK => {
+                events::count(now, Kind::ClosedStuck);
+                self.stop(true);
+            }
             // Whoever has sent more than the request that waits is not read on, and its end is seen only here.
             Stage::Waiting if self.socket.left() => self.stop(true),
             // What is read has its own limit, and what waits has the gateway's.
@@ -205,6 +213,9 @@
         let stopped =
             || open.values().filter(|c| !c.closing.get() && c.stopped(now)).min_by_key(|c| c.came_at.get());
         let found = silent.copied().or_else(stopped).or_else(|| idle.iter().find(|c| c.idle()).copied());
+        if found.is_some() {
+            events::count(now, Kind::ClosedForRoom);
+        }
         // What has come of a head is no request: there is nothing to wait for.
         found.inspect(|client| client.stop(client.head_since.get().is_some())).is_some()
     }
@@ -304,6 +315,12 @@
                 if client.cut.get() {
                     return;
                 }
+                // What has come since that was decided is a request on its way: it is served, and the next look closes.
+                if client.stage() == Stage::Idle && !client.idle() {
+                    client.closing.set(false);
+                    events::count(clients.gateway.clock.now(), Kind::CloseCrossed);
+                    continue;
+                }
                 connection.as_mut().graceful_shutdown();
             }
         }
@@ -499,6 +516,7 @@
     }
     if clients.busy.get() > gateway.budget.most_clients() {
         // So many are under way that new ones find no place: better told than left to wait for one.
+        events::count(gateway.clock.now(), Kind::RefusedNoRoom);
         return Err(Fault::NoRoom);
     }
     // What has waited in the kernel's queue, or for the end of its body, is not sent on for one that has gone meanwhile.
@@ -526,8 +544,9 @@
     let request = interface_request(gateway, &head, &parts.headers, give_up_at);
     let (body, upload) = intake.into_message(whole);
     let wait = upload.is_some().then_some(head.wait / 1_000_000);
-    let (exchange, mut answer) = exchange(parts, body, wait);
-    let claim = carrier.submit(Call { request, give_up_at }, Rc::new(exchange));
+    let label = only(&parts.headers, REQUEST_ID).map(Label::of).unwrap_or_default();
+    let (exchange, mut answer) = exchange(parts, body, wait, client.socket.clone());
+    let claim = carrier.submit(Call { request, give_up_at, label }, Rc::new(exchange));
     let verdict = match upload {
         None => claim.answer(&mut answer).await,
         Some(upload) => {
@@ -588,6 +607,7 @@
     parts: Parts,
     body: Rc<Message>,
     wait: Option<u64>,
+    client: Rc<Socket>,
 ) -> (HttpExchange, oneshot::Receiver<Verdict<Served>>) {
     let mut headers = parts.headers;
     upstream::strip(&mut headers);
@@ -600,7 +620,7 @@
         _ => parts.uri,
     };
     let (reply, answer) = Reply::new();
-    (HttpExchange { method: parts.method, uri, headers, body, wait, reply }, answer)
+    (HttpExchange { method: parts.method, uri, headers, body, wait, reply, client }, answer)
 }
 
 fn refused(retry_after: Nanos, gateway: &Gateway) -> Response<AnswerBody> {
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -231,6 +231,11 @@
         leaving::closed(&self.stream)
     }
 
+    /// Whether the peer is there, as the kernel has it now.
+    pub fn presence(&self) -> leaving::Presence {
+        leaving::presence(&self.stream)
+    }
+
     /// The same for a request that has just been read, the connection's first or a later one.
     pub async fn left_behind(&self, first: bool) -> bool {
         leaving::closed_behind(&self.stream, first).await
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -12,6 +12,7 @@
 use laurelroute_core::connect::{connect, Held, NoLink};
 use laurelroute_core::fleet::Kept;
 use laurelroute_core::gateway::Attempt;
+use laurelroute_core::leaving::Presence;
 use laurelroute_core::line::Lines;
 use laurelroute_core::payload::Pieces;
 use laurelroute_policy::interface::Ending;
@@ -49,7 +50,6 @@
 }
 
 /// A client's request as every attempt sends it, and the place of its answer.
-#[derive(Debug)]
 pub struct HttpExchange {
     /// Method, unchanged.
     pub method: Method,
@@ -63,6 +63,8 @@
     pub wait: Option<u64>,
     /// Where the front waits.
     pub reply: Reply<Served>,
+    /// The client's connection.
+    pub client: Rc<Socket>,
 }
 
 impl Exchange for HttpExchange {
@@ -78,6 +80,10 @@
     fn give_up(&self, end: GivenUp) {
         self.reply.put(Verdict::GivenUp(end));
     }
+
+    fn client(&self) -> Presence {
+        self.client.presence()
+    }
 }
 
 /// A connection with hyper's two halves. There is no task behind it: whoever uses it drives it.
--- a/crates/node/src/ask.rs
+++ b/crates/node/src/ask.rs
@@ -45,7 +45,7 @@
     let asking = async {
         let connect = |e| AskError::Connect(planner, e);
         let stream = establish(planner).await.map_err(connect)?;
-        let mut stream = tls.connect(Retried(stream)).await.map_err(connect)?;
+        let mut stream = tls.connect(Retried::new(stream)).await.map_err(connect)?;
         hello::greet(&mut stream, &identity, Role::Planner).await.map_err(|e| AskError::Hello(planner, e))?;
         let broken = |e| AskError::Frame(planner, e);
         frames::write(&mut stream, Body::Ask(ask)).await.map_err(broken)?;
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -493,7 +493,7 @@
             Ok(stream) => stream.map_err(WatchError::Connect)?,
             Err(_) => return Err(WatchError::Silent),
         };
-        let io = TokioIo::new(Retried(stream));
+        let io = TokioIo::new(Retried::new(stream));
         let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await?;
         // Ends with the answer's body: nothing else holds the connection.
         tokio::task::spawn_local(connection);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -244,7 +244,7 @@
         let late = |_| SessionError::Silent;
         let stream = timeout(CONNECT, establish(address)).await.map_err(late)??;
         stream.set_nodelay(true)?;
-        let mut stream = timeout(HANDSHAKE, tls.connect(Retried(stream))).await.map_err(late)??;
+        let mut stream = timeout(HANDSHAKE, tls.connect(Retried::new(stream))).await.map_err(late)??;
         let planner = timeout(HANDSHAKE, hello::greet(&mut stream, &self.identity, Role::Planner))
             .await
             .map_err(late)??;
--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -11,6 +11,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use laurelroute_core::budget::MANAGEMENT_SOCKETS;
+use laurelroute_core::events;
 use laurelroute_core::gateway::{Gateway, Unmanaged};
 use laurelroute_core::retry_io::Retried;
 use laurelroute_handover::bans::{Word, MOST_NAME};
@@ -90,7 +91,7 @@
         });
         let mut builder = http1::Builder::new();
         builder.keep_alive(false).max_buf_size(BUFFER).timer(TokioTimer::new()).header_read_timeout(CALL);
-        let connection = builder.serve_connection(TokioIo::new(Retried(stream)), service);
+        let connection = builder.serve_connection(TokioIo::new(Retried::new(stream)), service);
         // A caller that has gone, or sent what is no call, has had all that it can get.
         let _ = timeout(CALL + WHOLE, connection).await;
     }
@@ -112,6 +113,10 @@
             }
             (&Method::POST, Some(("detach", id))) => self.decide(id, true, Gateway::detach).await,
             (&Method::POST, Some(("attach", id))) => self.decide(id, false, Gateway::attach).await,
+            (&Method::GET, None) if path == "/_counters" => (StatusCode::OK, events::counts()),
+            (&Method::GET, None) if path == "/_events" => {
+                (StatusCode::OK, events::last(self.gateway.clock.now()))
+            }
             (&Method::GET, None) if path == "/_shift" => crate::shift::desk::status(&self.gateway),
             (&Method::POST, None) if path.starts_with("/_shift/") => {
                 crate::shift::desk::say(&self.gateway, &path["/_shift/".len()..], decode)
--- a/crates/node/src/plan.rs
+++ b/crates/node/src/plan.rs
@@ -214,7 +214,7 @@
     async fn serve(self: Rc<Self>, stream: TcpStream) -> Result<(), SessionError> {
         let late = |_| SessionError::Silent;
         stream.set_nodelay(true)?;
-        let mut stream = timeout(HANDSHAKE, self.tls.accept(Retried(stream))).await.map_err(late)??;
+        let mut stream = timeout(HANDSHAKE, self.tls.accept(Retried::new(stream))).await.map_err(late)??;
         let roles = [Role::Forwarder, Role::Asker];
         let peer =
             timeout(HANDSHAKE, hello::welcome(&mut stream, &self.identity, &roles)).await.map_err(late)??;
--- a/crates/node/src/services/forwarder.rs
+++ b/crates/node/src/services/forwarder.rs
@@ -107,7 +107,7 @@
     let connect = |place: usize| async move {
         let stream = timeout(CONNECT, establish(planners[place])).await??;
         stream.set_nodelay(true)?;
-        tls.connect(Retried(stream)).await
+        tls.connect(Retried::new(stream)).await
     };
     subscribing.keep(&identity, connect).await;
 }
--- a/crates/node/src/services/planner.rs
+++ b/crates/node/src/services/planner.rs
@@ -152,7 +152,7 @@
     async fn serve(&self, stream: TcpStream) -> Result<(), SessionError> {
         stream.set_nodelay(true)?;
         let greeted = async {
-            let mut stream = self.tls.accept(Retried(stream)).await?;
+            let mut stream = self.tls.accept(Retried::new(stream)).await?;
             let roles = [Role::Forwarder, Role::Asker];
             let peer = hello::heard(&mut stream, &self.identity, &roles).await?;
             Ok::<_, SessionError>((stream, peer))
--- a/crates/node/src/staff.rs
+++ b/crates/node/src/staff.rs
@@ -130,7 +130,8 @@
 async fn send(call: &Call, address: SocketAddr) -> Result<Said, StaffError> {
     let broken = |e| StaffError::Http(address, e);
     let stream = establish(address).await.map_err(|e| StaffError::Connect(address, e))?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(Retried(stream))).await.map_err(broken)?;
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(Retried::new(stream))).await.map_err(broken)?;
     let (method, path) = call.line();
     let request = Request::builder().method(method).uri(path).header(HOST, address.to_string());
     let request = request.body(Empty::<Bytes>::new()).map_err(|e| StaffError::Odd(address, e.to_string()))?;
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -101,6 +101,7 @@
         played
     });
     let mut rules: BTreeMap<Rule, usize> = BTreeMap::new();
+    let mut counters: BTreeMap<String, u64> = BTreeMap::new();
     let (mut broken, mut requests, mut refused, mut served, mut lag) = (0, 0, 0, 0, 0);
     for one in played {
         let one = one?;
@@ -111,7 +112,10 @@
         refused += shares.refused;
         served += shares.served;
         lag = lag.max(one.history.lag);
+        one.history.counters.iter().for_each(|(name, n)| *counters.entry(name.clone()).or_default() += n);
     }
+    let counted: Vec<String> = counters.iter().map(|(name, n)| format!("{name} {n}")).collect();
+    println!("counted by the processes: {}", counted.join(", "));
     let mut outcome = Outcome::default();
     outcome.put("seeds", wanted.seeds as f64);
     outcome.put("broken", broken as f64);
--- a/crates/testkit/src/soak/check.rs
+++ b/crates/testkit/src/soak/check.rs
@@ -63,6 +63,8 @@
     Process,
     /// Not refused, unsent, while servers idle.
     Idle,
+    /// No process counts a violation of its own invariants.
+    Invariant,
     /// Of the answers with no length that come whole, half at least are forwarded.
     NoLength,
 }
@@ -111,6 +113,10 @@
     processes(history, &mut found);
     idle_refusals(history, &mut found);
     answers_of_no_length(history, &mut found);
+    if let Some(count) = history.counters.get("violation").filter(|count| **count > 0) {
+        let text = format!("{count} violations counted by the processes themselves");
+        found.push(Violation { rule: Rule::Invariant, at: Moment(0), id: None, text });
+    }
     found.sort_by_key(|v| v.at);
     found
 }
--- a/crates/testkit/src/soak/history.rs
+++ b/crates/testkit/src/soak/history.rs
@@ -2,6 +2,7 @@
 
 use crate::wire::Class;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -225,6 +226,8 @@
     pub bans: Vec<Ban>,
     /// Ids of requests whose answer had no length and came whole.
     pub no_length: Vec<String>,
+    /// What the processes counted themselves, over all of them that could still be asked.
+    pub counters: BTreeMap<String, u64>,
     /// The longest time that one of the soak's own threads was late, in microseconds.
     pub lag: u64,
 }
@@ -250,6 +253,7 @@
             births: Vec::new(),
             bans: Vec::new(),
             no_length: Vec::new(),
+            counters: BTreeMap::new(),
             lag: 0,
         };
         Recorder { begun: Instant::now(), history: Arc::new(Mutex::new(history)) }
--- a/crates/testkit/src/soak/mod.rs
+++ b/crates/testkit/src/soak/mod.rs
@@ -191,6 +191,7 @@
             // One that has panicked has said so, and leaves a gap in the history that the oracle sees.
             let _ = thread.join();
         }
+        (0..self.nodes.count()).for_each(|node| self.nodes.read_counters(node));
         self.registry.finish();
         Ok(self.recorder.history())
     }
--- a/crates/testkit/src/soak/node.rs
+++ b/crates/testkit/src/soak/node.rs
@@ -150,6 +150,7 @@
 
     /// SIGTERM, and SIGKILL for one that is still there when that may come.
     pub fn end(&self, node: usize, deadline: Duration) {
+        self.read_counters(node);
         self.recorder.life(node, Happened::Told);
         self.nodes[node].ending.store(true, Ordering::SeqCst);
         self.kill(node, Signal::TERM);
@@ -208,6 +209,16 @@
         }
     }
 
+    /// Adds what its process has counted to the history.
+    pub fn read_counters(&self, node: usize) {
+        let Some((200, text)) = self.manage(node, "GET", "/_counters") else { return };
+        let counts = text.lines().filter_map(|line| {
+            let (name, count) = line.split_once(' ')?;
+            Some((name.to_owned(), count.parse::<u64>().ok()?))
+        });
+        self.recorder.write(|h| counts.for_each(|(name, n)| *h.counters.entry(name).or_default() += n));
+    }
+
     /// A call on its second address: the status and what the answer says.
     pub fn manage(&self, node: usize, method: &str, path: &str) -> Option<(u16, String)> {
         crate::program::call_for_text(self.nodes[node].management.address(), method, path)
--- a/crates/testkit/tests/soak_oracle.rs
+++ b/crates/testkit/tests/soak_oracle.rs
@@ -142,6 +142,10 @@
     history.lives.push(Life { node: 0, at: Moment(3 * SECOND), what: Happened::Crashed });
     assert_eq!(rules(&history), [Rule::Process]);
 
+    let mut history = empty();
+    history.counters.insert("violation".to_owned(), 1);
+    assert_eq!(rules(&history), [Rule::Invariant]);
+
     let mut history = empty();
     history.births.push(Birth { server: 0, at: Moment(SECOND) });
     // 18 and its slack of 3 roots and 3 may come in the first window.
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -11,6 +11,7 @@
 use laurelroute_core::accept::Door;
 use laurelroute_core::budget::Slot;
 use laurelroute_core::call::{Call, GivenUp, Reply, Verdict};
+use laurelroute_core::events::Label;
 use laurelroute_core::gateway::{route_key, Claim, Gateway};
 use laurelroute_core::leaving;
 use laurelroute_core::retry_io::Retried;
@@ -122,11 +123,11 @@
     }
 
     /// Takes what was read. `None` where no answer is owed.
-    fn take(self: &Rc<Self>, item: Item, left: bool) -> Option<Owed> {
+    fn take(self: &Rc<Self>, item: Item, left: bool, client: &Rc<TcpStream>) -> Option<Owed> {
         match item {
             // Nobody waits for its answer any more: what has waited to be read is not sent on.
             Item::Message(message) if message.head.kind == Kind::Call && left => None,
-            Item::Message(message) => self.call(message),
+            Item::Message(message) => self.call(message, client),
             // Nobody waits for an answer to a oneway call, sound or not.
             Item::Malformed(Malformed { call: Some((_, head, _)), fault, .. })
                 if head.kind == Kind::Oneway =>
@@ -138,9 +139,9 @@
         }
     }
 
-    fn call(self: &Rc<Self>, message: Message) -> Option<Owed> {
+    fn call(self: &Rc<Self>, message: Message, client: &Rc<TcpStream>) -> Option<Owed> {
         let (form, header, head) = (message.form, message.header.clone(), message.head.clone());
-        match self.submit(message) {
+        match self.submit(message, client) {
             Ok((claim, answer)) => {
                 let waiting = Waiting { form, header, head, claim: Some(claim), answer };
                 if waiting.head.kind == Kind::Oneway && self.oneway.get() < MOST_ONEWAY {
@@ -175,6 +176,7 @@
     fn submit(
         self: &Rc<Self>,
         message: Message,
+        client: &Rc<TcpStream>,
     ) -> Result<(Claim, oneshot::Receiver<Verdict<Served>>), Fault> {
         let gateway = &self.gateway;
         if !matches!(message.head.kind, Kind::Call | Kind::Oneway) {
@@ -200,8 +202,10 @@
             ..Request::new(0, give_up_at)
         };
         let (reply, answer) = Reply::new();
-        let exchange = ThriftExchange::new(message, method.clone(), self.settings.boxes, reply, lease);
-        Ok((gateway.submit(Call { request, give_up_at }, Rc::new(exchange)), answer))
+        let held = (client.clone(), lease);
+        let exchange = ThriftExchange::new(message, method.clone(), self.settings.boxes, reply, held);
+        let label = facts.request_id.as_deref().map(Label::of).unwrap_or_default();
+        Ok((gateway.submit(Call { request, give_up_at, label }, Rc::new(exchange)), answer))
     }
 
     /// The final answer in the form of its call; `None` where none is owed.
@@ -320,7 +324,7 @@
 /// Serves one connection to its end.
 async fn serve(front: &Rc<Front>, client: &Client, stream: TcpStream) {
     let _ = stream.set_nodelay(true);
-    let mut stream = Retried(stream);
+    let mut stream = Retried::new(stream);
     let (settings, gateway) = (&front.settings, &front.gateway);
     let mut decoder = Decoder::new(settings.accept, settings.limits);
     let mut owed: VecDeque<Owed> = VecDeque::new();
@@ -331,8 +335,8 @@
         while reading && owed.len() < settings.pipeline {
             let Some(item) = decoder.take_item() else { break };
             reading = !matches!(&item, Item::Malformed(m) if !m.in_step);
-            let left = leaving::closed_behind(&stream.0, std::mem::take(&mut first)).await;
-            owed.extend(front.take(item, left));
+            let left = leaving::closed_behind(stream.connection(), std::mem::take(&mut first)).await;
+            owed.extend(front.take(item, left, stream.connection()));
             begun = None;
         }
         let room = reading && owed.len() < settings.pipeline;
@@ -357,7 +361,7 @@
                     }
                 }
                 client.since.set(gateway.clock.now());
-                if gateway.leaving() && owed.is_empty() && !decoder.partial() && leaving::quiet(&stream.0) {
+                if gateway.leaving() && owed.is_empty() && !decoder.partial() && leaving::quiet(stream.connection()) {
                     return;
                 }
             }
@@ -369,13 +373,13 @@
             }
             _ = client.close.notified(), if owed.is_empty() && !partial => {
                 // What has come in the meantime is still read, and answered.
-                if leaving::quiet(&stream.0) {
+                if leaving::quiet(stream.connection()) {
                     return;
                 }
                 client.closing.set(false);
             }
             // What is not read does not tell of its end: with its claims dropped, what is under way is called off.
-            _ = tokio::time::sleep(leaving::LOOK), if !room => if leaving::closed(&stream.0) {
+            _ = tokio::time::sleep(leaving::LOOK), if !room => if leaving::closed(stream.connection()) {
                 return;
             },
             _ = tokio::time::sleep_until(patience) => return,
--- a/crates/thrift/src/upstream.rs
+++ b/crates/thrift/src/upstream.rs
@@ -10,7 +10,7 @@
 use laurelroute_core::connect::{connect, Held, NoLink};
 use laurelroute_core::fleet::Kept;
 use laurelroute_core::gateway::Attempt;
-use laurelroute_core::leaving;
+use laurelroute_core::leaving::{self, Presence};
 use laurelroute_core::line::Lines;
 use laurelroute_core::retry_io::Retried;
 use laurelroute_policy::interface::Ending;
@@ -20,6 +20,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 /// Thrift's place among a server's addresses.
@@ -56,6 +57,7 @@
     method: Rc<Method>,
     boxes: Boxes,
     reply: Reply<Served>,
+    client: Rc<TcpStream>,
     _lease: Lease,
 }
 
@@ -66,9 +68,9 @@
         method: Rc<Method>,
         boxes: Boxes,
         reply: Reply<Served>,
-        lease: Lease,
+        (client, lease): (Rc<TcpStream>, Lease),
     ) -> Self {
-        ThriftExchange { message, method, boxes, reply, _lease: lease }
+        ThriftExchange { message, method, boxes, reply, client, _lease: lease }
     }
 
     fn encode(&self, millis_left: u64) -> Result<Encoded, Fault> {
@@ -103,6 +105,14 @@
     fn give_up(&self, end: GivenUp) {
         self.reply.put(Verdict::GivenUp(end));
     }
+
+    fn client(&self) -> Presence {
+        match self.oneway() {
+            // Nobody waits for its answer, and it goes on whatever becomes of its connection.
+            true => Presence::There,
+            false => leaving::presence(&self.client),
+        }
+    }
 }
 
 /// How much of a call the kernel has.
@@ -125,7 +135,7 @@
 
 impl Kept for Link {
     fn quiet(&self) -> bool {
-        !self.decoder.partial() && leaving::quiet(&self.stream.0)
+        !self.decoder.partial() && leaving::quiet(self.stream.connection())
     }
 }
 
@@ -157,7 +167,7 @@
     // Calls are written whole: waiting to fill a segment would only delay them.
     let _ = stream.set_nodelay(true);
     let decoder = Decoder::new(Accept::Only(boxes.form), boxes.limits);
-    Ok(Link { stream: Retried(stream), decoder, _held: held })
+    Ok(Link { stream: Retried::new(stream), decoder, _held: held })
 }
 
 /// Plays one attempt to its end; an error is how it ended where it was not told of yet. Where the gateway has
