--- a/crates/testkit/shim/faults.c
+++ b/crates/testkit/shim/faults.c
@@ -2,7 +2,7 @@
  *
  * SOAK_SHIM holds `name=value` pairs separated by `;`. Chances are per call, from 0 to 1, and count only between
  * `from` and `until` seconds after the process began. `wall_offset` is added to the real-time clock, from `step_at`
- * seconds on. Network faults hit IPv4 sockets, `unix_eintr` hits Unix sockets, file faults hit regular files. */
+ * to `wall_until` seconds. Network faults hit IPv4 sockets, `unix_eintr` hits Unix sockets, file faults hit regular files. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -19,7 +19,7 @@
 #include <unistd.h>
 
 static double recv_eintr, send_eintr, recv_short, send_short, accept_fail, socket_fail, connect_fail, epoll_eintr,
-    unix_eintr, file_fail, wall_offset, step_at, from_s, until_s = 1e9;
+    unix_eintr, file_fail, wall_offset, step_at, wall_until, from_s, until_s = 1e9;
 static _Atomic uint64_t state = 88172645463325252ull;
 static double began;
 
@@ -48,6 +48,7 @@
     connect_fail = knob(text, "connect_fail", 0), epoll_eintr = knob(text, "epoll_eintr", 0);
     unix_eintr = knob(text, "unix_eintr", 0), file_fail = knob(text, "file_fail", 0);
     wall_offset = knob(text, "wall_offset", 0), step_at = knob(text, "step_at", 0);
+    wall_until = knob(text, "wall_until", 1e9);
     from_s = knob(text, "from", 0), until_s = knob(text, "until", 1e9);
     state = (uint64_t)knob(text, "seed", 1) * 0x9E3779B97F4A7C15ull + 1;
 }
@@ -190,7 +191,9 @@
 int clock_gettime(clockid_t clock, struct timespec *now) {
     REAL(int, clock_gettime, clockid_t, struct timespec *);
     int got = real(clock, now);
-    if (!got && clock == CLOCK_REALTIME && wall_offset != 0 && monotonic() - began >= step_at)
-        now->tv_sec += (time_t)wall_offset;
+    if (!got && clock == CLOCK_REALTIME && wall_offset != 0) {
+        double age = monotonic() - began;
+        if (age >= step_at && age < wall_until) now->tv_sec += (time_t)wall_offset;
+    }
     return got;
 }
