Reckon a server's age as it is told, bounded by the monotonic clock

Cause: core::clock read the wall clock once, and starts in Unix time were compared with it for the life of the process.

core::age is the one place: the wall clock as it is when a start is told, and a start that is news began no longer ago than discovery's last sign of life and 6 s. Operators' words count at the latest from when they were heard here. Not covered: a server that is cold as the first list comes, by a clock that is ahead then.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The fleet: which servers the list has named, where each listens on each wire, and the connections kept to them.
 
+use crate::age::{self, Clocks};
 use crate::call::Wire;
 use crate::common::Common;
 use laurelroute_handover::bans::Bans;
@@ -71,8 +72,10 @@
     dials: Dials,
     /// As it counts here.
     server: Server,
-    /// As the list has it; gone where it does not.
+    /// As the list has it, with its start on the node's own clock; gone where the list has it no more.
     listed: Server,
+    /// Its start as the list words it.
+    told_start: Nanos,
     /// Connections open to it.
     open: Rc<Cell<u32>>,
     /// Since when it takes nothing new.
@@ -103,6 +106,10 @@
     restored: Vec<Endpoint>,
     /// Connections count together with those of other services.
     common: Option<Rc<Common>>,
+    /// What the wall clock says beyond the node's own; negative where it is behind.
+    wall_ahead: i64,
+    /// The last sign of life from discovery; none before the first list.
+    heard_at: Option<Nanos>,
 }
 
 /// The module sorts by identity, and all nodes must agree on the order: it comes from the name, which is the
@@ -163,10 +170,46 @@
         (0..=u8::MAX).map(|round| identity(host, round)).find(free).unwrap_or(identity(host, 0))
     }
 
-    /// Takes over a list or changes to it, and puts it into the module's words.
+    /// Takes over a list or changes to it, and puts it into the module's words. Starts are told as Unix time.
     pub fn follow(&mut self, now: Nanos, kind: ListKind, entries: Vec<Entry>) -> Vec<Server> {
+        if kind == ListKind::Failed {
+            return self.apply(now, kind, Vec::new());
+        }
+        let clocks = Clocks { now, wall: now.saturating_add_signed(self.wall_ahead) };
+        let entries = entries.into_iter().map(|entry| self.on_own_clock(clocks, entry)).collect();
+        let servers = self.apply(now, kind, entries);
+        if kind != ListKind::Cached {
+            self.heard_at = Some(now);
+        }
+        servers
+    }
+
+    /// The wall clock says so much more than the node's own from now on; negative where it is behind.
+    pub fn set_wall_ahead(&mut self, ahead: i64) {
+        self.wall_ahead = ahead;
+    }
+
+    /// Discovery has given a sign of life: all that it told so far is all that it had to tell.
+    pub fn heard(&mut self, now: Nanos) {
+        if self.heard_at.is_some() {
+            self.heard_at = Some(now);
+        }
+    }
+
+    /// The entry with its start on the node's own clock, which is reckoned once for each start, and its start as told.
+    fn on_own_clock(&self, clocks: Clocks, entry: Entry) -> (Entry, Nanos) {
+        let told = entry.server.started_at;
+        let known = self.upstreams.get(&self.endpoint(&entry.host)).filter(|u| u.told_start == told);
+        let started_at = match known {
+            Some(upstream) => upstream.listed.started_at,
+            None => age::started_at(told, clocks, self.heard_at),
+        };
+        (Entry { server: Server { started_at, ..entry.server }, ..entry }, told)
+    }
+
+    fn apply(&mut self, now: Nanos, kind: ListKind, entries: Vec<(Entry, Nanos)>) -> Vec<Server> {
         let mut servers = Vec::with_capacity(entries.len());
-        for entry in entries {
+        for (entry, told_start) in entries {
             let endpoint = self.endpoint(&entry.host);
             let listed = Server { endpoint, ..entry.server };
             let mut server = self.bans.overlay(&entry.host, listed);
@@ -179,6 +222,7 @@
                 dials: dials.clone(),
                 server,
                 listed,
+                told_start,
                 open: open_to(&self.common, &dials),
                 closed_at: None,
                 idle: Vec::new(),
@@ -195,7 +239,7 @@
                 upstream.dials = dials;
                 upstream.idle.clear();
             }
-            (upstream.server, upstream.listed) = (server, listed);
+            (upstream.server, upstream.listed, upstream.told_start) = (server, listed, told_start);
             if server.phase == Phase::Ready {
                 if upstream.closed_at.take().is_some() && self.bans.back(&upstream.host) {
                     self.restored.push(endpoint);
@@ -243,14 +287,12 @@
     /// What has changed by the operators' last word on these servers, in the module's words.
     pub fn reconsider(&mut self, now: Nanos, hosts: &[String]) -> Vec<Server> {
         let known = hosts.iter().filter_map(|host| self.upstreams.get(&self.endpoint(host)));
-        let entry = |u: &Upstream| Entry {
-            host: u.host.clone(),
-            dials: u.dials.clone(),
-            server: u.listed,
-            said: None,
+        let entry = |u: &Upstream| {
+            let (host, dials) = (u.host.clone(), u.dials.clone());
+            (Entry { host, dials, server: u.listed, said: None }, u.told_start)
         };
         let entries = known.filter(|u| u.listed.phase != Phase::Gone).map(entry).collect();
-        self.follow(now, ListKind::Changes, entries)
+        self.apply(now, ListKind::Changes, entries)
     }
 
     /// A server drains by others' word, or does no longer; whether that is news.
@@ -286,17 +328,18 @@
             }
         }
         self.steps += here.len() as u64;
-        let mut holders: BTreeMap<SocketAddr, Server> = BTreeMap::new();
+        let mut holders: BTreeMap<SocketAddr, (Nanos, Endpoint)> = BTreeMap::new();
         let mut gone = Vec::new();
         for u in here.iter().filter_map(|endpoint| self.upstreams.get(endpoint)) {
             let Some(Some(dial)) = u.dials.first() else { continue };
-            let Some(other) = holders.insert(*dial, u.listed) else { continue };
-            let (older, newer) =
-                if other.started_at > u.listed.started_at { (u.listed, other) } else { (other, u.listed) };
+            // One list's starts compare as they are told.
+            let own = (u.told_start, u.listed.endpoint);
+            let Some(other) = holders.insert(*dial, own) else { continue };
+            let (older, newer) = if other.0 > own.0 { (own, other) } else { (other, own) };
             holders.insert(*dial, newer);
-            gone.push(older.endpoint);
+            gone.push(older.1);
         }
-        self.holders.extend(holders.into_iter().map(|(dial, server)| (dial, server.endpoint)));
+        self.holders.extend(holders.into_iter().map(|(dial, (_, endpoint))| (dial, endpoint)));
         if gone.is_empty() {
             return;
         }
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -491,6 +491,7 @@
         let mut state = self.state.borrow_mut();
         let now = self.clock.now();
         let said = state.shift.is_some().then(|| entries.clone());
+        state.fleet.set_wall_ahead(self.clock.wall().wrapping_sub(now) as i64);
         let servers = state.fleet.follow(now, kind, entries);
         if let (Some(shift), Some(said)) = (&mut state.shift, said) {
             relist(shift, kind != ListKind::Changes, &said, &servers);
@@ -498,6 +499,12 @@
         self.tell(&mut state, kind, servers);
     }
 
+    /// Discovery has given a sign of life without news.
+    pub fn discovery_alive(&self) {
+        let now = self.clock.now();
+        self.fleet(|f| f.heard(now));
+    }
+
     fn tell(self: &Rc<Self>, state: &mut State, kind: ListKind, servers: Vec<Server>) {
         if let Some(shift) = &mut state.shift {
             shift.phases(&servers);
@@ -570,7 +577,8 @@
     }
 
     fn take_words(self: &Rc<Self>, words: Vec<Word>) {
-        let changed = self.fleet(|f| f.bans.merge(words));
+        let now = self.clock.now();
+        let changed = self.fleet(|f| f.bans.hear(words, now));
         // What is kept comes back with each call, mostly without news: that is no word on the list.
         if !changed.is_empty() {
             self.reconsider(&changed);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! decision module, has the exchange carry each attempt, and tells it when the module gives the request up.
 
 pub mod accept;
+pub mod age;
 pub mod budget;
 pub mod call;
 pub mod clock;
--- a/crates/handover/tests/states.rs
+++ b/crates/handover/tests/states.rs
@@ -319,3 +319,22 @@
         prop_assert_eq!(a, b);
     });
 }
+
+/// A word that was said by a clock an hour ahead does not keep a server cold for that hour, and is forgotten in time.
+#[test]
+fn a_word_by_a_wrong_clock_counts_from_when_it_was_heard() {
+    const HOUR: u64 = 3_600_000_000_000;
+    let now = 10 * HOUR;
+    let word = |at| Word { host: "a".to_owned(), out: false, at, since: at - 1 };
+    let mut bans = Bans::default();
+    assert_eq!(bans.hear([word(now + HOUR)], now), ["a"]);
+    assert_eq!(bans.overlay("a", server(0)).started_at, now);
+    // Heard again, it is no news.
+    assert!(bans.hear([word(now + HOUR)], now + 50).is_empty());
+    assert_eq!(bans.overlay("a", server(0)).started_at, now);
+    bans.forget(now + 1);
+    assert_eq!(bans.overlay("a", server(0)).started_at, 0);
+    // One that was said before it was heard counts from when it was said.
+    bans.hear([word(now - 5)], now);
+    assert_eq!(bans.overlay("a", server(0)).started_at, now - 5);
+}
--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -207,6 +207,9 @@
 /// Who is told what discovery says: what kind of list, its version and its entries.
 pub type Sink = Box<dyn Fn(ListKind, u64, Vec<Entry>)>;
 
+/// Who is told of signs of life without news.
+pub type Alive = Box<dyn Fn()>;
+
 /// What goes on at discovery's address, to its end or until that is another one: a new configuration may come at any moment,
 /// also while a call hangs at the old address.
 async fn unless_moved(
@@ -222,6 +225,7 @@
 /// Follows discovery.
 pub struct Watcher {
     sink: Sink,
+    alive: Alive,
     /// Discovery has to be asked, and may let a call wait.
     must_subscribe: bool,
     /// How long the first call may take, and how many in a row have brought nothing in their time.
@@ -267,6 +271,7 @@
             services: false,
             rng,
             sink,
+            alive: Box::new(|| {}),
             must_subscribe: config.site.settings.must_subscribe,
             call: Duration::from_nanos((config.site.settings.ask_within as f64 * CALL_PART) as u64),
             unanswered: 0,
@@ -282,6 +287,12 @@
         watcher
     }
 
+    /// Signs of life without news are told, too.
+    pub fn with_signs_of_life(mut self, alive: Alive) -> Self {
+        self.alive = alive;
+        self
+    }
+
     /// Every address that an entry has is told: others may speak wires that this process does not.
     pub fn with_all_addresses(mut self) -> Self {
         self.thrift = self.thrift.or(Some(None));
@@ -406,7 +417,7 @@
                 rest = &rest[end + 1..];
                 match list {
                     Line::Part => continue,
-                    Line::Heartbeat => {}
+                    Line::Heartbeat => (self.alive)(),
                     Line::Whole(list) => {
                         self.line(list)?;
                         self.heard_at = Some(address);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -179,8 +179,11 @@
         front = Some(Front::new(gateway.clone(), thrift.front.clone()));
     }
     let succession = Succession::new(config.site.sockets, ledger.clone());
-    let one_level =
-        || Watcher::new(source::to_gateway(&gateway, member.clone()), &config, &site, discovery.subscribe());
+    let one_level = || {
+        let alive = gateway.clone();
+        Watcher::new(source::to_gateway(&gateway, member.clone()), &config, &site, discovery.subscribe())
+            .with_signs_of_life(Box::new(move || alive.discovery_alive()))
+    };
     let routing = forwarding.as_ref().and_then(|f| f.by_services(&gateway, &site));
     // A node that goes by services is ready without one: each request waits for its own.
     let known = known || routing.is_some();
--- a/crates/testkit/src/soak/check.rs
+++ b/crates/testkit/src/soak/check.rs
@@ -182,7 +182,7 @@
                 );
             }
             End::Closed => {
-                let next = asked.tries.get(k + 1).map_or(Moment(u64::MAX), |t| t.sent);
+                let next = asked.tries.get(k + 1).map_or(Moment(u64::MAX), |t| t.begun);
                 let came = index.came.get(asked.id.as_str()).into_iter().flatten();
                 if came.clone().any(|c| c.first < next) {
                     say(Rule::Lost, sending.ended, format!("{class:?} sent on, then closed with no answer"));
--- a/crates/testkit/src/soak/client.rs
+++ b/crates/testkit/src/soak/client.rs
@@ -159,9 +159,9 @@
 
     /// Sends a request over a connection, which is kept where it may be.
     async fn send(&mut self, ask: &Ask, stream: Option<TcpStream>, fresh: bool, deadline_ms: u64) -> Try {
-        let now = self.recorder.now();
-        let ended = |sent, ended, end| Try { fresh, sent, deadline_ms, ended, end };
-        let Some(mut stream) = stream else { return ended(now, now, End::Unreached) };
+        let begun = self.recorder.now();
+        let ended = |sent, ended, end| Try { fresh, begun, sent, deadline_ms, ended, end };
+        let Some(mut stream) = stream else { return ended(begun, begun, End::Unreached) };
         let bytes = ask.bytes(deadline_ms);
         if !self.write(&mut stream, &bytes).await {
             let now = self.recorder.now();
@@ -196,11 +196,13 @@
         if !self.active(Kind::SlowWriters) {
             return stream.write_all(bytes).await.is_ok();
         }
-        for piece in bytes.chunks(1 + self.random.below(80)) {
+        for (k, piece) in bytes.chunks(1 + self.random.below(80)).enumerate() {
+            if k > 0 {
+                sleep(Duration::from_millis(self.random.below(30) as u64)).await;
+            }
             if stream.write_all(piece).await.is_err() {
                 return false;
             }
-            sleep(Duration::from_millis(self.random.below(30) as u64)).await;
         }
         true
     }
--- a/crates/testkit/src/soak/history.rs
+++ b/crates/testkit/src/soak/history.rs
@@ -44,6 +44,8 @@
 pub struct Try {
     /// The connection had carried no request before.
     pub fresh: bool,
+    /// When its first byte was about to be written.
+    pub begun: Moment,
     /// When its last byte was written.
     pub sent: Moment,
     /// How long the client said that it waits, in milliseconds.
--- a/crates/testkit/tests/soak_oracle.rs
+++ b/crates/testkit/tests/soak_oracle.rs
@@ -18,7 +18,14 @@
 }
 
 fn sending(sent: u64, ended: u64, end: End) -> Try {
-    Try { fresh: true, sent: Moment(sent), deadline_ms: 1_000, ended: Moment(ended), end }
+    Try {
+        fresh: true,
+        begun: Moment(sent),
+        sent: Moment(sent),
+        deadline_ms: 1_000,
+        ended: Moment(ended),
+        end,
+    }
 }
 
 fn asked(class: Class, tries: Vec<Try>) -> Asked {
