A test that fails: calls for the list that hang hold up the next one

Asked again 4.8 s after discovery could be reached where two calls had hung (longer with more, up to 6 s and a pause): of the 6 s after which a change counts nothing is left for the answer, the grace and a hold-up.

--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -118,6 +118,30 @@
     assert!(told < silent + TOLD, "asked again only {:?} after the call began", told - silent);
 }
 
+/// Discovery takes calls and says nothing on them, and answers those that come later: a change counts as told 6 s after that, of
+/// which the pause after a call, the answer and a hold-up of 0.15 s have to leave something.
+#[test]
+fn calls_that_hang_do_not_hold_up_the_next() {
+    let wishes = Wishes { asked: true, ask_within_ms: 4_000, give_up_ms: 9_000, ..Wishes::default() };
+    let bed = bed(Wire::Http, 2, wishes);
+    let calls = || bed.discovery.watches.load(Ordering::SeqCst);
+    for taken in [1, 2, 4] {
+        let before = calls();
+        bed.discovery.cut(1_000);
+        let seq = drain_first(&bed);
+        until("so many calls hang", || calls() >= before + taken);
+        // Those that are taken stay silent.
+        bed.discovery.spoil(Spoilt::Silent);
+        let reachable = Instant::now();
+        let told = bed.discovery.told(seq);
+        let late = told - reachable;
+        assert!(late < Duration::from_millis(4_600), "asked again {late:?} after {taken} calls hung");
+        thread::sleep(GRACE);
+        first_is_left_alone(&bed);
+        bed.discovery.told(bed.discovery.tell(&bed.entries()));
+    }
+}
+
 /// What a pushed list has when discovery comes back counts at once: a watch is open again within the grace.
 #[test]
 fn discovery_comes_back_with_a_drain() {
