Make a second call for the list beside one that hangs

Reckoned from the end backwards, less the module's pause (1.35 s), an answer of 1 s and a hold-up of 0.15 s, a call has to be made every 3.5 s: a second one goes out after 3 s beside the first, which may still be answered up to its 6 s.

--- a/crates/node/src/discovery.rs
+++ b/crates/node/src/discovery.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::site::Site;
 use http_body_util::{BodyExt, Empty};
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Bytes, Frame, Incoming};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use laurelroute_core::connect::establish;
@@ -18,6 +18,7 @@
 use serde_json::Value;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{timeout, timeout_at, Instant};
@@ -26,9 +27,11 @@
 const SILENCE: Duration = Duration::from_millis(2600);
 /// Discovery that is asked may let a call wait in turn: for this at the longest ...
 const CALL: Duration = Duration::from_secs(6);
-/// ... but a call may have fallen silent like any watch, and what it misses counts as told all the same. It is given this
-/// part of the time in which one has to ask, and as much more with each that brought nothing.
-const CALL_PART: f64 = 0.5;
+/// ... but a call may have fallen silent like any watch, and discovery may answer those that come later. A change counts as told
+/// 6 s after discovery could be reached: less the module's pause after a failed call (1.35 s at most), an answer that takes
+/// 1 s and a hold-up of the process (0.15 s), a further call has to be made within 3.5 s of the one before. It is made beside
+/// the one that waits, which may still be answered.
+const CALL_AGAIN: Duration = Duration::from_secs(3);
 const CONNECT: Duration = Duration::from_millis(500);
 /// Waits before a watch is opened again: from the first, doubled up to the last, and spread.
 const PAUSE_FIRST: f64 = 0.05;
@@ -121,6 +124,9 @@
     }
 }
 
+/// A part of an answer as it comes.
+type BodyFrame = Result<Frame<Bytes>, hyper::Error>;
+
 /// Why a watch or a call has ended.
 #[derive(Debug, thiserror::Error)]
 enum WatchError {
@@ -228,9 +234,6 @@
     alive: Alive,
     /// Discovery has to be asked, and may let a call wait.
     must_subscribe: bool,
-    /// How long the first call may take, and how many in a row have brought nothing in their time.
-    call: Duration,
-    unanswered: u32,
     /// The longest pause before a watch is opened again, seconds.
     pause_last: f64,
     seq: u64,
@@ -273,8 +276,6 @@
             sink,
             alive: Box::new(|| {}),
             must_subscribe: config.site.settings.must_subscribe,
-            call: Duration::from_nanos((config.site.settings.ask_within as f64 * CALL_PART) as u64),
-            unanswered: 0,
             pause_last: (config.site.settings.drain_grace as f64 / 1e9 * GRACE_PART).clamp(0.01, PAUSE_LAST),
         };
         if let Some(known) = config.known.clone() {
@@ -340,7 +341,6 @@
     pub async fn obey(mut self, mut calls: mpsc::UnboundedReceiver<ListCall>) {
         let mut next = calls.recv().await;
         while let Some(call) = next.take() {
-            let lines = self.lines;
             let error = match call {
                 ListCall::Fetch => self.fetch().await.err(),
                 ListCall::Subscribe => tokio::select! {
@@ -349,8 +349,6 @@
                     call = calls.recv() => { next = call.map(|_| ListCall::Subscribe); continue }
                 },
             };
-            let unanswered = self.lines == lines && matches!(error, Some(WatchError::Silent));
-            self.unanswered = if unanswered { self.unanswered.saturating_add(1) } else { 0 };
             if let Some(error) = error {
                 tracing::warn!("discovery: {error}");
                 if matches!(error, WatchError::Moved) {
@@ -370,17 +368,40 @@
     }
 
     async fn fetch_here(&mut self) -> Result<(), WatchError> {
+        let bytes = self.called_again(|| self.whole_list()).await?;
+        self.line(bytes)
+    }
+
+    async fn whole_list(&self) -> Result<Bytes, WatchError> {
         let body = self.get("/discovery/hosts".to_owned()).await?;
         let limited = http_body_util::Limited::new(body, self.longest());
         let whole = timeout(self.patience(), limited.collect()).await.map_err(|_| WatchError::Silent)?;
-        let bytes = whole.map_err(|_| WatchError::Ended)?.to_bytes();
-        self.line(bytes)
+        Ok(whole.map_err(|_| WatchError::Ended)?.to_bytes())
+    }
+
+    /// Makes a call, and where discovery is asked and says nothing, a second one beside it; what comes first counts.
+    async fn called_again<T, F>(&self, call: impl Fn() -> F) -> Result<T, WatchError>
+    where
+        F: Future<Output = Result<T, WatchError>>,
+    {
+        let limited = |call| async { timeout(CALL, call).await.map_err(|_| WatchError::Silent)? };
+        if !self.must_subscribe {
+            return call().await;
+        }
+        let mut first = pin!(limited(call()));
+        if let Ok(done) = timeout(CALL_AGAIN, first.as_mut()).await {
+            return done;
+        }
+        tokio::select! {
+            done = first => done,
+            done = limited(call()) => done,
+        }
     }
 
     /// How long a call may take.
     fn patience(&self) -> Duration {
         match self.must_subscribe {
-            true => self.call.saturating_mul(self.unanswered.saturating_add(1)).min(CALL),
+            true => CALL,
             false => SILENCE,
         }
     }
@@ -402,14 +423,19 @@
         if !self.blank && self.older == 0 && self.heard_at == Some(address) {
             path += &format!("&since={}", self.seq);
         }
-        let begun = Instant::now();
-        let mut body = self.get(path).await?;
+        let (mut body, first, begun) = self.called_again(|| self.opened(path.clone())).await?;
+        let mut first = Some(first);
         let mut lists = Lists::new(self.longest());
         // Only a whole list or an empty line is a sign of life: bytes alone may be those of a line that never ends.
         // The first one is waited for no longer than the call for it may take.
         let mut due = begun + self.patience();
         let mut line_at = begun;
-        while let Some(frame) = timeout_at(due, body.frame()).await.map_err(|_| WatchError::Silent)? {
+        loop {
+            let frame = match first.take() {
+                Some(frame) => frame,
+                None => timeout_at(due, body.frame()).await.map_err(|_| WatchError::Silent)?,
+            };
+            let Some(frame) = frame else { break };
             let Ok(data) = frame?.into_data() else { continue };
             let mut rest = &data[..];
             while let Some(end) = rest.iter().position(|b| *b == b'\n') {
@@ -434,6 +460,15 @@
         Ok(())
     }
 
+    /// Opens a watch and waits for the first that it brings.
+    async fn opened(&self, path: String) -> Result<(Incoming, Option<BodyFrame>, Instant), WatchError> {
+        let begun = Instant::now();
+        let mut body = self.get(path).await?;
+        let due = begun + self.patience();
+        let first = timeout_at(due, body.frame()).await.map_err(|_| WatchError::Silent)?;
+        Ok((body, first, begun))
+    }
+
     fn line(&mut self, bytes: impl AsRef<[u8]>) -> Result<(), WatchError> {
         let list: HostList = serde_json::from_slice(bytes.as_ref())?;
         // A long one is not held twice while it is taken in.
