--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -4,14 +4,13 @@
 //! Everything runs on one thread. The state is borrowed only inside the methods here, never across an await.
 
 use crate::budget::Budget;
-use crate::call::{Call, Exchange, GivenUp, HandOver, Verdict, Wire};
+use crate::call::{Call, Exchange, GivenUp, HandOver};
 use crate::clock::Clock;
 use crate::common::Common;
-use crate::dispatch::{self, Denied, Earlier, Place, Terms};
+use crate::dispatch::{Earlier, Place};
 use crate::events::{self, Kind, Label};
 use crate::fleet::{Entry, Fleet, Said};
 use crate::ids::Ids;
-use crate::leaving::Presence;
 use crate::names::Names;
 use laurelroute_handover::bans::{BanError, Bans, Word};
 use laurelroute_policy::interface::{
@@ -25,11 +24,17 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::sync::{mpsc, oneshot, Notify};
+use tokio::sync::{mpsc, Notify};
 use tokio::task::AbortHandle;
 
+mod attempt;
+mod claim;
+mod permits;
+
+pub use attempt::Attempt;
+pub use claim::Claim;
+
 /// How long an attempt that was given up may go on, so that its connection can be used again. Giving it up by
 /// closing costs the server a new handshake, and the work goes on there all the same.
 const LINGER: Nanos = 1_000_000_000;
@@ -106,109 +111,6 @@
 
 type Handed = Rc<RefCell<Option<Rc<dyn HandOver>>>>;
 
-/// One attempt of a request, as an upstream carries it.
-pub struct Attempt {
-    gateway: Rc<Gateway>,
-    id: AttemptId,
-    server: Endpoint,
-    give_up_at: Nanos,
-    send_by: Nanos,
-    handed: Handed,
-    exchange: Rc<dyn Exchange>,
-    /// When the request came.
-    came_at: Nanos,
-    label: Label,
-}
-
-impl Attempt {
-    /// The gateway that it belongs to.
-    pub fn gateway(&self) -> &Rc<Gateway> {
-        &self.gateway
-    }
-
-    /// The server that the module has chosen.
-    pub fn server(&self) -> Endpoint {
-        self.server
-    }
-
-    /// Time left to the client, in whole milliseconds, at least one.
-    pub fn millis_left(&self) -> u64 {
-        self.give_up_at.saturating_sub(self.gateway.clock.now()).div_ceil(1_000_000).max(1)
-    }
-
-    /// Where the server listens on this wire, as long as it may be sent anything new, and this request again at all.
-    pub fn dial(&self, wire: Wire) -> Option<SocketAddr> {
-        if self.gateway.clock.now() >= self.send_by {
-            return None;
-        }
-        self.gateway.fleet(|f| f.dial(self.server, wire))
-    }
-
-    /// Whether its first byte may be written now, and where to; asked once its connection is there.
-    pub async fn may_begin(&self, wire: Wire) -> Result<SocketAddr, Denied> {
-        let decided = self.decide(wire).await;
-        if let Err(denied) = decided {
-            self.gateway.denied(denied, self.label);
-            if denied == Denied::ClientGone {
-                self.gateway.client_gone(self.id.request);
-            }
-        }
-        decided
-    }
-
-    async fn decide(&self, wire: Wire) -> Result<SocketAddr, Denied> {
-        let clock = &self.gateway.clock;
-        // Last of all what needs no waiting: nothing may come between it and the first byte.
-        let looked = self.id.number == 0 && clock.now() < self.came_at.saturating_add(LOOKED_AT);
-        if !looked && self.client_gone().await {
-            return Err(Denied::ClientGone);
-        }
-        if clock.now() >= self.send_by {
-            return Err(Denied::WindowOver);
-        }
-        if clock.now() >= self.give_up_at {
-            return Err(Denied::DeadlinePassed);
-        }
-        self.dial(wire).ok_or(Denied::ServerClosed)
-    }
-
-    async fn client_gone(&self) -> bool {
-        match self.exchange.client() {
-            Presence::There => false,
-            Presence::Gone => true,
-            Presence::Unclear => {
-                // The poller has its turn before this goes on.
-                tokio::task::yield_now().await;
-                self.exchange.client() == Presence::Gone
-            }
-        }
-    }
-
-    /// Who knows whether the last byte is handed over; told before the first byte goes out.
-    pub fn writes_through(&self, connection: Rc<dyn HandOver>) {
-        *self.handed.borrow_mut() = Some(connection);
-    }
-
-    /// It has come to an end without an answer for the client.
-    pub fn ended(&self, ending: Ending) {
-        let mut state = self.gateway.state.borrow_mut();
-        self.gateway.conclude(&mut state, self.id, ending);
-    }
-
-    /// It has brought a whole answer; true where that is the client's, as the first one is.
-    pub fn served(&self) -> bool {
-        let mut state = self.gateway.state.borrow_mut();
-        let Some(live) = state.live.get_mut(&self.id.request) else { return false };
-        if !live.attempts.get(usize::from(self.id.number)).is_some_and(|a| a.open) {
-            return false;
-        }
-        let first = std::mem::replace(&mut live.owed, false);
-        self.gateway.conclude(&mut state, self.id, Ending::Ok);
-        self.gateway.withdraw(&mut state, self.id.request);
-        first
-    }
-}
-
 struct Sent {
     server: Endpoint,
     sent_at: Nanos,
@@ -887,54 +789,6 @@
         }
     }
 
-    /// Whether the module's order to send a request may be carried out, by what became of its earlier attempts.
-    fn may_send(&self, live: &Live, place: Option<Place>) -> Result<(), Denied> {
-        if !live.owed {
-            return Err(Denied::Answered);
-        }
-        if live.attempts.len() >= self.site.settings.max_attempts as usize {
-            return Err(Denied::NoAttemptLeft);
-        }
-        match self.terms(live) {
-            Some(terms) => dispatch::may_repeat(&terms, live.earlier(), place, self.clock.now()),
-            None => Ok(()),
-        }
-    }
-
-    fn may_refuse(&self, state: &State, request: RequestId) -> Result<(), Denied> {
-        let Some(live) = state.live.get(&request).filter(|l| l.owed) else { return Ok(()) };
-        let Some(terms) = self.terms(live) else { return Ok(()) };
-        dispatch::may_refuse(&terms, live.earlier()).inspect_err(|denied| self.denied(*denied, live.label))
-    }
-
-    fn terms(&self, live: &Live) -> Option<Terms> {
-        let settings = &self.site.settings;
-        let class = settings.classes.get(usize::from(live.request.class))?;
-        Some(Terms {
-            effect: class.effect,
-            group: class.group,
-            window: class.window,
-            second_copies: settings.second_copies,
-        })
-    }
-
-    /// Counts what was not done, and says so where the module should have known better.
-    fn denied(&self, denied: Denied, label: Label) {
-        let kind = match denied {
-            Denied::ClientGone => Kind::DeniedClientGone,
-            Denied::ServerClosed => Kind::DeniedServerClosed,
-            Denied::WindowOver => Kind::DeniedWindowOver,
-            Denied::DeadlinePassed => Kind::DeniedDeadline,
-            Denied::Answered | Denied::NoAttemptLeft => Kind::DeniedOver,
-            Denied::OtherGroup | Denied::MayHaveRun | Denied::SecondCopy => Kind::Violation,
-        };
-        events::note(self.clock.now(), kind, label);
-        if denied.is_violation() {
-            tracing::error!("the decision module wanted what a rule forbids: {denied}");
-        }
-        debug_assert!(!denied.is_violation(), "{denied}");
-    }
-
     /// Gives the final answer, unless one was given.
     fn answer(&self, state: &mut State, request: RequestId, end: GivenUp) -> bool {
         let Some(live) = state.live.get_mut(&request) else { return false };
@@ -989,40 +843,3 @@
     });
     shift.list(whole, told);
 }
-
-/// A client's claim to one answer. Dropped before the answer, it says that the client has left.
-pub struct Claim {
-    gateway: Rc<Gateway>,
-    id: RequestId,
-}
-
-impl std::fmt::Debug for Claim {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "Claim({})", self.id)
-    }
-}
-
-impl Claim {
-    /// The client's last byte has come just now: its time counts from here, and so does that of an attempt under way.
-    pub fn complete(&self, give_up_at: Nanos) {
-        let mut state = self.gateway.state.borrow_mut();
-        let Some(live) = state.live.get_mut(&self.id) else { return };
-        let give_up_at = give_up_at.min(self.gateway.ends_at());
-        live.give_up_at = give_up_at;
-        let now = self.gateway.clock.now();
-        live.attempts.iter_mut().filter(|a| a.open).for_each(|a| a.sent_at = now);
-        self.gateway.start_timer(&mut state, give_up_at, Wake::Deadline(self.id));
-    }
-
-    /// Waits for the answer.
-    pub async fn answer<A>(&self, answer: &mut oneshot::Receiver<Verdict<A>>) -> Verdict<A> {
-        answer.await.unwrap_or(Verdict::GivenUp(GivenUp::Failed { late: true }))
-    }
-}
-
-impl Drop for Claim {
-    fn drop(&mut self) {
-        // Where the answer has been given, the gateway knows and does nothing.
-        self.gateway.client_gone(self.id);
-    }
-}
--- /dev/null
+++ b/crates/core/src/gateway/permits.rs
@@ -0,0 +1,56 @@
+//! What the gateway asks [`crate::dispatch`] before it carries out the decision module's orders, and what it counts.
+
+use super::{Gateway, Live, State};
+use crate::dispatch::{self, Denied, Place, Terms};
+use crate::events::{self, Kind, Label};
+use laurelroute_policy::interface::RequestId;
+
+impl Gateway {
+    /// Whether the module's order to send a request may be carried out, by what became of its earlier attempts.
+    pub(super) fn may_send(&self, live: &Live, place: Option<Place>) -> Result<(), Denied> {
+        if !live.owed {
+            return Err(Denied::Answered);
+        }
+        if live.attempts.len() >= self.site.settings.max_attempts as usize {
+            return Err(Denied::NoAttemptLeft);
+        }
+        match self.terms(live) {
+            Some(terms) => dispatch::may_repeat(&terms, live.earlier(), place, self.clock.now()),
+            None => Ok(()),
+        }
+    }
+
+    pub(super) fn may_refuse(&self, state: &State, request: RequestId) -> Result<(), Denied> {
+        let Some(live) = state.live.get(&request).filter(|l| l.owed) else { return Ok(()) };
+        let Some(terms) = self.terms(live) else { return Ok(()) };
+        dispatch::may_refuse(&terms, live.earlier()).inspect_err(|denied| self.denied(*denied, live.label))
+    }
+
+    fn terms(&self, live: &Live) -> Option<Terms> {
+        let settings = &self.site.settings;
+        let class = settings.classes.get(usize::from(live.request.class))?;
+        Some(Terms {
+            effect: class.effect,
+            group: class.group,
+            window: class.window,
+            second_copies: settings.second_copies,
+        })
+    }
+
+    /// Counts what was not done, and says so where the module should have known better.
+    pub(super) fn denied(&self, denied: Denied, label: Label) {
+        let kind = match denied {
+            Denied::ClientGone => Kind::DeniedClientGone,
+            Denied::ServerClosed => Kind::DeniedServerClosed,
+            Denied::WindowOver => Kind::DeniedWindowOver,
+            Denied::DeadlinePassed => Kind::DeniedDeadline,
+            Denied::Answered | Denied::NoAttemptLeft => Kind::DeniedOver,
+            Denied::OtherGroup | Denied::MayHaveRun | Denied::SecondCopy => Kind::Violation,
+        };
+        events::note(self.clock.now(), kind, label);
+        if denied.is_violation() {
+            tracing::error!("the decision module wanted what a rule forbids: {denied}");
+        }
+        debug_assert!(!denied.is_violation(), "{denied}");
+    }
+}
--- a/crates/testkit/src/soak/agent.rs
+++ b/crates/testkit/src/soak/agent.rs
@@ -2,7 +2,6 @@
 
 use super::history::{Health, Moment, Recorder, Told};
 use super::plan::{Kind, Plan};
-use super::server::Servers;
 use super::text;
 use crate::lock;
 use serde_json::json;
@@ -51,7 +50,8 @@
     pub addresses: Vec<[SocketAddr; 2]>,
     listeners: Vec<[Listener; 2]>,
     state: Mutex<State>,
-    servers: Arc<Servers>,
+    /// Where nodes find the servers: by server, then by node.
+    dials: Vec<Vec<SocketAddr>>,
     plan: Arc<Plan>,
     recorder: Recorder,
     /// Lists come to those who ask.
@@ -61,7 +61,7 @@
 impl Registry {
     /// All servers active, nobody told.
     pub fn bind(
-        servers: Arc<Servers>,
+        dials: Vec<Vec<SocketAddr>>,
         nodes: usize,
         plan: Arc<Plan>,
         recorder: Recorder,
@@ -75,10 +75,10 @@
         for [a, b] in &listeners {
             addresses.push([a.local_addr()?, b.local_addr()?]);
         }
-        let entries = servers.addresses.iter().map(|_| Entry { health: Health::Active, born_ms: 0, seq: 1 });
+        let entries = dials.iter().map(|_| Entry { health: Health::Active, born_ms: 0, seq: 1 });
         let seats = (0..nodes).map(|_| Seat { current: 0, moved: None, written: 0 });
         let state = State { seq: 1, entries: entries.collect(), seats: seats.collect(), told: Vec::new() };
-        Ok(Registry { addresses, listeners, state: Mutex::new(state), servers, plan, recorder, asked })
+        Ok(Registry { addresses, listeners, state: Mutex::new(state), dials, plan, recorder, asked })
     }
 
     /// A server's state changes.
@@ -137,7 +137,7 @@
         let hosts: Vec<_> = changed
             .map(|(server, e)| {
                 let health = if e.health == Health::Active { "active" } else { "leaving" };
-                json!({"host": format!("s-{server}"), "dial": self.servers.addresses[server][node], "site": "a",
+                json!({"host": format!("s-{server}"), "dial": self.dials[server][node], "site": "a",
                     "class": "m", "block": 1, "health": health, "share": 1.0, "born_ms": e.born_ms})
             })
             .collect();
--- a/crates/testkit/src/soak/mod.rs
+++ b/crates/testkit/src/soak/mod.rs
@@ -7,6 +7,7 @@
 pub mod history;
 mod node;
 pub mod plan;
+mod relay;
 mod server;
 pub mod shim;
 mod text;
@@ -19,6 +20,7 @@
 use node::Nodes;
 use plan::{Fault, Kind, Plan, Size};
 use rand_core::RngCore;
+use relay::Relays;
 use server::Servers;
 use shim::{Shim, ShimError};
 use std::path::{Path, PathBuf};
@@ -93,8 +95,9 @@
     let recorder = Recorder::new(ramp, WINDOW_MS);
     let plan = Arc::new(plan.clone());
     let servers = Arc::new(Servers::bind(wanted.size.servers, wanted.size.nodes)?);
+    let relays = Arc::new(Relays::bind(&servers.addresses)?);
     let registry = Arc::new(Registry::bind(
-        servers.clone(),
+        relays.addresses.clone(),
         wanted.size.nodes,
         plan.clone(),
         recorder.clone(),
@@ -104,7 +107,8 @@
     let wishes = wishes(&ramp, wanted.asked);
     let nodes =
         Nodes::new(&wanted.program, &wanted.folder, wishes, environments.collect(), recorder.clone())?;
-    let bed = Bed { wanted: wanted.clone(), nodes: Arc::new(nodes), servers, registry, plan, recorder };
+    let nodes = Arc::new(nodes);
+    let bed = Bed { wanted: wanted.clone(), nodes, servers, relays, registry, plan, recorder };
     bed.run()
 }
 
@@ -159,6 +163,7 @@
     wanted: Wanted,
     nodes: Arc<Nodes>,
     servers: Arc<Servers>,
+    relays: Arc<Relays>,
     registry: Arc<Registry>,
     plan: Arc<Plan>,
     recorder: Recorder,
@@ -201,6 +206,8 @@
         let seed = self.wanted.seed;
         let (servers, plan, recorder) = (self.servers.clone(), self.plan.clone(), self.recorder.clone());
         let serving = self.party(whole, move || server::serve(servers, plan, recorder, seed));
+        let (relays, plan, recorder) = (self.relays.clone(), self.plan.clone(), self.recorder.clone());
+        let relaying = self.party(whole, move || relay::serve(relays, plan, recorder));
         let registry = self.registry.clone();
         let telling = self.party(whole, move || registry.serve());
         let bed = self.clone();
@@ -218,7 +225,7 @@
             }
             std::future::pending::<()>().await;
         });
-        vec![serving, telling, asking]
+        vec![serving, relaying, telling, asking]
     }
 
     fn party<F: std::future::Future<Output = ()>>(
--- a/crates/testkit/src/soak/plan.rs
+++ b/crates/testkit/src/soak/plan.rs
@@ -38,6 +38,16 @@
     Spoilt,
     /// Answers have no length and end with their connection; some are reset on the way.
     NoLength,
+    /// Links to servers pass nothing, and are reset at the end.
+    LinkSilent,
+    /// Links pass requests and no answers.
+    LinkOneWay,
+    /// Answers drip.
+    LinkDrips,
+    /// Links are shut towards the node behind an answer.
+    LinkHalfCloses,
+    /// Links are reset, also while they rest.
+    LinkReset,
     /// Discovery is down.
     DiscoveryDown,
     /// Open watches fall silent.
@@ -67,7 +77,7 @@
 }
 
 /// All of them.
-pub const KINDS: [Kind; 27] = [
+pub const KINDS: [Kind; 32] = [
     Kind::Stop,
     Kind::Reload,
     Kind::Restart,
@@ -82,6 +92,11 @@
     Kind::Slow,
     Kind::Spoilt,
     Kind::NoLength,
+    Kind::LinkSilent,
+    Kind::LinkOneWay,
+    Kind::LinkDrips,
+    Kind::LinkHalfCloses,
+    Kind::LinkReset,
     Kind::DiscoveryDown,
     Kind::WatchSilent,
     Kind::WatchEnds,
@@ -108,7 +123,21 @@
         use Kind::*;
         matches!(
             self,
-            Replace | Hang | Reset | CloseIdle | Crash | TurnAway | Error | Slow | Spoilt | NoLength
+            Replace
+                | Hang
+                | Reset
+                | CloseIdle
+                | Crash
+                | TurnAway
+                | Error
+                | Slow
+                | Spoilt
+                | NoLength
+                | LinkSilent
+                | LinkOneWay
+                | LinkDrips
+                | LinkHalfCloses
+                | LinkReset
         )
     }
 
--- /dev/null
+++ b/crates/testkit/src/soak/relay.rs
@@ -0,0 +1,170 @@
+//! A fault proxy on each link between a node and a server: passes bytes both ways, and by the plan holds them back, cuts one
+//! direction, lets answers drip, shuts one side or resets the link.
+
+use super::history::Recorder;
+use super::plan::{Kind, Plan};
+use super::server::reset;
+use std::net::{SocketAddr, TcpListener as Listener};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Bytes of a drip, and the pause behind each.
+const DRIP: usize = 24;
+const DRIP_PAUSE: Duration = Duration::from_millis(25);
+/// How often a link that holds back looks whether its fault is over.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// The relays of all links.
+#[derive(Debug)]
+pub struct Relays {
+    /// By server, then by node: where nodes find the servers.
+    pub addresses: Vec<Vec<SocketAddr>>,
+    listeners: Vec<Vec<Listener>>,
+    /// Where the servers are.
+    targets: Vec<Vec<SocketAddr>>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Direction {
+    ToServer,
+    ToNode,
+}
+
+/// How a direction of a link ended.
+#[derive(PartialEq, Eq)]
+enum Ended {
+    Closed,
+    Reset,
+}
+
+struct Link {
+    server: usize,
+    plan: Arc<Plan>,
+    recorder: Recorder,
+}
+
+impl Relays {
+    /// Binds a relay ahead of each of these.
+    pub fn bind(targets: &[Vec<SocketAddr>]) -> std::io::Result<Relays> {
+        let (mut listeners, mut addresses) = (Vec::new(), Vec::new());
+        for own in targets {
+            let bound: Result<Vec<_>, _> = own.iter().map(|_| Listener::bind("127.0.0.1:0")).collect();
+            let bound = bound?;
+            let at: Result<Vec<_>, _> = bound.iter().map(Listener::local_addr).collect();
+            addresses.push(at?);
+            listeners.push(bound);
+        }
+        Ok(Relays { addresses, listeners, targets: targets.to_vec() })
+    }
+}
+
+/// Relays on this thread until it is dropped.
+pub async fn serve(relays: Arc<Relays>, plan: Arc<Plan>, recorder: Recorder) {
+    for (server, (listeners, targets)) in relays.listeners.iter().zip(&relays.targets).enumerate() {
+        let link = Rc::new(Link { server, plan: plan.clone(), recorder: recorder.clone() });
+        for (listener, target) in listeners.iter().zip(targets) {
+            let listener = listener.try_clone().expect("a listener");
+            listener.set_nonblocking(true).expect("a listener");
+            let listener = TcpListener::from_std(listener).expect("a listener");
+            let (link, target) = (link.clone(), *target);
+            spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let link = link.clone();
+                    spawn_local(async move { link.join(stream, target).await });
+                }
+            });
+        }
+    }
+    std::future::pending::<()>().await;
+}
+
+impl Link {
+    fn active(&self, kind: Kind) -> bool {
+        self.plan.active(kind, self.server, self.recorder.now()).is_some()
+    }
+
+    async fn join(&self, node: TcpStream, target: SocketAddr) {
+        let Ok(server) = TcpStream::connect(target).await else { return reset(&node) };
+        let _ = (node.set_nodelay(true), server.set_nodelay(true));
+        let ((from_node, to_node), (from_server, to_server)) = (node.into_split(), server.into_split());
+        let (up, down) = tokio::join!(
+            self.pass(from_node, to_server, Direction::ToServer),
+            self.pass(from_server, to_node, Direction::ToNode),
+        );
+        let broken = up.1 == Ended::Reset || down.1 == Ended::Reset;
+        for (reader, writer) in [(up.0 .0, down.0 .1), (down.0 .0, up.0 .1)] {
+            if let (true, Ok(stream)) = (broken, reader.reunite(writer)) {
+                reset(&stream);
+            }
+        }
+    }
+
+    async fn pass(
+        &self,
+        mut from: OwnedReadHalf,
+        mut to: OwnedWriteHalf,
+        direction: Direction,
+    ) -> ((OwnedReadHalf, OwnedWriteHalf), Ended) {
+        let ended = self.pass_bytes(&mut from, &mut to, direction).await;
+        if ended == Ended::Closed {
+            let _ = to.shutdown().await;
+        }
+        ((from, to), ended)
+    }
+
+    async fn pass_bytes(
+        &self,
+        from: &mut OwnedReadHalf,
+        to: &mut OwnedWriteHalf,
+        direction: Direction,
+    ) -> Ended {
+        let mut bytes = [0; 4096];
+        loop {
+            let read = tokio::select! {
+                read = from.read(&mut bytes) => read,
+                () = self.is_reset() => return Ended::Reset,
+            };
+            let Ok(n) = read else { return Ended::Reset };
+            if self.holds_back(direction) {
+                // What was under way is gone; once the link is back, its ends find that out.
+                while self.holds_back(direction) {
+                    sleep(LOOK).await;
+                }
+                return Ended::Reset;
+            }
+            if n == 0 {
+                return Ended::Closed;
+            }
+            let drips = direction == Direction::ToNode && self.active(Kind::LinkDrips);
+            let piece = if drips { DRIP } else { bytes.len() };
+            for piece in bytes[..n].chunks(piece) {
+                if to.write_all(piece).await.is_err() {
+                    return Ended::Reset;
+                }
+                if drips {
+                    sleep(DRIP_PAUSE).await;
+                }
+            }
+            if direction == Direction::ToNode && self.active(Kind::LinkHalfCloses) {
+                return Ended::Closed;
+            }
+        }
+    }
+
+    fn holds_back(&self, direction: Direction) -> bool {
+        let one_way = direction == Direction::ToNode && self.active(Kind::LinkOneWay);
+        one_way || self.active(Kind::LinkSilent)
+    }
+
+    async fn is_reset(&self) {
+        while !self.active(Kind::LinkReset) {
+            sleep(LOOK * 4).await;
+        }
+    }
+}
--- a/crates/testkit/src/soak/server.rs
+++ b/crates/testkit/src/soak/server.rs
@@ -254,6 +254,6 @@
 }
 
 /// Has the peer see a reset.
-fn reset(stream: &TcpStream) {
+pub fn reset(stream: &TcpStream) {
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
