Wait longer for a configuration that is still being written; no spinning on an accept that fails

By reading the reload and accept paths: a file that was not whole 0.5 s after SIGHUP was never read (what it names counts 4 s after the signal), and an accept that fails with ENOBUFS or ENOMEM was made again at once.

--- a/crates/core/src/accept.rs
+++ b/crates/core/src/accept.rs
@@ -1,7 +1,8 @@
 //! Accepting clients, the same on every wire.
 
 use crate::budget::Budget;
-use crate::connect::exhausted;
+use crate::connect::{exhausted, of_this_machine};
+use crate::retry_io::{meaning, Meaning};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -86,7 +87,11 @@
             make_room();
             tokio::time::sleep(EXHAUSTED).await;
         }
-        // A client that left while it waited: nothing to do with the next one.
+        // Memory or buffers that are short for a moment come back no sooner for being asked at once.
+        Err(e) if of_this_machine(&e) && meaning(&e) != Meaning::Again => {
+            tokio::time::sleep(EXHAUSTED).await;
+        }
+        // Interrupted, or a client that left while it waited: nothing to do with the next one.
         Err(_) => tokio::task::yield_now().await,
     }
 }
--- a/crates/core/src/connect.rs
+++ b/crates/core/src/connect.rs
@@ -32,7 +32,7 @@
 }
 
 /// Whether it is this machine that could not begin a connection: nothing is known of the other side then.
-fn of_this_machine(error: &io::Error) -> bool {
+pub(crate) fn of_this_machine(error: &io::Error) -> bool {
     let code = error.raw_os_error();
     exhausted(error) || matches!(code, Some(EINTR | EAGAIN | ENOMEM | EADDRNOTAVAIL | ENETUNREACH | ENOBUFS))
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -30,8 +30,9 @@
 const READY_KNOWN: Duration = Duration::from_millis(700);
 /// At a planned restart new connections go on coming for 0.2 to 0.4 s.
 const STILL_ACCEPT: Duration = Duration::from_millis(500);
-/// A new configuration that cannot be read may still be on its way to the disk.
-const RELOAD_TRIES: u32 = 5;
+/// A new configuration that cannot be read may still be on its way to the disk, which may be slow or fail for a moment. What its
+/// discovery tells counts 4 s after SIGHUP: it is waited for until there is no more time to connect there.
+const RELOAD_TRIES: u32 = 33;
 const RELOAD_PAUSE: Duration = Duration::from_millis(100);
 /// A process that was stopped may read the order to end and an heir's first words at the same moment.
 const HEIR_AT_THE_DOOR: Duration = Duration::from_millis(20);
@@ -261,13 +262,14 @@
     old.known = None;
     loop {
         hangup.recv().await;
-        for _ in 0..RELOAD_TRIES {
+        for tried in 0..RELOAD_TRIES {
             match Config::load() {
                 Ok(config) => {
                     reconfigure(&old, &config, &discovery);
                     break;
                 }
-                Err(error) => tracing::warn!("reload: {error}"),
+                Err(error) if tried == 0 => tracing::warn!("reload: {error}"),
+                Err(_) => {}
             }
             tokio::time::sleep(RELOAD_PAUSE).await;
         }
--- a/crates/node/tests/endings.rs
+++ b/crates/node/tests/endings.rs
@@ -215,3 +215,27 @@
 fn a_window_ends_while_connecting_thrift() {
     window_ends(Wire::thrift("framed-binary"));
 }
+
+/// A new configuration names another discovery, whose versions are lower: what it tells counts 4 s after SIGHUP all the same.
+fn discovery_moves_to_lower_versions(asked: bool) {
+    let bed = bed(Wire::Http, 2, Wishes { asked, ask_within_ms: 4_000, ..Wishes::default() });
+    let entries = bed.entries();
+    let last = (0..30).map(|_| bed.discovery.tell(&entries)).max().expect("a version");
+    bed.discovery.told(last);
+    let other =
+        laurelroute_testkit::discovery::Discovery::start(&[entries[0].clone().leaving(), entries[1].clone()]);
+    bed.configure(other.address);
+    let moved = Instant::now();
+    thread::sleep((Duration::from_secs(4) + GRACE).saturating_sub(moved.elapsed()));
+    first_is_left_alone(&bed);
+}
+
+#[test]
+fn discovery_moves_to_lower_versions_asked() {
+    discovery_moves_to_lower_versions(true);
+}
+
+#[test]
+fn discovery_moves_to_lower_versions_pushed() {
+    discovery_moves_to_lower_versions(false);
+}
--- a/crates/node/tests/node.rs
+++ b/crates/node/tests/node.rs
@@ -46,6 +46,23 @@
     assert!(program.running() && program.ask().ends_with("here"));
 }
 
+/// A file that is still being written as the signal comes counts once it is there: no second signal is owed.
+#[test]
+fn a_hangup_waits_for_a_file_that_is_still_being_written() {
+    let (first, second) = (FakeServer::serving("first"), FakeServer::serving("second"));
+    let old = Discovery::start(&[host("s1", first.address)]);
+    let new = Discovery::start(&[host("s2", second.address)]);
+    let program = Program::start(&old);
+    until("the first server answers", || program.ask().ends_with("first"));
+    program.spoil_config();
+    program.signal("HUP");
+    let told = Instant::now();
+    thread::sleep(Duration::from_millis(2_000));
+    program.configure(new.address);
+    until("the new list counts", || program.ask().ends_with("second"));
+    assert!(told.elapsed() < Duration::from_secs(4), "{:?}", told.elapsed());
+}
+
 fn one_server(
     script: impl Fn(&Seen, &mut TcpStream) -> bool + Send + Sync + 'static,
 ) -> (FakeServer, Program) {
