--- a/crates/node/tests/incidents.rs
+++ b/crates/node/tests/incidents.rs
@@ -9,20 +9,13 @@
 use laurelroute_testkit::soak::shim::{self, Shim};
 use laurelroute_testkit::wire::{Ask, Class, Wire};
 use std::io::Write;
-use std::path::{Path, PathBuf};
-use std::sync::OnceLock;
+use std::path::Path;
 use std::thread;
 use std::time::Duration;
 
 /// The environment of a program under this shim.
 fn under(shim: &Shim) -> Vec<(String, String)> {
-    static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
-    let library = LIBRARY.get_or_init(|| {
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("shim-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder can be made");
-        shim::build(&folder).expect("the shim can be built")
-    });
-    shim.environment(library)
+    shim.environment(shim::shared(Path::new(env!("CARGO_TARGET_TMPDIR"))))
 }
 
 fn keyed_request(id: &str) -> String {
--- a/crates/node/tests/interrupted.rs
+++ b/crates/node/tests/interrupted.rs
@@ -6,21 +6,21 @@
 use laurelroute_testkit::soak::shim::{self, Shim};
 use laurelroute_testkit::until;
 use laurelroute_testkit::wire::{Class, Wire, CLASSES};
-use std::path::{Path, PathBuf};
-use std::sync::OnceLock;
+use std::path::Path;
 use std::thread;
 use std::time::Duration;
 
 const CLIENTS: usize = 6;
-const LASTS: Duration = Duration::from_secs(3);
+/// How long the load lasts, and the shim's seed, where `LAURELROUTE_SECONDS` and `LAURELROUTE_SEED` say nothing else.
+const SECONDS: u64 = 3;
+const SEED: u64 = 7;
+
+fn named(variable: &str, otherwise: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(otherwise)
+}
 
 fn library() -> &'static Path {
-    static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
-    LIBRARY.get_or_init(|| {
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("eintr-{}", std::process::id()));
-        std::fs::create_dir_all(&folder).expect("a folder can be made");
-        shim::build(&folder).expect("the shim can be built")
-    })
+    shim::shared(Path::new(env!("CARGO_TARGET_TMPDIR")))
 }
 
 fn interrupted(seed: u32) -> Wishes {
@@ -31,7 +31,12 @@
 }
 
 fn bed(wire: Wire) -> Bed {
-    Bed::wishing(Path::new(env!("CARGO_BIN_EXE_laurelroute")), wire, 4, interrupted(7))
+    Bed::wishing(
+        Path::new(env!("CARGO_BIN_EXE_laurelroute")),
+        wire,
+        4,
+        interrupted(named("LAURELROUTE_SEED", SEED) as u32),
+    )
 }
 
 fn nothing_is_lost(wire: Wire) {
@@ -42,7 +47,7 @@
     };
     let loads: Vec<_> =
         CLASSES.iter().map(|class| Load::start(wire, address, CLIENTS, *class, 200)).collect();
-    thread::sleep(LASTS);
+    thread::sleep(Duration::from_secs(named("LAURELROUTE_SECONDS", SECONDS)));
     for (load, class) in loads.into_iter().zip(CLASSES) {
         let tally = load.finish();
         let ran = bed.ran();
--- a/crates/node/tests/wall_clock.rs
+++ b/crates/node/tests/wall_clock.rs
@@ -7,7 +7,7 @@
 use laurelroute_testkit::program::{Bed, Wishes};
 use laurelroute_testkit::soak::shim::{self, Shim};
 use laurelroute_testkit::wire::{Class, Wire};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -17,12 +17,6 @@
 const JOINS: Duration = Duration::from_millis(4_000);
 const CLIENTS: usize = 12;
 
-fn library() -> PathBuf {
-    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("wall-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).expect("a folder can be made");
-    shim::build(&folder).expect("the shim can be built")
-}
-
 /// The new server's part of the requests of its first 2 s, and of the 6 s after these, times the number of servers.
 fn parts(library: &Path, offset: f64) -> [f64; 2] {
     let shim = Shim::default().with("wall_offset", offset).with("wall_until", RIGHT);
@@ -52,13 +46,10 @@
 
 #[test]
 fn a_wall_clock_that_is_off_at_the_start_misleads_nobody() {
-    let library = library();
+    let library = shim::shared(Path::new(env!("CARGO_TARGET_TMPDIR")));
     let [right, ahead, behind] = thread::scope(|scope| {
         [0.0, 3_600.0, -3_600.0]
-            .map(|offset| {
-                let library = &library;
-                scope.spawn(move || parts(library, offset))
-            })
+            .map(|offset| scope.spawn(move || parts(library, offset)))
             .map(|played| played.join().expect("a bed is played"))
     });
     println!("right {right:.2?}, ahead {ahead:.2?}, behind {behind:.2?}");
--- a/crates/testkit/src/soak/shim.rs
+++ b/crates/testkit/src/soak/shim.rs
@@ -5,6 +5,7 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::process::Command;
+use std::sync::OnceLock;
 
 /// Why there is no shim.
 #[derive(Debug, thiserror::Error)]
@@ -46,6 +47,16 @@
     }
 }
 
+/// The library that all tests of a process share, built below this folder.
+pub fn shared(folder: &Path) -> &'static Path {
+    static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
+    LIBRARY.get_or_init(|| {
+        let own = folder.join(format!("shim-{}", std::process::id()));
+        std::fs::create_dir_all(&own).expect("a folder can be made");
+        build(&own).expect("the shim can be built")
+    })
+}
+
 /// Builds the library in a folder; gives its path.
 pub fn build(folder: &Path) -> Result<PathBuf, ShimError> {
     let source = folder.join("faults.c");
