--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -25,7 +25,7 @@
     pub label: Label,
 }
 
-/// One request in the form of its wire, and the place of its answer. Both methods are called while the gateway is
+/// One request in the form of its wire, and the place of its answer. The first two methods are called while the gateway is
 /// at work: they may start tasks and put answers, and must not call the gateway back.
 pub trait Exchange: 'static {
     /// Starts carrying one attempt over one connection. The task tells the attempt how it ended, exactly once;
--- a/crates/core/src/connect.rs
+++ b/crates/core/src/connect.rs
@@ -4,6 +4,7 @@
 use crate::call::Wire;
 use crate::fleet::Place;
 use crate::gateway::Gateway;
+use crate::retry_io::{meaning, Meaning};
 use laurelroute_policy::interface::Endpoint;
 use std::io;
 use std::net::SocketAddr;
@@ -15,12 +16,7 @@
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
 
-/// What the node's own machine may be short of for a moment, and what a signal brings (errno(3), of Linux).
-const EINTR: i32 = 4;
-const EAGAIN: i32 = 11;
-const ENOMEM: i32 = 12;
-const EADDRNOTAVAIL: i32 = 99;
-const ENETUNREACH: i32 = 101;
+/// Buffers used up, for which the library has no kind of error.
 const ENOBUFS: i32 = 105;
 /// A connection that could not be begun for such a reason is begun again so often, after this pause.
 const TRIES: u32 = 3;
@@ -33,8 +29,11 @@
 
 /// Whether it is this machine that could not begin a connection: nothing is known of the other side then.
 pub(crate) fn of_this_machine(error: &io::Error) -> bool {
-    let code = error.raw_os_error();
-    exhausted(error) || matches!(code, Some(EINTR | EAGAIN | ENOMEM | EADDRNOTAVAIL | ENETUNREACH | ENOBUFS))
+    use io::ErrorKind::{AddrNotAvailable, NetworkUnreachable, OutOfMemory};
+    exhausted(error)
+        || meaning(error) != Meaning::Over
+        || matches!(error.kind(), AddrNotAvailable | NetworkUnreachable | OutOfMemory)
+        || error.raw_os_error() == Some(ENOBUFS)
 }
 
 /// Connects; what this machine is short of for a moment is waited for a little.
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -54,7 +54,7 @@
     CloseCrossed,
 }
 
-/// All kinds, in the order of their numbers, with the names that operators read.
+/// All kinds, with the names that operators read.
 const NAMES: [(Kind, &str); 18] = [
     (Kind::AttemptBegun, "attempt_begun"),
     (Kind::AttemptRepeated, "attempt_repeated"),
@@ -78,7 +78,7 @@
 
 impl Kind {
     fn name(self) -> &'static str {
-        NAMES[self as usize].1
+        NAMES.iter().find(|(kind, _)| *kind == self).map_or("", |(_, name)| name)
     }
 
     /// Every request has one: too common to be remembered one by one.
@@ -151,7 +151,8 @@
 pub fn counts() -> String {
     LOG.with_borrow(|log| {
         let mut text = String::new();
-        for ((_, name), count) in NAMES.iter().zip(log.counts) {
+        for (kind, name) in NAMES {
+            let count = log.counts[kind as usize];
             // Writing to a string cannot fail.
             let _ = writeln!(text, "{name} {count}");
         }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -172,13 +172,8 @@
 
     /// Takes over a list or changes to it, and puts it into the module's words. Starts are told as Unix time.
     pub fn follow(&mut self, now: Nanos, kind: ListKind, entries: Vec<Entry>) -> Vec<Server> {
-        if kind == ListKind::Failed {
-            return self.apply(now, kind, Vec::new());
-        }
-        let clocks = Clocks { now, wall: now.saturating_add_signed(self.wall_ahead) };
-        let entries = entries.into_iter().map(|entry| self.on_own_clock(clocks, entry)).collect();
         let servers = self.apply(now, kind, entries);
-        if kind != ListKind::Cached {
+        if matches!(kind, ListKind::Full | ListKind::Changes) {
             self.heard_at = Some(now);
         }
         servers
@@ -196,22 +191,18 @@
         }
     }
 
-    /// The entry with its start on the node's own clock, which is reckoned once for each start, and its start as told.
-    fn on_own_clock(&self, clocks: Clocks, entry: Entry) -> (Entry, Nanos) {
-        let told = entry.server.started_at;
-        let known = self.upstreams.get(&self.endpoint(&entry.host)).filter(|u| u.told_start == told);
-        let started_at = match known {
-            Some(upstream) => upstream.listed.started_at,
-            None => age::started_at(told, clocks, self.heard_at),
-        };
-        (Entry { server: Server { started_at, ..entry.server }, ..entry }, told)
-    }
-
-    fn apply(&mut self, now: Nanos, kind: ListKind, entries: Vec<(Entry, Nanos)>) -> Vec<Server> {
+    fn apply(&mut self, now: Nanos, kind: ListKind, entries: Vec<Entry>) -> Vec<Server> {
+        let clocks = Clocks { now, wall: now.saturating_add_signed(self.wall_ahead) };
         let mut servers = Vec::with_capacity(entries.len());
-        for (entry, told_start) in entries {
+        for entry in entries {
             let endpoint = self.endpoint(&entry.host);
-            let listed = Server { endpoint, ..entry.server };
+            let told_start = entry.server.started_at;
+            // Brought to the node's own clock once for each start.
+            let started_at = match self.upstreams.get(&endpoint).filter(|u| u.told_start == told_start) {
+                Some(upstream) => upstream.listed.started_at,
+                None => age::started_at(told_start, clocks, self.heard_at),
+            };
+            let listed = Server { endpoint, started_at, ..entry.server };
             let mut server = self.bans.overlay(&entry.host, listed);
             if server.phase == Phase::Ready && self.drained.contains(&entry.host) {
                 server.phase = Phase::Draining;
@@ -287,9 +278,11 @@
     /// What has changed by the operators' last word on these servers, in the module's words.
     pub fn reconsider(&mut self, now: Nanos, hosts: &[String]) -> Vec<Server> {
         let known = hosts.iter().filter_map(|host| self.upstreams.get(&self.endpoint(host)));
-        let entry = |u: &Upstream| {
-            let (host, dials) = (u.host.clone(), u.dials.clone());
-            (Entry { host, dials, server: u.listed, said: None }, u.told_start)
+        let entry = |u: &Upstream| Entry {
+            host: u.host.clone(),
+            dials: u.dials.clone(),
+            server: Server { started_at: u.told_start, ..u.listed },
+            said: None,
         };
         let entries = known.filter(|u| u.listed.phase != Phase::Gone).map(entry).collect();
         self.apply(now, ListKind::Changes, entries)
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -14,8 +14,8 @@
 use crate::names::Names;
 use laurelroute_handover::bans::{BanError, Bans, Word};
 use laurelroute_policy::interface::{
-    Action, Effect, Ending, Endpoint, Event, Guide, Learnt, ListKind, Nanos, Observed, Request, RequestId,
-    Server, Settings, SettingsError,
+    Action, Ending, Endpoint, Event, Guide, Learnt, ListKind, Nanos, Observed, Request, RequestId, Server,
+    Settings, SettingsError,
 };
 use laurelroute_policy::Balancer;
 use laurelroute_shift::course::{Change, Refused, Word as ShiftWord};
@@ -139,8 +139,6 @@
     /// The client has had no final answer yet.
     owed: bool,
     attempts: Vec<Sent>,
-    /// A keyed request that may have run is sent again only within its window, which counts from that attempt's sending.
-    send_by: Nanos,
 }
 
 impl Live {
@@ -357,7 +355,6 @@
                 give_up_at,
                 owed: true,
                 attempts: Vec::new(),
-                send_by: Nanos::MAX,
             },
         );
         self.start_timer(&mut state, give_up_at, Wake::Deadline(id));
@@ -663,10 +660,6 @@
         attempt.open = false;
         attempt.ending = Some(ending);
         let took = self.clock.now().saturating_sub(attempt.sent_at);
-        let class = self.site.settings.classes.get(usize::from(live.request.class));
-        if let Some(class) = class.filter(|c| c.effect == Effect::Keyed && !ending.never_ran()) {
-            live.send_by = live.send_by.min(attempt.sent_at.saturating_add(class.window));
-        }
         if let Some(shift) = &mut state.shift {
             let at = (attempt.server, usize::from(id.number));
             shift.ended(&live.request, at, (attempt.sent_at, took), ending);
@@ -766,7 +759,7 @@
             if let Some(shift) = &mut state.shift {
                 shift.sent(&live.request, server, live.attempts.len());
             }
-            let (give_up_at, send_by) = (live.give_up_at, live.send_by);
+            let (give_up_at, send_by) = (live.give_up_at, self.send_by(live));
             let attempt = Attempt {
                 gateway: self.clone(),
                 id,
--- a/crates/core/src/gateway/permits.rs
+++ b/crates/core/src/gateway/permits.rs
@@ -3,7 +3,7 @@
 use super::{Gateway, Live, State};
 use crate::dispatch::{self, Denied, Place, Terms};
 use crate::events::{self, Kind, Label};
-use laurelroute_policy::interface::RequestId;
+use laurelroute_policy::interface::{Effect, Nanos, RequestId};
 
 impl Gateway {
     /// Whether the module's order to send a request may be carried out, by what became of its earlier attempts.
@@ -20,6 +20,13 @@
         }
     }
 
+    /// A keyed request that may have run is sent again only within its window, which counts from that attempt's sending.
+    pub(super) fn send_by(&self, live: &Live) -> Nanos {
+        let Some(terms) = self.terms(live).filter(|t| t.effect == Effect::Keyed) else { return Nanos::MAX };
+        let ran = live.earlier().filter(|e| e.ending.is_some_and(|ending| !ending.never_ran()));
+        ran.map(|e| e.sent_at.saturating_add(terms.window)).min().unwrap_or(Nanos::MAX)
+    }
+
     pub(super) fn may_refuse(&self, state: &State, request: RequestId) -> Result<(), Denied> {
         let Some(live) = state.live.get(&request).filter(|l| l.owed) else { return Ok(()) };
         let Some(terms) = self.terms(live) else { return Ok(()) };
--- a/crates/core/src/leaving.rs
+++ b/crates/core/src/leaving.rs
@@ -67,16 +67,13 @@
 /// reads a new connection before it hears anything of it, and an old one on the strength of what it heard earlier. On a
 /// connection's first request an end may be behind bytes that are unread: there the poller is given a turn.
 pub async fn closed_behind(stream: &TcpStream, first: bool) -> bool {
-    if closed(stream) {
-        return true;
-    }
-    match peek(stream) {
-        Ok(0) => true,
-        Ok(_) if first => {
+    match presence(stream) {
+        Presence::There => false,
+        Presence::Gone => true,
+        Presence::Unclear if first => {
             tokio::time::sleep(TURN).await;
             closed(stream)
         }
-        Ok(_) => false,
-        Err(e) => meaning(&e) == Meaning::Over,
+        Presence::Unclear => false,
     }
 }
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -451,6 +451,7 @@
 struct Head {
     class: usize,
     id: u64,
+    label: Label,
     /// How long the client waits.
     wait: Nanos,
 }
@@ -487,7 +488,7 @@
     let wait = only(&head.headers, TIMEOUT).and_then(number).filter(|ms| *ms > 0).ok_or(Fault::Timeout)?;
     // No client waits longer than its class: a longer figure would only hold memory.
     let wait = wait.saturating_mul(1_000_000).min(settings.give_up);
-    Ok(Head { class, id: laurelroute_core::mix(id), wait })
+    Ok(Head { class, id: laurelroute_core::mix(id), label: Label::of(id), wait })
 }
 
 async fn answer(
@@ -544,9 +545,8 @@
     let request = interface_request(gateway, &head, &parts.headers, give_up_at);
     let (body, upload) = intake.into_message(whole);
     let wait = upload.is_some().then_some(head.wait / 1_000_000);
-    let label = only(&parts.headers, REQUEST_ID).map(Label::of).unwrap_or_default();
     let (exchange, mut answer) = exchange(parts, body, wait, client.socket.clone());
-    let claim = carrier.submit(Call { request, give_up_at, label }, Rc::new(exchange));
+    let claim = carrier.submit(Call { request, give_up_at, label: head.label }, Rc::new(exchange));
     let verdict = match upload {
         None => claim.answer(&mut answer).await,
         Some(upload) => {
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -231,16 +231,16 @@
         leaving::closed(&self.stream)
     }
 
-    /// Whether the peer is there, as the kernel has it now.
-    pub fn presence(&self) -> leaving::Presence {
-        leaving::presence(&self.stream)
-    }
-
     /// The same for a request that has just been read, the connection's first or a later one.
     pub async fn left_behind(&self, first: bool) -> bool {
         leaving::closed_behind(&self.stream, first).await
     }
 
+    /// Whether the peer is there, as the kernel has it now.
+    pub fn presence(&self) -> leaving::Presence {
+        leaving::presence(&self.stream)
+    }
+
     /// A request with a body of this length is about to be written; one of no known length tells its end.
     pub fn expect_request(&self, body: Option<u64>) {
         self.outgoing.set(Outgoing { body_left: body.unwrap_or(u64::MAX), ..Outgoing::default() });
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -50,6 +50,7 @@
 }
 
 /// A client's request as every attempt sends it, and the place of its answer.
+#[derive(Debug)]
 pub struct HttpExchange {
     /// Method, unchanged.
     pub method: Method,
--- a/crates/node/tests/incidents.rs
+++ b/crates/node/tests/incidents.rs
@@ -18,6 +18,16 @@
     shim.environment(shim::shared(Path::new(env!("CARGO_TARGET_TMPDIR"))))
 }
 
+/// A program that has heard of this server and used it.
+fn started_before(server: &FakeServer) -> Program {
+    let program = Program::start(&Discovery::start(&[host("s1", server.address)]));
+    until("the server is used", || {
+        program.ask();
+        server.requests() > 0
+    });
+    program
+}
+
 fn keyed_request(id: &str) -> String {
     format!(
         "POST /keyed HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {id}\r\nX-Timeout-Ms: 4000\r\nIdempotency-Key: {id}\r\n\
@@ -32,12 +42,7 @@
         let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole");
         false
     });
-    let discovery = Discovery::start(&[host("s1", server.address)]);
-    let program = Program::start(&discovery);
-    until("the server is used", || {
-        program.ask();
-        server.requests() > 0
-    });
+    let program = started_before(&server);
     for request in [safe_request, |id: &str| unsafe_request(id, "x"), keyed_request] {
         let before = server.requests();
         let answer = program.raw(request(&fresh_id()).as_bytes());
@@ -59,12 +64,7 @@
         }
         false
     });
-    let discovery = Discovery::start(&[host("s1", server.address)]);
-    let program = Program::start(&discovery);
-    until("the server is used", || {
-        program.ask();
-        server.requests() > 0
-    });
+    let program = started_before(&server);
     let whole = program.raw(unsafe_request(&fresh_id(), "whole").as_bytes());
     assert!(whole.starts_with("HTTP/1.1 200") && whole.len() > LONG, "{} bytes", whole.len());
     assert_eq!(program.raw(unsafe_request(&fresh_id(), "cut").as_bytes()), "");
--- a/crates/testkit/src/soak/agent.rs
+++ b/crates/testkit/src/soak/agent.rs
@@ -1,16 +1,16 @@
 //! Discovery of a soak: two addresses for each node with one list behind them, and what each node has to know by when.
 
 use super::history::{Health, Moment, Recorder, Told};
+use super::listen::Grid;
 use super::plan::{Kind, Plan};
 use super::text;
 use crate::lock;
 use serde_json::json;
-use std::net::{SocketAddr, TcpListener as Listener};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// A change counts as told so long after discovery had it and could be reached.
@@ -33,8 +33,6 @@
     /// Which of its two addresses counts, and since when.
     current: usize,
     moved: Option<Moment>,
-    /// The version written to it last.
-    written: u64,
 }
 
 struct State {
@@ -47,8 +45,7 @@
 /// Discovery.
 pub struct Registry {
     /// By node, two each.
-    pub addresses: Vec<[SocketAddr; 2]>,
-    listeners: Vec<[Listener; 2]>,
+    grid: Grid,
     state: Mutex<State>,
     /// Where nodes find the servers: by server, then by node.
     dials: Vec<Vec<SocketAddr>>,
@@ -67,18 +64,10 @@
         recorder: Recorder,
         asked: bool,
     ) -> std::io::Result<Registry> {
-        let mut listeners = Vec::new();
-        for _ in 0..nodes {
-            listeners.push([Listener::bind("127.0.0.1:0")?, Listener::bind("127.0.0.1:0")?]);
-        }
-        let mut addresses = Vec::new();
-        for [a, b] in &listeners {
-            addresses.push([a.local_addr()?, b.local_addr()?]);
-        }
         let entries = dials.iter().map(|_| Entry { health: Health::Active, born_ms: 0, seq: 1 });
-        let seats = (0..nodes).map(|_| Seat { current: 0, moved: None, written: 0 });
+        let seats = (0..nodes).map(|_| Seat { current: 0, moved: None });
         let state = State { seq: 1, entries: entries.collect(), seats: seats.collect(), told: Vec::new() };
-        Ok(Registry { addresses, listeners, state: Mutex::new(state), dials, plan, recorder, asked })
+        Ok(Registry { grid: Grid::bind(nodes, 2)?, state: Mutex::new(state), dials, plan, recorder, asked })
     }
 
     /// A server's state changes.
@@ -117,12 +106,12 @@
         let seat = &mut state.seats[node];
         seat.current = 1 - seat.current;
         seat.moved = Some(self.recorder.now());
-        self.addresses[node][seat.current]
+        self.grid.addresses[node][seat.current]
     }
 
     /// Where a node is told now.
     pub fn address(&self, node: usize) -> SocketAddr {
-        self.addresses[node][lock(&self.state).seats[node].current]
+        self.grid.addresses[node][lock(&self.state).seats[node].current]
     }
 
     /// Hands what was to be known by whom to the history.
@@ -148,7 +137,6 @@
     /// A list has been written to a node.
     fn written(&self, node: usize, seq: u64, at: Moment) {
         let mut state = lock(&self.state);
-        state.seats[node].written = state.seats[node].written.max(seq);
         let known = state.told.iter_mut().filter(|(version, told)| told.node == node && *version <= seq);
         known.for_each(|(_, told)| told.counts = told.counts.min(at));
     }
@@ -167,21 +155,15 @@
 
     /// Tells on this thread until it is dropped.
     pub async fn serve(self: Arc<Self>) {
-        for (node, pair) in self.listeners.iter().enumerate() {
-            for (which, listener) in pair.iter().enumerate() {
-                let listener = listener.try_clone().expect("a listener");
-                listener.set_nonblocking(true).expect("a listener");
-                let listener = TcpListener::from_std(listener).expect("a listener");
-                let registry = self.clone();
-                spawn_local(async move {
-                    while let Ok((stream, _)) = listener.accept().await {
-                        let registry = registry.clone();
-                        spawn_local(async move { registry.call(stream, node, which).await });
-                    }
-                });
+        let registry = self.clone();
+        let call = move |stream, node, which| {
+            let registry = registry.clone();
+            async move {
+                // A call ends where its caller has gone.
+                let _ = registry.call(stream, node, which).await;
             }
-        }
-        std::future::pending::<()>().await;
+        };
+        self.grid.serve(call).await;
     }
 
     async fn call(&self, mut stream: TcpStream, node: usize, which: usize) -> Option<()> {
--- a/crates/testkit/src/soak/history.rs
+++ b/crates/testkit/src/soak/history.rs
@@ -237,6 +237,8 @@
 /// Where all parties write, with their one clock.
 #[derive(Clone, Debug)]
 pub struct Recorder {
+    /// How cold servers come up.
+    pub ramp: Ramp,
     begun: Instant,
     history: Arc<Mutex<History>>,
 }
@@ -258,7 +260,7 @@
             counters: BTreeMap::new(),
             lag: 0,
         };
-        Recorder { begun: Instant::now(), history: Arc::new(Mutex::new(history)) }
+        Recorder { ramp, begun: Instant::now(), history: Arc::new(Mutex::new(history)) }
     }
 
     /// Now.
--- a/crates/testkit/src/soak/mod.rs
+++ b/crates/testkit/src/soak/mod.rs
@@ -5,6 +5,7 @@
 pub mod check;
 mod client;
 pub mod history;
+mod listen;
 mod node;
 pub mod plan;
 mod relay;
@@ -95,9 +96,9 @@
     let recorder = Recorder::new(ramp, WINDOW_MS);
     let plan = Arc::new(plan.clone());
     let servers = Arc::new(Servers::bind(wanted.size.servers, wanted.size.nodes)?);
-    let relays = Arc::new(Relays::bind(&servers.addresses)?);
+    let relays = Arc::new(Relays::bind(&servers.grid.addresses)?);
     let registry = Arc::new(Registry::bind(
-        relays.addresses.clone(),
+        relays.grid.addresses.clone(),
         wanted.size.nodes,
         plan.clone(),
         recorder.clone(),
@@ -188,14 +189,9 @@
             (0..self.nodes.count()).for_each(|node| self.nodes.look(node));
             thread::sleep(Duration::from_millis(20));
         }
-        for thread in parties
-            .into_iter()
-            .chain(faults)
-            .chain(starting.into_iter().map(|t| thread::spawn(|| drop(t.join()))))
-        {
-            // One that has panicked has said so, and leaves a gap in the history that the oracle sees.
-            let _ = thread.join();
-        }
+        // One that has panicked has said so, and leaves a gap in the history that the oracle sees.
+        starting.into_iter().for_each(|thread| drop(thread.join()));
+        parties.into_iter().chain(faults).for_each(|thread| drop(thread.join()));
         (0..self.nodes.count()).for_each(|node| self.nodes.read_counters(node));
         self.registry.finish();
         Ok(self.recorder.history())
--- a/crates/testkit/src/soak/relay.rs
+++ b/crates/testkit/src/soak/relay.rs
@@ -2,16 +2,15 @@
 //! direction, lets answers drip, shuts one side or resets the link.
 
 use super::history::Recorder;
+use super::listen::Grid;
 use super::plan::{Kind, Plan};
 use super::server::reset;
-use std::net::{SocketAddr, TcpListener as Listener};
-use std::rc::Rc;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 /// Bytes of a drip, and the pause behind each.
@@ -24,8 +23,7 @@
 #[derive(Debug)]
 pub struct Relays {
     /// By server, then by node: where nodes find the servers.
-    pub addresses: Vec<Vec<SocketAddr>>,
-    listeners: Vec<Vec<Listener>>,
+    pub grid: Grid,
     /// Where the servers are.
     targets: Vec<Vec<SocketAddr>>,
 }
@@ -52,36 +50,20 @@
 impl Relays {
     /// Binds a relay ahead of each of these.
     pub fn bind(targets: &[Vec<SocketAddr>]) -> std::io::Result<Relays> {
-        let (mut listeners, mut addresses) = (Vec::new(), Vec::new());
-        for own in targets {
-            let bound: Result<Vec<_>, _> = own.iter().map(|_| Listener::bind("127.0.0.1:0")).collect();
-            let bound = bound?;
-            let at: Result<Vec<_>, _> = bound.iter().map(Listener::local_addr).collect();
-            addresses.push(at?);
-            listeners.push(bound);
-        }
-        Ok(Relays { addresses, listeners, targets: targets.to_vec() })
+        let columns = targets.first().map_or(0, Vec::len);
+        Ok(Relays { grid: Grid::bind(targets.len(), columns)?, targets: targets.to_vec() })
     }
 }
 
 /// Relays on this thread until it is dropped.
 pub async fn serve(relays: Arc<Relays>, plan: Arc<Plan>, recorder: Recorder) {
-    for (server, (listeners, targets)) in relays.listeners.iter().zip(&relays.targets).enumerate() {
-        let link = Rc::new(Link { server, plan: plan.clone(), recorder: recorder.clone() });
-        for (listener, target) in listeners.iter().zip(targets) {
-            let listener = listener.try_clone().expect("a listener");
-            listener.set_nonblocking(true).expect("a listener");
-            let listener = TcpListener::from_std(listener).expect("a listener");
-            let (link, target) = (link.clone(), *target);
-            spawn_local(async move {
-                while let Ok((stream, _)) = listener.accept().await {
-                    let link = link.clone();
-                    spawn_local(async move { link.join(stream, target).await });
-                }
-            });
-        }
-    }
-    std::future::pending::<()>().await;
+    let all = relays.clone();
+    let join = move |stream, server: usize, node: usize| {
+        let link = Link { server, plan: plan.clone(), recorder: recorder.clone() };
+        let target = all.targets[server][node];
+        async move { link.join(stream, target).await }
+    };
+    relays.grid.serve(join).await;
 }
 
 impl Link {
--- a/crates/testkit/src/soak/server.rs
+++ b/crates/testkit/src/soak/server.rs
@@ -2,18 +2,17 @@
 //! node's bytes arrive.
 
 use super::history::{Came, Made, Moment, Recorder};
+use super::listen::Grid;
 use super::plan::{Kind, Plan};
 use super::text::{self, Message};
 use crate::Random;
 use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, TcpListener as Listener};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::{TcpListener, TcpStream};
-use tokio::task::spawn_local;
+use tokio::net::TcpStream;
 use tokio::time::{sleep, sleep_until, timeout};
 
 /// A request that would wait for longer is turned away.
@@ -32,27 +31,16 @@
 #[derive(Debug)]
 pub struct Servers {
     /// By server, then by node.
-    pub addresses: Vec<Vec<SocketAddr>>,
+    pub grid: Grid,
     /// By server.
     pub processes: Vec<Process>,
-    listeners: Vec<Vec<Listener>>,
 }
 
 impl Servers {
     /// Binds all listeners.
     pub fn bind(servers: usize, nodes: usize) -> std::io::Result<Servers> {
-        let mut listeners = Vec::new();
-        for _ in 0..servers {
-            let own: Result<Vec<_>, _> = (0..nodes).map(|_| Listener::bind("127.0.0.1:0")).collect();
-            listeners.push(own?);
-        }
-        let mut addresses = Vec::new();
-        for own in &listeners {
-            let own: Result<Vec<_>, _> = own.iter().map(Listener::local_addr).collect();
-            addresses.push(own?);
-        }
         let processes = (0..servers).map(|_| Process::default()).collect();
-        Ok(Servers { addresses, processes, listeners })
+        Ok(Servers { grid: Grid::bind(servers, nodes)?, processes })
     }
 }
 
@@ -69,29 +57,22 @@
 
 /// Serves on this thread until it is dropped.
 pub async fn serve(all: Arc<Servers>, plan: Arc<Plan>, recorder: Recorder, seed: u64) {
-    for (number, listeners) in all.listeners.iter().enumerate() {
-        let server = Rc::new(Server {
+    let server = |number| {
+        Rc::new(Server {
             number,
             all: all.clone(),
             plan: plan.clone(),
             recorder: recorder.clone(),
             busy_until: Cell::new(Moment(0)),
             random: RefCell::new(Random::new(seed ^ (number as u64) << 8)),
-        });
-        for (node, listener) in listeners.iter().enumerate() {
-            let listener = listener.try_clone().expect("a listener");
-            listener.set_nonblocking(true).expect("a listener");
-            let listener = TcpListener::from_std(listener).expect("a listener");
-            let server = server.clone();
-            spawn_local(async move {
-                while let Ok((stream, _)) = listener.accept().await {
-                    let server = server.clone();
-                    spawn_local(async move { server.connection(stream, node).await });
-                }
-            });
-        }
-    }
-    std::future::pending::<()>().await;
+        })
+    };
+    let servers: Rc<Vec<_>> = Rc::new((0..all.processes.len()).map(server).collect());
+    let connection = move |stream, number: usize, node| {
+        let server = servers[number].clone();
+        async move { server.connection(stream, node).await }
+    };
+    all.grid.serve(connection).await;
 }
 
 /// Whether a connection goes on.
@@ -184,9 +165,7 @@
     /// Waits for the one worker, for as long as the work takes at the server's present share of its capacity.
     async fn work(&self) {
         let now = self.recorder.now();
-        let mut ramp = None;
-        self.recorder.write(|h| ramp = Some(h.ramp));
-        let Some(ramp) = ramp else { return };
+        let ramp = self.recorder.ramp;
         let born = self.process().born.load(Ordering::SeqCst);
         let share = super::check::share(&ramp, Moment(born), now);
         let work = Duration::from_secs_f64(1.0 / (ramp.capacity * share));
