Three tests that fail: an end that nobody is said to lack, a request counted twice, the list's former numbers

All three were seen to fail on this code: in force 0 of 0 with one forwarder that lacks the change; a service gone under its second request; a drained server ready again by version 146 of the source's former life.

--- a/crates/plan/tests/services.rs
+++ b/crates/plan/tests/services.rs
@@ -694,3 +694,101 @@
     publisher.acknowledge(700 * S, "f0", &answer);
     assert_eq!(publisher.in_force(2).map(|force| (force.at, force.of)), Some((0, 0)));
 }
+
+/// `rig subscriptions --seed 5265 --seeds 1` (issue 52): a planner said that a change was in force, "0 of 0", while a
+/// forwarder still used the server that it took away. That server was the last one of its service: the planner forgot
+/// the service, and with it who has to hear of its end. The service came again, and the forwarder, which came from a
+/// planner with an earlier list, counted as one that lacks nothing. The trace: `p1 hears batch 49 v1051 server-161
+/// Gone`, `batch 52 v1054 server-161 Ready`, then `subscribe service-12 source: 1004` and at once `change 1051 is said
+/// to be in force (0 of 0)`.
+#[test]
+fn a_change_that_ends_a_service_is_not_in_force_at_one_that_still_holds_it() {
+    let (mut late, mut publisher) = (publisher(7), publisher(8));
+    late.list(0, 1, true, servers("tide", 1));
+    let mut f0 = connect(0, &mut late, "f0", 7);
+    f0.want(0, "tide");
+    exchange(0, &mut late, &mut f0, "f0", 0);
+    let mut both = servers("tide", 1);
+    both.extend(servers("rain", 2));
+    publisher.list(0, 1, true, both);
+    publisher.list(S, 2, false, vec![gone("tide", "tide-0000"), draining("rain", "rain-0001")]);
+    publisher.list(2 * S, 3, false, vec![listed("tide", Member::warm("tide-0009"))]);
+    join(3 * S, &mut publisher, &mut f0, "f0", (1, 8));
+    while let Some(word) = f0.next_subscribe(3 * S) {
+        publisher.subscribe(3 * S, "f0", &word).unwrap();
+    }
+    let force = publisher.in_force(2).expect("it is followed");
+    assert_eq!((force.at, force.of, force.since), (0, 1, None));
+    exchange(3 * S, &mut publisher, &mut f0, "f0", 1);
+    let force = publisher.in_force(2).expect("it is followed");
+    assert_eq!((force.at, force.of, force.since), (1, 1, Some(3 * S)));
+    assert_eq!(names(&f0, "tide"), ["tide-0009"]);
+}
+
+/// `rig subscriptions --seed 5132 --seeds 1` and 5036 (issue 52): a forwarder dropped a service with a request under way.
+/// A request had waited for the service when a planner said that there is none; the service came to be and was asked for
+/// anew, and as the first request ended it was counted off the second one's. The trace: `update n140 service-16 Unknown`
+/// at 9.671 s, a second request and the whole at 11.073 s, `drops service-16 under 1 requests` at 11.075 s.
+#[test]
+fn a_request_from_before_a_service_was_there_does_not_end_a_later_one() {
+    let mut publisher = publisher(7);
+    publisher.list(0, 1, true, servers("tide", 2));
+    let mut f0 = Subscriber::new(0, Settings { most_services: 1, ..settings("f0") });
+    join(0, &mut publisher, &mut f0, "f0", (0, 7));
+    f0.want(0, "rain");
+    f0.began("rain");
+    exchange(0, &mut publisher, &mut f0, "f0", 0);
+    assert_eq!(f0.want(S, "rain"), Standing::Unknown);
+    publisher.list(2 * S, 2, false, servers("rain", 2));
+    f0.poll(40 * S);
+    assert_eq!(f0.want(40 * S, "rain"), Standing::Waiting);
+    f0.began("rain");
+    f0.ended(40 * S, "rain");
+    exchange(40 * S, &mut publisher, &mut f0, "f0", 0);
+    f0.want(41 * S, "tide");
+    exchange(41 * S, &mut publisher, &mut f0, "f0", 0);
+    assert!(f0.members_of("rain").is_some(), "one request of it is still under way");
+    f0.ended(42 * S, "rain");
+    f0.want(42 * S, "tide");
+    exchange(42 * S, &mut publisher, &mut f0, "f0", 0);
+    assert!(f0.members_of("tide").is_some(), "now there is room");
+}
+
+/// The fault of seed 53 message by message: see `a_restart_of_the_list_beside_a_move_between_planners` in the simulation.
+#[test]
+fn a_planner_that_is_late_with_the_lists_former_numbers_is_not_believed() {
+    let (mut first, mut late) = (publisher(7), publisher(8));
+    for (k, publisher) in [&mut first, &mut late].into_iter().enumerate() {
+        publisher.list(0, 100, true, servers("tide", 3));
+        publisher.list(S, 146, false, vec![listed("tide", Member::warm(&format!("tide-000{}", 3 + k / 9)))]);
+    }
+    let mut f0 = connect(S, &mut first, "f0", 7);
+    f0.want(S, "tide");
+    exchange(S, &mut first, &mut f0, "f0", 0);
+    // The source starts anew, and only the first planner hears it and what comes then.
+    let restored: Vec<Listed> = servers("tide", 4);
+    first.list(2 * S, 2, true, restored);
+    first.list(3 * S, 18, false, vec![draining("tide", "tide-0001")]);
+    exchange(3 * S, &mut first, &mut f0, "f0", 0);
+    let draining_at = |f0: &Subscriber| {
+        let members = f0.members_of("tide").unwrap_or_default();
+        members
+            .iter()
+            .filter(|m| m.server.phase == Phase::Draining)
+            .map(|m| m.name.clone())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(draining_at(&f0), ["tide-0001"]);
+    f0.lost(4 * S, 0);
+    join(4 * S, &mut late, &mut f0, "f0", (1, 8));
+    exchange(4 * S, &mut late, &mut f0, "f0", 1);
+    exchange(6 * S, &mut late, &mut f0, "f0", 1);
+    assert_eq!(draining_at(&f0), ["tide-0001"], "version 146 of the former numbers is earlier than 18");
+    // Once it has come up to that it is believed at once, also where it says that the server is ready again.
+    late.list(7 * S, 2, true, servers("tide", 4));
+    late.list(7 * S, 18, false, vec![draining("tide", "tide-0001")]);
+    late.list(7 * S, 19, false, vec![listed("tide", Member::warm("tide-0001"))]);
+    exchange(7 * S, &mut late, &mut f0, "f0", 1);
+    assert_eq!(draining_at(&f0), Vec::<String>::new());
+    equal(&late, &f0, "f0", "tide");
+}
