Keep an emptied service while a change of it is followed: its end was in force nowhere

Cause: a service with neither servers nor subscribers was forgotten at once, and with it who had to hear of its end. One of the same name was new, with an empty log, so that a forwarder that came from a planner with an earlier list owed nothing.

It is now kept until the last record of a change that touched it is dropped, so that its log and versions go on. That holds because a record and the service it names now end together; where there is no room for another service, unused ones go first. Both places that forgot a service go this way.

--- a/crates/plan/src/services/publisher/forwarders.rs
+++ b/crates/plan/src/services/publisher/forwarders.rs
@@ -277,10 +277,7 @@
         if let Some(slice) = service.slices.get_mut(s.slice) {
             slice.subscribers.remove(&id);
         }
-        if service.size() == 0 && service.slices.iter().all(|s| s.subscribers.is_empty()) {
-            let service = self.services.remove(&service_id);
-            service.map(|s| self.by_name.remove(&s.name));
-        }
+        self.forget_unused(service_id);
     }
 
     pub(super) fn part_with(&mut self, now: Nanos, id: u32) {
--- a/crates/plan/src/services/publisher/list.rs
+++ b/crates/plan/src/services/publisher/list.rs
@@ -129,6 +129,9 @@
                 dropped.names += 1;
                 continue;
             }
+            if self.services.len() >= MOST_SERVICES && !self.by_name.contains_key(name.as_str()) {
+                self.forget_all_unused();
+            }
             let id = match self.by_name.get(name.as_str()) {
                 Some(&id) => id,
                 None if self.services.len() >= MOST_SERVICES => {
@@ -188,11 +191,6 @@
         let mut cut: BTreeSet<u32> = BTreeSet::new();
         for (id, k) in touched {
             let Some(service) = self.services.get_mut(&id) else { continue };
-            if service.size() == 0 && service.slices.iter().all(|s| s.subscribers.is_empty()) {
-                let service = self.services.remove(&id);
-                service.map(|s| self.by_name.remove(&s.name));
-                continue;
-            }
             if let Some(number) = service.other_number() {
                 cut.insert(id);
                 self.cut(id, number, source);
@@ -224,6 +222,28 @@
             if self.batches.get(&record.source) == Some(&old) {
                 self.batches.remove(&record.source);
             }
+            record.touched.iter().for_each(|(id, ..)| self.forget_unused(*id));
+        }
+    }
+
+    /// Forgets a service that has no servers and no subscribers, once no change of it is followed any longer. Until then a
+    /// forwarder may come that still holds what it was, and that has to count as lacking the change that emptied it.
+    pub(super) fn forget_unused(&mut self, id: u32) {
+        let Some(service) = self.services.get(&id).filter(|service| service.unused()) else { return };
+        if self.records.contains_key(&service.last_batch()) {
+            return;
+        }
+        self.by_name.remove(&service.name);
+        self.services.remove(&id);
+    }
+
+    /// Forgets all services without servers and subscribers, to make room for others.
+    fn forget_all_unused(&mut self) {
+        let unused = self.services.iter().filter(|(_, service)| service.unused());
+        let unused: Vec<u32> = unused.map(|(id, _)| *id).collect();
+        for id in unused {
+            let service = self.services.remove(&id);
+            service.map(|service| self.by_name.remove(&service.name));
         }
     }
 
--- a/crates/plan/src/services/publisher/mod.rs
+++ b/crates/plan/src/services/publisher/mod.rs
@@ -330,7 +330,7 @@
         let slices = self.services.values().flat_map(|s| &s.slices);
         Figures {
             left: slices.map(|s| s.rows.len() - s.size).sum(),
-            services: self.services.len(),
+            services: self.services.values().filter(|service| !service.unused()).count(),
             servers: self.servers.len(),
             forwarders: self.connected,
             subscriptions,
--- a/crates/plan/src/services/publisher/slice.rs
+++ b/crates/plan/src/services/publisher/slice.rs
@@ -138,6 +138,17 @@
         self.slices.iter().map(|s| s.size).sum()
     }
 
+    /// Whether it has neither servers nor subscribers, and is no longer being filled.
+    pub(super) fn unused(&self) -> bool {
+        self.size() == 0 && self.slices.iter().all(|s| s.subscribers.is_empty() && !s.log.is_empty())
+    }
+
+    /// The last batch of the list that changed it.
+    pub(super) fn last_batch(&self) -> u64 {
+        let last = self.slices.iter().filter_map(|s| s.log.back());
+        last.map(|(_, _, batch)| *batch).max().unwrap_or(0)
+    }
+
     /// The slice that has, or would have, a server of this name.
     pub(super) fn slice_of(&self, server: &str) -> usize {
         place(server, self.slices.len())
