Order the list's versions over restarts of its source: a late planner's former numbers were believed

Cause: the list's source counts from the beginning again when it starts anew, and does not say so. The forwarder held version 22 of the new numbers and moved to a planner that heard the list 4 s late and stood at 146 of the former ones; 146 is more than 22. The trace with the source's life beside each message showed it.

Why the mend holds: numbers are compared within an epoch, which whoever follows the list counts up where they go back. How two parties count epochs is told by a number that both have followed with the same digest of the whole list, not by clocks and not by who started when. Messages have fields more; who does not know them is compared by numbers as before.

The simulation's checker takes a word for late by epoch and number, as the machines do, in place of the number alone: it excuses less than before where the numbers had gone back.

--- a/crates/plan/src/follower.rs
+++ b/crates/plan/src/follower.rs
@@ -360,6 +360,7 @@
     /// Drains and leavings that this forwarder knows of, for its reports.
     pub fn closed(&self) -> Vec<Closed> {
         let closed = |(name, mark): (&String, &Mark)| Closed {
+            epoch: 0,
             name: name.clone(),
             membership: mark.membership,
             started_ms: mark.started_at / MS,
--- a/crates/plan/src/services/digest.rs
+++ b/crates/plan/src/services/digest.rs
@@ -17,6 +17,12 @@
     }
 }
 
+/// One server's part of the digest of a whole list: its own part, with the services that it serves in any order.
+pub fn listed<'a>(member: u64, services: impl Iterator<Item = &'a str>) -> u64 {
+    let services = services.map(|service| mix(13, service.as_bytes())).fold(0, u64::wrapping_add);
+    mix(member, &services.to_le_bytes())
+}
+
 fn of_facts(name: &str, facts: &wire::Facts) -> u64 {
     mix(mix(7, name.as_bytes()), &facts.encode_to_vec())
 }
--- a/crates/plan/src/services/mod.rs
+++ b/crates/plan/src/services/mod.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`publisher`]: a planner's side. It holds all services; a change costs what its service's subscribers cost.
 //! - [`subscriber`]: a forwarder's side. It holds the services in use, at one planner at a time.
+//! - [`list_version`]: the order of the list's versions, over restarts of the list's source.
 //! - [`digest`]: whether two copies of a service name the same servers, told by one number.
 //!
 //! A service has one counter of versions, and each of its servers the version that last changed it. A subscriber's
@@ -14,6 +15,7 @@
 //! A service of many servers is cut into slices by the servers' names, and a forwarder subscribes to one of them.
 
 pub mod digest;
+pub mod list_version;
 pub mod publisher;
 pub mod subscriber;
 
--- a/crates/plan/src/services/publisher/force.rs
+++ b/crates/plan/src/services/publisher/force.rs
@@ -67,7 +67,7 @@
             return self.explain_server(&ask.server);
         }
         let figures = self.figures();
-        let version = self.source.map_or("none yet".to_owned(), |v| v.to_string());
+        let version = self.source().map_or("none yet".to_owned(), |v| v.to_string());
         format!(
             "site {}, list {version}\nservices: {} with {} servers\nforwarders: {} connected of {} known, {} \
              subscriptions\nsent: {} updates with {} bytes, {} wholes\n",
@@ -125,7 +125,7 @@
                 text,
                 "  slice {k}: version {} by list {}, {} servers ({closed} draining), {} subscribers",
                 slice.version,
-                slice.source,
+                slice.source.number,
                 slice.size,
                 slice.subscribers.len()
             );
--- a/crates/plan/src/services/publisher/forwarders.rs
+++ b/crates/plan/src/services/publisher/forwarders.rs
@@ -1,6 +1,9 @@
 //! Forwarders: who is connected, what each wants, and what it has acknowledged.
 
 use super::*;
+use crate::services::list_version::FIRST_EPOCH;
+use crate::services::subscriber::MOST_FOLLOWED;
+use crate::wire::Followed;
 
 impl Publisher {
     /// A forwarder has connected. It says what it wants by `subscribe`, and all of it anew.
@@ -25,6 +28,7 @@
         (f.dirty, f.urgent, f.hints, f.absent) = Default::default();
         f.fresh.clear();
         f.early.clear();
+        (f.followed, f.epochs_ahead) = (Vec::new(), None);
         self.forget_reports(id);
         self.due.insert((now + ANEW, Due::Stale(id)));
         Ok(())
@@ -47,6 +51,8 @@
             hints: BTreeSet::new(),
             absent: BTreeSet::new(),
             early: Vec::new(),
+            followed: Vec::new(),
+            epochs_ahead: None,
             reported: BTreeSet::new(),
             tokens: self.settings.burst,
             drain_tokens: self.settings.drain_burst,
@@ -83,7 +89,8 @@
             f.tokens = f.tokens.min(f64::from(allowance));
             f.drain_tokens = f.drain_tokens.min(f64::from(allowance));
         }
-        self.hear_of_closed(now, &subscribe.closed);
+        self.hear_of_history(id, &subscribe.followed);
+        self.hear_of_closed(now, id, &subscribe.closed);
         for interest in &subscribe.interests {
             self.figures.steps += 1;
             if interest.unwanted {
@@ -99,6 +106,31 @@
         Ok(())
     }
 
+    /// A forwarder says what it has followed of the list, with the first that it says on a connection.
+    fn hear_of_history(&mut self, id: u32, followed: &[Followed]) {
+        let Some(f) = self.forwarders.get_mut(&id) else { return };
+        if f.epochs_ahead.is_some() {
+            return;
+        }
+        let seen = followed.iter().take(MOST_FOLLOWED).map(Followed::seen);
+        f.followed.extend(seen);
+        f.followed.truncate(MOST_FOLLOWED);
+        self.compare_histories(id);
+    }
+
+    /// Finds out how a forwarder counts epochs. Where nothing tells, its latest one is taken for the present one, so that
+    /// the numbers alone are compared.
+    pub(super) fn compare_histories(&mut self, id: u32) {
+        let (Some(source), Some(f)) = (self.source, self.forwarders.get_mut(&id)) else { return };
+        if f.left_at.is_some() || f.epochs_ahead.is_some() {
+            return;
+        }
+        let latest = f.followed.last().map_or(FIRST_EPOCH, |seen| seen.version.epoch);
+        let by_number = latest as i64 - source.epoch as i64;
+        f.epochs_ahead = Some(self.history.epochs_ahead(&f.followed).unwrap_or(by_number));
+        f.followed = Vec::new();
+    }
+
     /// What a forwarder has not named again since it connected is no longer wanted.
     pub(super) fn withdraw_stale(&mut self, now: Nanos, id: u32) {
         let here = |f: &&Forwarder| f.left_at.is_none();
@@ -157,6 +189,7 @@
             service.choose(&f.name, (interest.slice as usize, interest.slices as usize))
         };
         let slice = &mut service.slices[k];
+        let told = ListVersion { epoch: f.own_epoch(interest.epoch), number: interest.source };
         let mut s = Subscription::whole(k);
         let resumes = alike && interest.life == own_life && interest.version > 0;
         let held = interest.version;
@@ -173,7 +206,7 @@
         }
         let lacks_from = match (resumes, holds) {
             (true, _) => held,
-            (false, true) => slice.made_from(interest.source),
+            (false, true) => slice.made_from(told),
             (false, false) => slice.version,
         };
         for &(version, _, batch) in slice.log.iter().filter(|(version, ..)| *version > lacks_from) {
@@ -183,10 +216,10 @@
             }
         }
         slice.subscribers.insert(id);
-        if interest.source > self.source.unwrap_or(0) {
+        if told > self.source.unwrap_or_default() {
             // From when it came, however often it asks: else it would wait for ever.
             let until = (f.joined_at + STUBBORN).max(now);
-            s.later = Some((interest.source, until));
+            s.later = Some((told, until));
             self.waiting.insert(id);
             self.due.insert((until, Due::Later(id)));
         }
@@ -221,13 +254,15 @@
     }
 
     /// A later list than this planner's says that these take nothing new.
-    fn hear_of_closed(&mut self, now: Nanos, closed: &[Closed]) {
+    fn hear_of_closed(&mut self, now: Nanos, id: u32, closed: &[Closed]) {
         let Some(source) = self.source else { return };
+        let Some(own_epoch) = self.forwarders.get(&id).map(|f| f.epochs_ahead) else { return };
         let mut entries = Vec::new();
         for word in closed {
             let Some(server) = self.servers.get(word.name.as_str()) else { continue };
             let same_life = server.member.server.started_at / MS <= word.started_ms;
-            if word.membership > source && same_life {
+            let told = ListVersion { epoch: translated(word.epoch, own_epoch), number: word.membership };
+            if told > source && same_life {
                 let phase = if word.gone { Phase::Gone } else { Phase::Draining };
                 let names = server.services.iter().filter_map(|id| self.services.get(id));
                 let services: Vec<String> = names.map(|s| s.name.to_string()).collect();
@@ -360,3 +395,25 @@
         }
     }
 }
+
+impl Forwarder {
+    /// One of its epochs, as they are counted here.
+    fn own_epoch(&self, theirs: u64) -> u64 {
+        translated(theirs, self.epochs_ahead)
+    }
+
+    /// One of the own epochs as it counts them; 0 as long as that is not known.
+    pub(super) fn their_epoch(&self, own: u64) -> u64 {
+        self.epochs_ahead.map_or(0, |ahead| own.saturating_add_signed(ahead))
+    }
+}
+
+fn translated(theirs: u64, ahead: Option<i64>) -> u64 {
+    theirs.saturating_add_signed(-ahead.unwrap_or(0))
+}
+
+impl Followed {
+    fn seen(&self) -> Seen {
+        Seen { version: ListVersion { epoch: self.epoch, number: self.number }, digest: self.digest }
+    }
+}
--- a/crates/plan/src/services/publisher/list.rs
+++ b/crates/plan/src/services/publisher/list.rs
@@ -9,13 +9,27 @@
             // Changes to a list that is not known: nobody may take the rest for gone.
             return Dropped::default();
         }
-        let first = self.source.replace(version).is_none();
+        let first = self.source.is_none();
+        let version = self.follow(version);
+        let named: BTreeSet<Name> = match whole {
+            true => BTreeSet::new(),
+            false => entries.iter().map(|e| Name::from(e.member.name.as_str())).collect(),
+        };
+        let before = named.iter().map(|name| self.listed_digest(name)).fold(0, u64::wrapping_add);
         // What the list says counts from here on.
         match whole {
             true => self.overruled.clear(),
             false => entries.iter().for_each(|e| drop(self.overruled.remove(e.member.name.as_str()))),
         }
         let dropped = self.take(now, (version, true), whole, entries);
+        let sum = |names: &mut dyn Iterator<Item = &Name>| {
+            names.map(|name| self.listed_digest(name)).fold(0, u64::wrapping_add)
+        };
+        self.list_digest = match whole {
+            true => sum(&mut self.servers.keys()),
+            false => self.list_digest.wrapping_sub(before).wrapping_add(sum(&mut named.iter())),
+        };
+        self.history.push(Seen { version, digest: self.list_digest });
         // Those who held a later list than this one was.
         let waiting: Vec<u32> = self.waiting.iter().copied().collect();
         waiting.into_iter().for_each(|f| self.look_at_later(now, f));
@@ -25,10 +39,32 @@
         dropped
     }
 
+    /// The list has come to this number. Where it goes back, its source has started anew, and another epoch begins.
+    fn follow(&mut self, number: u64) -> ListVersion {
+        let epoch = match self.source {
+            None => 0,
+            Some(before) => before.epoch + u64::from(number < before.number),
+        };
+        let version = ListVersion { epoch, number };
+        self.source = Some(version);
+        version
+    }
+
+    /// What a server adds to the digest of the list, as the list told it.
+    fn listed_digest(&self, name: &str) -> u64 {
+        if let Some((_, own)) = self.overruled.get(name) {
+            return digest::listed(digest::of(&own.member), own.services.iter().map(String::as_str));
+        }
+        let Some(server) = self.servers.get(name) else { return 0 };
+        let services = server.services.iter().filter_map(|id| self.services.get(id));
+        digest::listed(server.digest, services.map(|service| &*service.name))
+    }
+
     /// There is a list now: what was asked for before can be told.
     fn hear_early(&mut self, now: Nanos) {
         let ids: Vec<u32> = self.forwarders.keys().copied().collect();
         for id in ids {
+            self.compare_histories(id);
             let early = self.forwarders.get_mut(&id).map(|f| std::mem::take(&mut f.early));
             for interest in early.into_iter().flatten() {
                 // They were counted as they came.
@@ -42,7 +78,7 @@
     pub(super) fn take(
         &mut self,
         now: Nanos,
-        (version, told): (u64, bool),
+        (version, told): (ListVersion, bool),
         whole: bool,
         entries: Vec<Listed>,
     ) -> Dropped {
@@ -185,9 +221,15 @@
     }
 
     /// Tells all who use what has changed, once for all of a word.
-    fn end_batch(&mut self, now: Nanos, (source, told): (u64, bool), touched: BTreeSet<(u32, usize)>) {
+    fn end_batch(
+        &mut self,
+        now: Nanos,
+        (source, told): (ListVersion, bool),
+        touched: BTreeSet<(u32, usize)>,
+    ) {
         let batch = self.batch;
-        let mut record = Record { told_at: now, source, touched: Vec::new(), waiting: 0, since: None };
+        let mut record =
+            Record { told_at: now, source: source.number, touched: Vec::new(), waiting: 0, since: None };
         let mut cut: BTreeSet<u32> = BTreeSet::new();
         for (id, k) in touched {
             let Some(service) = self.services.get_mut(&id) else { continue };
@@ -208,14 +250,14 @@
         if record.touched.is_empty() {
             // A version that comes again, after the source's restart, no longer says what it said.
             if told {
-                self.batches.remove(&source);
+                self.batches.remove(&source.number);
             }
             return;
         }
         record.since = (record.waiting == 0).then_some(now);
         self.records.insert(batch, record);
         if told {
-            self.batches.insert(source, batch);
+            self.batches.insert(source.number, batch);
         }
         while self.records.len() > MOST_RECORDS {
             let Some((old, record)) = self.records.pop_first() else { break };
@@ -272,7 +314,7 @@
     }
 
     /// Cuts a service into so many slices; all who use it are dealt to them anew and get their slice whole.
-    pub(super) fn cut(&mut self, id: u32, number: usize, source: u64) {
+    pub(super) fn cut(&mut self, id: u32, number: usize, source: ListVersion) {
         let Some(service) = self.services.get_mut(&id) else { return };
         let users: BTreeSet<u32> =
             service.slices.iter().flat_map(|s| s.subscribers.iter().copied()).collect();
--- a/crates/plan/src/services/publisher/mod.rs
+++ b/crates/plan/src/services/publisher/mod.rs
@@ -17,6 +17,7 @@
 use crate::member::{Member, LONGEST_NAME};
 use crate::planner::ReportError;
 use crate::services::digest;
+use crate::services::list_version::{History, ListVersion, Seen};
 use crate::wire::{Acknowledge, Because, Closed, Interest, Subscribe};
 use hints::Standing;
 use laurelroute_policy::interface::{Nanos, Phase};
@@ -194,7 +195,7 @@
     /// Changes that it has not acknowledged: the slice's version and the batch.
     owes: VecDeque<(u64, u64)>,
     /// Nothing is sent before the list has come to this version, or until then.
-    later: Option<(u64, Nanos)>,
+    later: Option<(ListVersion, Nanos)>,
     /// It has not been named since the forwarder connected.
     stale: bool,
     /// The number of subscribers that it was told last.
@@ -224,6 +225,10 @@
     absent: BTreeSet<String>,
     /// What it wants, as long as there is no list to tell of.
     early: Vec<Interest>,
+    /// What it has followed of the list, as it came; kept as long as there is no list here.
+    followed: Vec<Seen>,
+    /// How far its epochs are ahead of the own ones; not known before it has said what it has followed.
+    epochs_ahead: Option<i64>,
     /// Servers that it has reported on.
     reported: BTreeSet<Name>,
     tokens: f64,
@@ -269,7 +274,11 @@
 #[derive(Clone, Debug)]
 pub struct Publisher {
     settings: Settings,
-    source: Option<u64>,
+    source: Option<ListVersion>,
+    /// Versions of the list that were told here.
+    history: History,
+    /// The digest of the list as it was told, whatever others' word says of its servers.
+    list_digest: u64,
     servers: BTreeMap<Name, Server>,
     services: BTreeMap<u32, Service>,
     by_name: BTreeMap<Name, u32>,
@@ -299,6 +308,8 @@
         Publisher {
             settings,
             source: None,
+            history: History::new(MOST_RECORDS),
+            list_digest: 0,
             servers: BTreeMap::new(),
             services: BTreeMap::new(),
             by_name: BTreeMap::new(),
@@ -321,6 +332,11 @@
 
     /// The version of the list that it goes by.
     pub fn source(&self) -> Option<u64> {
+        self.source.map(|source| source.number)
+    }
+
+    /// The same with the epoch of that version.
+    pub fn list_version(&self) -> Option<ListVersion> {
         self.source
     }
 
@@ -378,7 +394,7 @@
 
     /// A forwarder that held a later list is told where this one's has come up to it, or has insisted for long enough.
     pub(super) fn look_at_later(&mut self, now: Nanos, id: u32) {
-        let source = self.source.unwrap_or(0);
+        let source = self.source.unwrap_or_default();
         let Some(f) = self.forwarders.get_mut(&id) else { return };
         let mut waits = false;
         for (service, s) in &mut f.subscriptions {
--- a/crates/plan/src/services/publisher/slice.rs
+++ b/crates/plan/src/services/publisher/slice.rs
@@ -1,5 +1,6 @@
 //! A service's servers in slices, each with the version that last changed each of them.
 
+use crate::services::list_version::ListVersion;
 use crate::services::place;
 use crate::{mix, scramble};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -42,11 +43,11 @@
     /// Who holds an older version may lack the leaving of a server that is forgotten here.
     pub(super) horizon: u64,
     /// The version of the list that last changed it.
-    pub(super) source: u64,
+    pub(super) source: ListVersion,
     pub(super) digest: u64,
     pub(super) subscribers: BTreeSet<u32>,
     /// Versions, oldest first, with those of the list and the batches that made them.
-    pub(super) log: VecDeque<(u64, u64, u64)>,
+    pub(super) log: VecDeque<(u64, ListVersion, u64)>,
     /// Servers that are there.
     pub(super) size: usize,
     /// The batch that made the present version.
@@ -91,7 +92,7 @@
     }
 
     /// The present version was made from this version of the list.
-    pub(super) fn log(&mut self, source: u64, batch: u64) {
+    pub(super) fn log(&mut self, source: ListVersion, batch: u64) {
         self.source = source;
         self.log.push_back((self.version, source, batch));
         if self.log.len() > LOG {
@@ -100,8 +101,8 @@
     }
 
     /// The last version of this slice that was made from no later list than this.
-    pub(super) fn made_from(&self, source: u64) -> u64 {
-        let older = |(_, from, _): &&(u64, u64, u64)| *from <= source;
+    pub(super) fn made_from(&self, source: ListVersion) -> u64 {
+        let older = |(_, from, _): &&(u64, ListVersion, u64)| *from <= source;
         let before = self.log.front().map_or(self.version, |(first, ..)| first.saturating_sub(1));
         self.log.iter().rev().find(older).map_or(before, |(version, ..)| *version)
     }
@@ -163,7 +164,7 @@
     }
 
     /// Cuts it anew. All that was held of it is another slice's now; versions go on from the highest.
-    pub(super) fn cut(&mut self, number: usize, source: u64, batch: u64) {
+    pub(super) fn cut(&mut self, number: usize, source: ListVersion, batch: u64) {
         let version = 1 + self.slices.iter().map(|s| s.version).max().unwrap_or(0);
         let old = std::mem::replace(&mut self.slices, vec![Slice::default(); number]);
         for slice in &mut self.slices {
--- a/crates/plan/src/services/publisher/stream.rs
+++ b/crates/plan/src/services/publisher/stream.rs
@@ -49,7 +49,9 @@
         let mut update = Update {
             site: self.settings.site.clone(),
             life: self.settings.life,
-            source: self.source.unwrap_or(0),
+            source: self.source.unwrap_or_default().number,
+            epoch: f.their_epoch(self.source.unwrap_or_default().epoch),
+            list_digest: self.list_digest,
             ..Update::default()
         };
         if f.under_way.len() < WINDOW && self.source.is_some() {
@@ -390,7 +392,7 @@
     fn head(&self, service: &Name) -> Changes {
         Changes {
             service: service.to_string(),
-            source: self.source,
+            source: self.source.number,
             subscribers: self.told,
             ..Changes::default()
         }
--- a/crates/plan/src/services/subscriber/choice.rs
+++ b/crates/plan/src/services/subscriber/choice.rs
@@ -4,7 +4,7 @@
 //! forwarders over all others. One that is full refuses, and the next one is asked. After a loss forwarders come back spread
 //! out in time, and later return to the one that is first for them.
 
-use super::{MS, S};
+use super::{ListVersion, MS, S};
 use crate::{mix, scramble};
 use laurelroute_policy::interface::Nanos;
 
@@ -44,7 +44,7 @@
     not_before: Nanos,
     draws: u64,
     /// The latest version of the list of which anything that is held was made.
-    pub(super) newest: u64,
+    pub(super) newest: ListVersion,
 }
 
 impl Choice {
@@ -59,7 +59,7 @@
             trying: None,
             not_before: now,
             draws: mix(seed, name.as_bytes()),
-            newest: 0,
+            newest: ListVersion::default(),
         }
     }
 
--- a/crates/plan/src/services/subscriber/held.rs
+++ b/crates/plan/src/services/subscriber/held.rs
@@ -3,6 +3,7 @@
 use super::{Change, Word};
 use crate::grade;
 use crate::member::{Member, LONGEST_NAME};
+use crate::services::list_version::ListVersion;
 use crate::services::{digest, place};
 use crate::wire::{Because, Changes, Piece, Row, Suspicion};
 use laurelroute_policy::interface::{Nanos, Phase};
@@ -22,7 +23,7 @@
 pub(super) struct Left {
     pub(super) name: String,
     pub(super) started_at: Nanos,
-    pub(super) source: u64,
+    pub(super) source: ListVersion,
     pub(super) at: Nanos,
 }
 
@@ -49,7 +50,7 @@
     /// The life of the planner whose version this is; 0 for none.
     pub(super) life: u64,
     pub(super) version: u64,
-    pub(super) source: u64,
+    pub(super) source: ListVersion,
     pub(super) digest: u64,
     pub(super) slice: u32,
     pub(super) slices: u32,
@@ -71,7 +72,7 @@
             servers: BTreeMap::new(),
             life: 0,
             version: 0,
-            source: 0,
+            source: ListVersion::default(),
             digest: 0,
             slice: 0,
             slices: 0,
@@ -89,7 +90,7 @@
     pub(super) fn take(
         &mut self,
         now: Nanos,
-        (life, source): (u64, u64),
+        (life, source): (u64, ListVersion),
         changes: &Changes,
         changed: &mut Changed,
         left: &mut VecDeque<Left>,
@@ -153,7 +154,7 @@
     }
 
     /// Something of this list has been taken in.
-    fn raise(&mut self, life: u64, source: u64) {
+    fn raise(&mut self, life: u64, source: ListVersion) {
         if self.life != life {
             (self.life, self.version) = (0, 0);
         }
@@ -161,7 +162,7 @@
     }
 
     /// A whole begins. What is another slice's now goes at once: nobody would tell of its drains.
-    fn begin(&mut self, now: Nanos, source: u64, changes: &Changes, changed: &mut Changed) {
+    fn begin(&mut self, now: Nanos, source: ListVersion, changes: &Changes, changed: &mut Changed) {
         self.whole = Some(BTreeSet::new());
         if self.slices == changes.slices && self.slice == changes.slice {
             return;
@@ -180,7 +181,7 @@
     fn aside(
         &mut self,
         now: Nanos,
-        source: u64,
+        source: ListVersion,
         rows: Rows,
         changes: &Changes,
         changed: &mut Changed,
@@ -218,7 +219,7 @@
     fn remove(
         &mut self,
         now: Nanos,
-        source: u64,
+        source: ListVersion,
         name: &str,
         changed: &mut Changed,
         left: &mut VecDeque<Left>,
--- a/crates/plan/src/services/subscriber/mod.rs
+++ b/crates/plan/src/services/subscriber/mod.rs
@@ -10,6 +10,7 @@
 use super::publisher::{BEAT, FRAMING};
 use crate::follower::Word;
 use crate::member::{Member, LONGEST_NAME};
+use crate::services::list_version::{History, ListVersion, Seen};
 use crate::wire::{Acknowledge, Because, Changes, Closed, Piece, Refused, Subscribe, Update};
 use choice::Choice;
 use held::{Held, Left};
@@ -36,6 +37,11 @@
 /// Bytes that a service takes beside its servers.
 const SERVICE_BYTES: usize = 8_000;
 
+/// Versions of the list that a forwarder remembers, and the time between two of them: together well over the time by which
+/// one planner's list is later than another's.
+pub const MOST_FOLLOWED: usize = 24;
+const FOLLOW_STEP: Nanos = 400 * MS;
+
 /// A planner that has said nothing for so long is taken for lost: well above the beats that one misses which is met by a
 /// third of all forwarders at once.
 pub const SILENCE: Nanos = 6 * BEAT;
@@ -147,6 +153,9 @@
     /// Servers that have left, for a planner with an earlier list.
     left: VecDeque<Left>,
     say_closed: bool,
+    /// Versions of the list that planners went by, and when the last was noted.
+    history: History,
+    noted_at: Nanos,
     /// The planner has not been told yet how many bytes are left.
     say_allowance: bool,
     /// The planner has not been told yet that it has heard of all that is wanted.
@@ -180,6 +189,8 @@
             unwanted: BTreeSet::new(),
             again: BTreeSet::new(),
             left: VecDeque::new(),
+            history: History::new(MOST_FOLLOWED),
+            noted_at: now,
             say_closed: false,
             say_allowance: false,
             say_all: false,
@@ -292,6 +303,9 @@
         self.figures.received += size as u64;
         self.takes -= size as f64;
         let life = self.choice.heard(now, planner)?;
+        // A planner that does not count epochs is compared by its numbers alone.
+        let epoch = if update.epoch == 0 { self.newest().epoch } else { update.epoch };
+        let source = ListVersion { epoch, number: update.source };
         let because = match () {
             () if update.site != self.settings.site => Because::OtherSite,
             () if update.life != life => Because::OldLife,
@@ -302,7 +316,7 @@
         let mut refused: BTreeMap<&str, Because> = BTreeMap::new();
         for changes in &services {
             let taken = match because {
-                Because::Taken => self.take(now, update, changes),
+                Because::Taken => self.take(now, (update.life, source), changes),
                 _ => Err(because),
             };
             if taken.is_err() && changes.piece() == Piece::Unknown {
@@ -313,8 +327,9 @@
                 refused.insert(&changes.service, because);
             }
         }
-        if because == Because::Taken && update.source < self.newest() {
-            self.say_closed |= !self.choice.insists(now, STUBBORN);
+        if because == Because::Taken && update.epoch > 0 {
+            self.follow(now, Seen { version: source, digest: update.list_digest });
+            self.say_closed |= source < self.newest() && !self.choice.insists(now, STUBBORN);
         }
         let refused = refused.into_iter();
         let refused = refused.map(|(s, b)| Refused { service: s.to_owned(), because: b as i32 }).collect();
@@ -328,17 +343,31 @@
         Some(answer)
     }
 
+    /// Notes a version of the list that the planner goes by, some times a second and where the epoch changes.
+    fn follow(&mut self, now: Nanos, seen: Seen) {
+        let last = self.history.iter().next_back().map(|last| last.version.epoch);
+        if last != Some(seen.version.epoch) || now >= self.noted_at + FOLLOW_STEP {
+            self.history.push(seen);
+            self.noted_at = now;
+        }
+    }
+
     /// The latest list of which anything here was made.
-    fn newest(&self) -> u64 {
+    fn newest(&self) -> ListVersion {
         self.choice.newest
     }
 
-    fn take(&mut self, now: Nanos, update: &Update, changes: &Changes) -> Result<(), Because> {
+    fn take(
+        &mut self,
+        now: Nanos,
+        (life, source): (u64, ListVersion),
+        changes: &Changes,
+    ) -> Result<(), Because> {
         let insists = self.choice.insists(now, STUBBORN);
         let planners = self.settings.planners.len().max(1) as u32;
         // Dropped since it was asked for: it does not count as in force here.
         let Some(held) = self.services.get_mut(&changes.service) else { return Err(Because::Unwanted) };
-        if held.life != update.life && update.source < held.source && !insists {
+        if held.life != life && source < held.source && !insists {
             return Err(Because::OldMembership);
         }
         let was = (held.known, held.servers.len());
@@ -347,14 +376,14 @@
             return Ok(());
         }
         let changed = self.changed.entry(changes.service.clone()).or_default();
-        let taken = held.take(now, (update.life, update.source), changes, changed, &mut self.left);
+        let taken = held.take(now, (life, source), changes, changed, &mut self.left);
         if held.known {
             held.count(now, changes.subscribers.saturating_mul(planners), changed);
         }
         let is = (held.known, held.servers.len());
         self.count(was, is);
         if taken.is_ok() {
-            self.choice.newest = self.choice.newest.max(update.source);
+            self.choice.newest = self.choice.newest.max(source);
         }
         self.make_room(&changes.service);
         taken
@@ -494,7 +523,12 @@
     /// The planner's life, the version and the list's version of what is held of a service, for those who look on; zeros
     /// where a whole has not come yet.
     pub fn version_of(&self, service: &str) -> Option<(u64, u64, u64)> {
-        self.services.get(service).map(|h| (h.life, h.version, h.source))
+        self.services.get(service).map(|h| (h.life, h.version, h.source.number))
+    }
+
+    /// The list's version of what is held of a service, with its epoch, for those who look on.
+    pub fn list_version_of(&self, service: &str) -> Option<ListVersion> {
+        self.services.get(service).map(|held| held.source)
     }
 
     /// Counts for measurements.
--- a/crates/plan/src/services/subscriber/words.rs
+++ b/crates/plan/src/services/subscriber/words.rs
@@ -2,7 +2,8 @@
 
 use super::*;
 use crate::reporter::seen;
-use crate::wire::{Interest, Report};
+use crate::services::list_version::Seen;
+use crate::wire::{Followed, Interest, Report};
 use laurelroute_policy::interface::Observed;
 
 /// Bytes of one message, about.
@@ -58,7 +59,8 @@
                 unwanted: false,
                 life: if held.known { held.life.max(1) } else { 0 },
                 version: held.version,
-                source: held.source,
+                source: held.source.number,
+                epoch: held.source.epoch,
                 digest: held.digest,
                 slice: held.slice,
                 slices: held.slices,
@@ -74,6 +76,7 @@
         }
         if std::mem::take(&mut self.say_allowance) {
             word.allowance = self.takes.max(1.0) as u32;
+            word.followed = self.history.iter().map(followed).collect();
         }
         self.say(word.encoded_len());
         Some(word)
@@ -86,7 +89,8 @@
         }
         let left = self.left.iter().rev().map(|l| Closed {
             name: l.name.clone(),
-            membership: l.source,
+            membership: l.source.number,
+            epoch: l.source.epoch,
             started_ms: l.started_at / MS,
             gone: true,
         });
@@ -94,7 +98,8 @@
             self.services.values().flat_map(|h| h.servers.values().map(move |s| (h.source, &s.member)));
         let drains = drains.filter(|(_, m)| m.server.phase == Phase::Draining).map(|(source, m)| Closed {
             name: m.name.clone(),
-            membership: source,
+            membership: source.number,
+            epoch: source.epoch,
             started_ms: m.server.started_at / MS,
             gone: false,
         });
@@ -135,3 +140,7 @@
         Some(report)
     }
 }
+
+fn followed(seen: &Seen) -> Followed {
+    Followed { epoch: seen.version.epoch, number: seen.version.number, digest: seen.digest }
+}
--- a/crates/plan/src/wire.rs
+++ b/crates/plan/src/wire.rs
@@ -316,6 +316,9 @@
     /// It has left altogether.
     #[prost(bool, tag = "4")]
     pub gone: bool,
+    /// The epoch of that version as the forwarder counts them, where services are spoken of.
+    #[prost(uint64, tag = "5")]
+    pub epoch: u64,
 }
 
 /// What does the plan say?
@@ -372,6 +375,23 @@
     /// What was said on this connection so far is all that it wants.
     #[prost(bool, tag = "5")]
     pub all: bool,
+    /// Versions of the list that it has followed, oldest first, for a planner that it comes to.
+    #[prost(message, repeated, tag = "6")]
+    pub followed: Vec<Followed>,
+}
+
+/// A version of the list that a forwarder has followed; see `services::list_version`.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Followed {
+    /// Its epoch, as the forwarder counts them.
+    #[prost(uint64, tag = "1")]
+    pub epoch: u64,
+    /// The source's number.
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// The digest of the whole list.
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
 }
 
 /// A forwarder's interest in one service, and what it holds of it.
@@ -401,6 +421,9 @@
     /// See `slice`.
     #[prost(uint32, tag = "8")]
     pub slices: u32,
+    /// The epoch of the version in `source`, as the forwarder counts them.
+    #[prost(uint64, tag = "9")]
+    pub epoch: u64,
 }
 
 /// What has changed in the services that a forwarder uses. One without services says that all stands.
@@ -424,6 +447,12 @@
     /// Further services as one [`Pack`], deflated (RFC 1951): servers of a service are much alike.
     #[prost(bytes = "vec", tag = "6")]
     pub packed: Vec<u8>,
+    /// The epoch of the version in `source`, as the forwarder counts them; 0 as long as the planner has not heard how.
+    #[prost(uint64, tag = "7")]
+    pub epoch: u64,
+    /// The digest of the whole list of that version.
+    #[prost(fixed64, tag = "8")]
+    pub list_digest: u64,
 }
 
 /// What an update carries, to be packed.
--- a/crates/plan/tests/two.rs
+++ b/crates/plan/tests/two.rs
@@ -418,7 +418,7 @@
     assert!(part.rows.iter().all(|r| r.grade == 0 && r.suspicion == 0));
     // A box that nobody has told of, and an answer from another life, are passed over.
     planner.report(now, "f0", &Report { rows: vec![seen("unknown", 1.0)], ..Report::default() }).unwrap();
-    let closed = Closed { name: "unknown".into(), membership: 9, started_ms: 0, gone: true };
+    let closed = Closed { name: "unknown".into(), membership: 9, gone: true, ..Closed::default() };
     planner.report(now, "f0", &Report { closed: vec![closed], ..Report::default() }).unwrap();
     planner.reply("f0", &Reply { life: 1, version: 1, refused: 0 });
     planner.reply("f0", &Reply { life: 100, version: 99, refused: 0 });
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -240,6 +240,9 @@
         /// found.
         #[arg(long, value_name = "DEFECT")]
         planted: Option<String>,
+        /// Each schedule has a restart of the list's source within a second of moves between planners.
+        #[arg(long, conflicts_with = "planted")]
+        restarts: bool,
         /// Seeds at a time; 0 for one on each core.
         #[arg(long, default_value_t = 0)]
         workers: usize,
@@ -312,8 +315,8 @@
         Command::Shift { common, seeds, svg, cost } => {
             shift::run(&common, &shift::Wanted { seeds, svg: svg.as_deref(), cost })
         }
-        Command::Subscriptions { common, seeds, planted, workers } => {
-            subscriptions::run(&common, seeds, planted.as_deref(), workers)
+        Command::Subscriptions { common, seeds, planted, restarts, workers } => {
+            subscriptions::run(&common, seeds, planted.as_deref(), restarts, workers)
         }
         Command::Soak { common, wanted } => soak::run(&common, &wanted),
         Command::Node { site } => site::node(&site),
--- a/crates/rig/src/subscriptions.rs
+++ b/crates/rig/src/subscriptions.rs
@@ -3,11 +3,17 @@
 use crate::report::{quantile, table, Failure, Outcome};
 use crate::seeds::at_a_time;
 use crate::Common;
-use laurelroute_simulation::services::{play, Defect, Figures};
+use laurelroute_simulation::services::{play, play_restart_beside_moves, Defect, Figures};
 use laurelroute_simulation::MS;
 
 /// Plays so many seeds, with a defect planted where one is named.
-pub fn run(common: &Common, seeds: u64, planted: Option<&str>, workers: usize) -> Result<(), Failure> {
+pub fn run(
+    common: &Common,
+    seeds: u64,
+    planted: Option<&str>,
+    restarts: bool,
+    workers: usize,
+) -> Result<(), Failure> {
     let names: Vec<&str> = Defect::ALL.iter().map(|(name, _)| *name).collect();
     let defect = match planted {
         None => None,
@@ -24,7 +30,8 @@
         n => n,
     };
     println!("{seeds} drawn schedules in simulated time, {workers} at a time ...");
-    let played = at_a_time(workers, seeds, |k| (common.seed + k, play(common.seed + k, defect)));
+    let play = |seed| if restarts { play_restart_beside_moves(seed) } else { play(seed, defect) };
+    let played = at_a_time(workers, seeds, |k| (common.seed + k, play(common.seed + k)));
     let broken: Vec<&String> = played.iter().filter_map(|(_, v)| v.broken.first()).collect();
     broken.iter().take(40).for_each(|b| println!("BROKEN {b}"));
     let equal: Vec<u64> = played.iter().map(|(_, v)| v.equal / MS).collect();
--- a/crates/simulation/src/services/app.rs
+++ b/crates/simulation/src/services/app.rs
@@ -5,6 +5,7 @@
 use crate::draw::Draw;
 use crate::{Nanos, MS, S};
 use laurelroute_plan::member::Member;
+use laurelroute_plan::services::list_version::ListVersion;
 use laurelroute_plan::services::subscriber::{Change, Standing};
 use laurelroute_plan::wire::{Changes, Piece, Subscribe, Update};
 use laurelroute_policy::interface::{Observed, Phase, Server, ENDINGS};
@@ -140,8 +141,8 @@
         for changes in &services(update) {
             // A list that is earlier than the one held, by its number: its planner may be late, so that it counts only where it
             // insists (see `STUBBORN` in the machines).
-            let Some((_, _, held)) = subscriber.version_of(&changes.service) else { continue };
-            let late = update.source < held;
+            let Some(held) = subscriber.list_version_of(&changes.service) else { continue };
+            let late = ListVersion { epoch: update.epoch, number: update.source } < held;
             let of = |server: &str| (changes.service.clone(), server.to_owned());
             let word = |started| Word { at: now, epoch, version: update.source, started };
             for row in &changes.rows {
--- a/crates/simulation/src/services/check.rs
+++ b/crates/simulation/src/services/check.rs
@@ -314,10 +314,8 @@
                 });
                 let open = member.server.phase == Phase::Ready;
                 // It holds a later list than its planner's, by its number.
-                let held = forwarder.subscriber.as_ref().and_then(|s| s.version_of(service));
-                let ahead = held.is_some_and(|(.., source)| {
-                    Some(source) > planner.publisher.as_ref().and_then(|p| p.source())
-                });
+                let held = forwarder.subscriber.as_ref().and_then(|s| s.list_version_of(service));
+                let ahead = held > planner.publisher.as_ref().and_then(|p| p.list_version());
                 if still && open && !ahead && !self.source.since(server, service, batch, Some(tag(member))) {
                     broken.push(format!(
                         "{} does not know that `{server}` of `{service}` is closed, {} ms after planner {p} does",
--- a/crates/simulation/src/services/mod.rs
+++ b/crates/simulation/src/services/mod.rs
@@ -94,7 +94,16 @@
 
 /// Plays what follows from a seed.
 pub fn play(seed: u64, planted: Option<Defect>) -> Verdict {
-    let mut world = World::new(seed, schedule::drawn(seed), planted);
+    played(World::new(seed, schedule::drawn(seed), planted))
+}
+
+/// The same with a restart of the list's source within a second of moves between planners, one of which hears of the list
+/// late.
+pub fn play_restart_beside_moves(seed: u64) -> Verdict {
+    played(World::new(seed, schedule::restart_beside_moves(seed), None))
+}
+
+fn played(mut world: World) -> Verdict {
     world.run_until(HEALED);
     let mut apart = Some(String::new());
     while world.broken.is_empty() {
--- a/crates/simulation/src/services/schedule.rs
+++ b/crates/simulation/src/services/schedule.rs
@@ -59,6 +59,27 @@
 /// From then on all is mended.
 pub(super) const HEALED: Nanos = 16 * S;
 
+/// A drawn schedule, and in it the source's restart beside moves of half of the forwarders.
+pub(super) fn restart_beside_moves(seed: u64) -> Schedule {
+    let mut schedule = drawn(seed);
+    let mut draw = Draw::new(seed, 35);
+    let restart = draw.between(4_000, 12_000) * MS;
+    let late = draw.below(schedule.planners);
+    let hears_after = draw.between(500, 3_000) * MS;
+    let faults = &mut schedule.faults;
+    faults.push((restart - 2 * S, Fault::Late(late, hears_after)));
+    faults.push((restart, Fault::SourceRestart));
+    for f in (0..schedule.forwarders).filter(|f| f % 2 == 0) {
+        let at = restart - S + draw.between(0, 2_000) * MS;
+        (0..schedule.planners).for_each(|p| faults.push((at, Fault::Break(p, f))));
+        // One whose planner cannot be reached for a while goes to another.
+        let (cut, lasts) = (draw.below(schedule.planners), draw.between(500, 3_000) * MS);
+        faults.extend([(at, Fault::Cut(cut, f)), ((at + lasts).min(HEALED - MS), Fault::Mend(cut, f))]);
+    }
+    faults.sort_by_key(|(at, _)| *at);
+    schedule
+}
+
 /// Draws what is played.
 pub(super) fn drawn(seed: u64) -> Schedule {
     let mut draw = Draw::new(seed, 32);
