Count a service's requests apart from what is held of it: a service was dropped under a request

Cause: the count of requests was part of what is held of a service. A request that waited as a planner said "no such service" ended after the service had come and been asked for anew, and was taken off the second request's count.

Why the mend holds: the count is by the service's name and outlasts what is held, so that each end is taken off the count that its beginning went into, whatever came and went in between.

--- a/crates/plan/src/services/subscriber/held.rs
+++ b/crates/plan/src/services/subscriber/held.rs
@@ -61,7 +61,6 @@
     subscribers: u32,
     counted_at: Nanos,
     pub(super) used_at: Nanos,
-    pub(super) under_way: u32,
 }
 
 type Rows = Vec<(Row, Option<Member>)>;
@@ -81,7 +80,6 @@
             subscribers: 0,
             counted_at: now,
             used_at: now,
-            under_way: 0,
         }
     }
 
--- a/crates/plan/src/services/subscriber/mod.rs
+++ b/crates/plan/src/services/subscriber/mod.rs
@@ -135,6 +135,9 @@
 pub struct Subscriber {
     settings: Settings,
     services: BTreeMap<String, Held>,
+    /// Requests under way by service. A request may outlast what was held of its service as it began: counted there, its end
+    /// would be taken off those of a later holding.
+    under_way: BTreeMap<String, u32>,
     /// Services by when they were last used.
     by_use: BTreeSet<(Nanos, String)>,
     waiting: usize,
@@ -179,6 +182,7 @@
             tokens_at: now,
             settings,
             services: BTreeMap::new(),
+            under_way: BTreeMap::new(),
             by_use: BTreeSet::new(),
             waiting: 0,
             servers: 0,
@@ -232,19 +236,17 @@
 
     /// A request of this service is under way (also while it waits): the service is not dropped before it has `ended`.
     pub fn began(&mut self, service: &str) {
-        if let Some(held) = self.services.get_mut(service) {
-            held.under_way += 1;
-        }
+        *self.under_way.entry(service.to_owned()).or_insert(0) += 1;
     }
 
     /// A request of this service is no longer under way.
     pub fn ended(&mut self, _now: Nanos, service: &str) {
-        if let Some(held) = self.services.get_mut(service) {
-            held.under_way = held.under_way.saturating_sub(1);
-            if held.under_way == 0 {
-                // What could not be dropped may be now.
-                self.make_room(service);
-            }
+        let Some(requests) = self.under_way.get_mut(service) else { return };
+        *requests -= 1;
+        if *requests == 0 {
+            self.under_way.remove(service);
+            // What could not be dropped may be now.
+            self.make_room(service);
         }
     }
 
@@ -401,7 +403,7 @@
     /// There is no such service (any longer).
     fn no_such(&mut self, now: Nanos, service: &str) {
         let Some(held) = self.services.get_mut(service) else { return };
-        if held.under_way > 0 && held.known {
+        if self.under_way.contains_key(service) && held.known {
             // Its requests are still under way: it stays, empty, and is asked for again.
             let changed = self.changed.entry(service.to_owned()).or_default();
             let was = (held.known, held.servers.len());
@@ -440,20 +442,21 @@
             s.services.len() - s.waiting > s.settings.most_services || s.bytes > s.settings.most_bytes
         };
         while over(self) {
-            let idle = |(_, name): &&(Nanos, String)| {
-                name != newcomer && self.services.get(name).is_some_and(|h| h.known && h.under_way == 0)
-            };
+            let idle = |(_, name): &&(Nanos, String)| name != newcomer && self.rests(name);
             let least = self.by_use.iter().find(idle).map(|(_, name)| name.clone());
-            let Some(least) = least.or_else(|| {
-                let rests = self.services.get(newcomer).is_some_and(|h| h.known && h.under_way == 0);
-                rests.then(|| newcomer.to_owned())
-            }) else {
+            let Some(least) = least.or_else(|| self.rests(newcomer).then(|| newcomer.to_owned())) else {
                 return;
             };
             self.drop_service(&least);
         }
     }
 
+    /// Whether a service is held and no request of it is under way.
+    fn rests(&self, service: &str) -> bool {
+        let known = self.services.get(service).is_some_and(|held| held.known);
+        known && !self.under_way.contains_key(service)
+    }
+
     fn drop_service(&mut self, service: &str) {
         let Some(held) = self.remove(service) else { return };
         self.unwanted.insert(service.to_owned());
@@ -497,7 +500,8 @@
         let old = self.by_use.iter().take_while(|(at, _)| now.saturating_sub(*at) >= wait);
         let gone = |(at, name): &&(Nanos, String)| {
             let long = now.saturating_sub(*at) >= self.settings.unused_after;
-            self.services.get(name).is_some_and(|h| h.under_way == 0 && (long || !h.known))
+            let idle = !self.under_way.contains_key(name);
+            idle && self.services.get(name).is_some_and(|h| long || !h.known)
         };
         let old: Vec<String> = old.take(LOOKED_AT).filter(gone).map(|(_, name)| name.clone()).collect();
         old.iter().for_each(|service| self.drop_service(service));
