A test that fails: a server that is not up gets every request while clients leave

Reduced from endings::a_window_ends_while_connecting_http, and no longer a matter of chance: after one slow answer of the sound server all of 6,000 requests in 100 s go to the other, whose requests are all cancelled. Cause: the credit for a request sent is kept where it is cancelled, and the ranking by it decides ties.

--- a/crates/policy/tests/incidents.rs
+++ b/crates/policy/tests/incidents.rs
@@ -475,3 +475,33 @@
     assert!(out.iter().any(|s| s.address[3] < 4), "{out:?}");
     assert!(out.len() <= 8);
 }
+
+/// A server whose connections do not come up gets every request while a sound one stands idle, for as long as clients leave
+/// before that is known. One slow answer of the sound server is enough to send the next request to the other; each request
+/// that is cancelled there keeps its credit, so that by the time the slow answer is forgotten the other one stands higher
+/// in the ranking, which decides ties. Seen on real processes in `endings::a_window_ends_while_connecting_http`: some 60
+/// connects a second to the server that is not up for five minutes, none to the sound one.
+#[test]
+fn a_server_that_only_ever_has_requests_cancelled_does_not_stay_first() {
+    let mut bed = Bed::new(settings(Effect::Keyed), servers(1), 1);
+    for took in [2, 2, 40] {
+        bed.served(took * MS);
+        bed.now += 50 * MS;
+    }
+    bed.list(ListKind::Full, servers(2));
+    let mut served = 0;
+    for _ in 0..6_000 {
+        let (id, actions) = bed.request();
+        let server = sent(&actions, id).expect("both are there");
+        if server == endpoint(0) {
+            served += 1;
+            bed.outcome(id, server, 0, 2 * MS, Ending::Ok);
+        } else {
+            bed.now += 5 * MS;
+            bed.feed(Event::ClientGone { request: id });
+            bed.outcome(id, server, 0, 5 * MS, Ending::Cancelled);
+        }
+        bed.now += 12 * MS;
+    }
+    assert!(served > 3_000, "the sound server got {served} of 6,000 requests in 100 s");
+}
