Silence of cancelled requests: a spell counts for five mean responses, and fades slower the more there are

Change: a spell counts for at most what one answer may count for elsewhere (five mean responses), and the fading starts at half a memory of a lag and slows with the spells since the last answer to three.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -900,7 +900,8 @@
             node.silent_since = now;
             node.silence.end();
         } else if ending == Ending::Cancelled && node.out == 0 {
-            node.silence.add(now, node.silent_since, self.memory);
+            let most = SURGE * self.typical[class];
+            node.silence.add(now, node.silent_since, most, self.memory);
         }
         if matches!(ending, Ending::Ok | Ending::TimedOut) {
             let answers = self.answers[class].saturating_add(1);
--- a/crates/policy/src/silence.rs
+++ b/crates/policy/src/silence.rs
@@ -8,13 +8,16 @@
 
 use super::*;
 
-/// Silence fades over this many memories of a lag: the first answer ends it, while a lag has to be outlived.
-const SILENCE_MEMORY: f64 = 2.0;
+/// Silence fades over at least and at most this many memories of a lag. In between it grows with the spells:
+/// a server that hung once is tried again soon, one that has never answered seldom.
+const MEMORIES: (f64, f64) = (0.5, 3.0);
 
-/// Busy time of a server since its last answer, as of the moment its last attempt was cancelled.
+/// Unanswered busy time of a server since its last answer, as of the moment its last attempt was cancelled.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Silence {
     busy: f64,
+    /// Busy times since the last answer, each as a part of the most that one may count for. They don't fade.
+    spells: f64,
     idle_since: Nanos,
 }
 
@@ -24,15 +27,19 @@
         *self = Silence::default();
     }
 
-    /// The last attempt out has been cancelled. Something had been out without an answer since `busy_since`.
-    pub(super) fn add(&mut self, now: Nanos, busy_since: Nanos, memory: f64) {
+    /// The last attempt out has been cancelled, after something had been out without an answer since
+    /// `busy_since`. This spell counts for no more than `most`: one connection alone may have fallen silent.
+    pub(super) fn add(&mut self, now: Nanos, busy_since: Nanos, most: f64, memory: f64) {
         let before = self.read(busy_since, memory);
-        *self = Silence { busy: before + now.saturating_sub(busy_since) as f64, idle_since: now };
+        let busy = (now.saturating_sub(busy_since) as f64).min(most);
+        *self = Silence { busy: before + busy, spells: self.spells + busy / most, idle_since: now };
     }
 
     /// What is left of it: it fades while the server is idle, so that the server is tried again.
     pub(super) fn read(&self, now: Nanos, memory: f64) -> f64 {
-        self.busy * (-(now.saturating_sub(self.idle_since) as f64) / (SILENCE_MEMORY * memory)).exp()
+        let (least, most) = MEMORIES;
+        let fading = memory * (least * self.spells).clamp(least, most);
+        self.busy * (-(now.saturating_sub(self.idle_since) as f64) / fading).exp()
     }
 }
 
