Slow start: a node's first send to a restarted server waits for its own part of the budget

Cause: the first send of each node is spread over its own interval between sends, but over no more than `fall`. Where the interval is longer than that, every node sends one within the first `fall`, however small its part.

Change: spread over the whole interval, at most the ramp. Over no more than `fall` only where no request has come yet and there is no rate to go by.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -479,8 +479,7 @@
             // Every node hears of a cold server at about the same time: first sends are spread over an
             // interval, or all of them together would spend its tipping budget at once.
             if self.cold_share(now, i) < 1.0 {
-                // Where nobody has asked yet, there is no rate; one send in a fall tips nobody.
-                let wait = self.cold_interval(now, i).min(self.settings.fall as f64) * self.chance();
+                let wait = self.first_wait(now, i) * self.chance();
                 self.nodes[i].cold_next = now.saturating_add(wait as Nanos);
             }
         }
@@ -734,6 +733,17 @@
         1e9 / own.min(self.nodes[i].cold_rate).max(1e-6)
     }
 
+    /// The longest wait before the first send to a server that starts. With no request yet there is no rate.
+    fn first_wait(&self, now: Nanos, i: usize) -> f64 {
+        let (fall, ramp) = (self.settings.fall as f64, self.settings.ramp as f64);
+        let known = self.arrivals.since_start(now, ramp) > 0.0;
+        if known {
+            self.cold_interval(now, i).min(ramp)
+        } else {
+            fall
+        }
+    }
+
     // ---- Health ----
 
     fn strike(&mut self, now: Nanos, i: usize, ending: Ending, sink: &mut Vec<Action>) {
