--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -12,6 +12,8 @@
 mod pools;
 #[path = "silence.rs"]
 mod silence;
+#[path = "slow_start.rs"]
+mod slow_start;
 #[path = "trial.rs"]
 mod trial;
 
@@ -52,8 +54,6 @@
 const WIDEN_AT: f64 = 0.6;
 /// ... and taken when it is expected to be this much quicker.
 const CROSS_GAIN: f64 = 0.6;
-/// A cold server gets this part of its ramp share of what a like warm one gets.
-const COLD_SHARE: f64 = 0.9;
 /// A second copy goes out when this part of the aim is over.
 const HEDGE_AT: f64 = 0.5;
 /// Repeats that may cost servers work, as a part of requests.
@@ -115,6 +115,7 @@
     planned: f64,
     suspected: bool,
     cold_rate: f64,
+    served: Rate,
     served_at: Option<Nanos>,
     endings: [u32; ENDINGS],
 }
@@ -464,6 +465,7 @@
             let node = &mut self.nodes[i];
             (node.lag, node.lag_at, node.faults, node.strikes, node.blocked_until) = (1.0, now, 0.0, 0, 0);
             node.silence.end();
+            node.served = Rate::default();
             let zone = usize::from(server.zone);
             if self.zones.len() <= zone {
                 self.zones.resize_with(zone + 1, Zone::default);
@@ -716,34 +718,6 @@
         out.min_by_key(order).map(|&i| (i, self.queue(now, i, mean, weight)))
     }
 
-    // ---- Cold servers ----
-
-    fn cold_share(&self, now: Nanos, i: usize) -> f64 {
-        self.nodes[i].server.warmth(now, self.settings.cold_from, self.settings.ramp)
-    }
-
-    /// Time between two sends to a cold server: its ramp share of what a like warm one gets. All nodes
-    /// may cross to one elsewhere, each with its part; after a release all are cold, also where no node is.
-    fn cold_interval(&self, now: Nanos, i: usize) -> f64 {
-        let (home, zone) = (usize::from(self.settings.zone), usize::from(self.nodes[i].server.zone));
-        let counts = self.zones.iter().enumerate().filter(|(z, _)| zone != home || *z == home);
-        let size: f64 = counts.map(|(_, r)| r.size).sum();
-        let rate = self.arrivals.since_start(now, self.settings.ramp as f64) / size.max(self.nodes[i].size);
-        let own = COLD_SHARE * self.cold_share(now, i) * rate * self.nodes[i].size;
-        1e9 / own.min(self.nodes[i].cold_rate).max(1e-6)
-    }
-
-    /// The longest wait before the first send to a server that starts. With no request yet there is no rate.
-    fn first_wait(&self, now: Nanos, i: usize) -> f64 {
-        let (fall, ramp) = (self.settings.fall as f64, self.settings.ramp as f64);
-        let known = self.arrivals.since_start(now, ramp) > 0.0;
-        if known {
-            self.cold_interval(now, i).min(ramp)
-        } else {
-            fall
-        }
-    }
-
     // ---- Health ----
 
     fn strike(&mut self, now: Nanos, i: usize, ending: Ending, sink: &mut Vec<Action>) {
@@ -857,8 +831,7 @@
     fn send(&mut self, now: Nanos, id: RequestId, (i, expected): (usize, f64), sink: &mut Vec<Action>) {
         let credit = self.increment(now);
         let weight = self.pending.get(&id).map_or(1.0, |p| self.weight(&p.request));
-        let wait = (self.cold_share(now, i) < 1.0).then(|| self.cold_interval(now, i) as Nanos);
-        self.nodes[i].cold_next = wait.map_or(0, |wait| now.saturating_add(wait));
+        self.nodes[i].cold_next = self.after_send(now, i);
         let node = &mut self.nodes[i];
         if node.out == 0 {
             node.silent_since = now;
@@ -942,7 +915,10 @@
             (node.faults, node.fault_at) = (faults + (fault - faults) * FAULT_WEIGHT, now);
             self.faults += (fault - self.faults) * FLEET_FAULT_WEIGHT;
         }
-        node.served_at = if ending == Ending::Ok { Some(now) } else { node.served_at };
+        if ending == Ending::Ok {
+            node.served_at = Some(now);
+            node.served.count(now, self.settings.fall as f64);
+        }
         match ending {
             Ending::Ok if node.blocked_until <= now && node.faults < SOUND + self.faults => node.strikes = 0,
             Ending::Ok | Ending::Cancelled | Ending::NotSent => {}
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -22,6 +22,13 @@
     settings
 }
 
+/// The most requests of mean work that a server in slow start may be sent by all nodes in one window of `fall`, where
+/// the settings allow `budget`: the page grants some more for chance.
+pub fn slow_start_limit(budget: f64) -> f64 {
+    let chance = if budget < 30.0 { 3.0 * budget.sqrt() + 3.0 } else { 2.0 * budget.sqrt() + 2.0 };
+    budget + chance
+}
+
 /// A worthy class, and one of an eighth of its worth, both with 400 ms to be in aim.
 pub fn two_classes() -> Settings {
     let mut settings = settings(Effect::Safe);
