--- a/crates/policy/src/slow_start.rs
+++ b/crates/policy/src/slow_start.rs
@@ -1,9 +1,10 @@
 //! Slow start: how fast requests may be sent to a server that has just started.
 //!
 //! A server in slow start is overloaded by more than a multiple of its present capacity over a time that the
-//! settings name, counted over all nodes. Its capacity is not told. Two lower bounds of it are known: what a
-//! warm server gets, times the part of the ramp that this one has reached, and what it has served lately.
-//! Each node reckons both from its own traffic, so that the budgets of all nodes add up to the server's.
+//! settings name, counted over all nodes. Its capacity is not told. It is taken to be the larger of what the
+//! arrivals give each server, times the part of the ramp that this one has reached, and what it has served
+//! lately. The latter is a lower bound always, the former where the fleet can do what it is asked for. Each
+//! node reckons both from its own traffic, so that the budgets of all nodes add up to the server's.
 
 use super::*;
 
@@ -49,7 +50,7 @@
         1e9 / budget.min(self.nodes[i].cold_rate).max(1e-6)
     }
 
-    /// Requests a second that a like warm server gets from this node. All nodes may cross to one elsewhere,
+    /// Requests a second that come here for each server like this one. All nodes may cross to one elsewhere,
     /// each with its part; after a release all are cold, also where no node is.
     fn warm_rate(&self, now: Nanos, i: usize) -> f64 {
         let (home, zone) = (usize::from(self.settings.zone), usize::from(self.nodes[i].server.zone));
--- a/crates/policy/tests/slow_start.rs
+++ b/crates/policy/tests/slow_start.rs
@@ -249,3 +249,17 @@
         }
     }
 }
+
+/// Guards against a budget that follows what clients ask for: here they ask for more than the fleet can do.
+#[test]
+fn no_server_is_sent_more_than_its_budget_where_all_are_asked_for_too_much() {
+    for (nodes, capacity) in [(3, 17.5), (3, 98.0), (20, 17.5), (20, 98.0)] {
+        for excess in [1.2, 1.5, 2.0, 3.0] {
+            for seed in 1..=3 {
+                let arrivals = 6.0 * capacity * excess;
+                let (overloaded, _) = World::new(at_once(nodes, 1.0, arrivals, capacity), seed).play();
+                assert_eq!(overloaded, None, "{nodes} nodes, {excess} times {capacity}/s, seed {seed}");
+            }
+        }
+    }
+}
