--- a/crates/node/tests/stopped.rs
+++ b/crates/node/tests/stopped.rs
@@ -4,6 +4,7 @@
 use laurelroute_testkit::boxes::Act;
 use laurelroute_testkit::client::Client;
 use laurelroute_testkit::load::{Load, Tally};
+use laurelroute_testkit::newcomers::{Came, Newcomers, PATIENT};
 use laurelroute_testkit::program::{Bed, Program, Wishes};
 use laurelroute_testkit::wire::{Answer, Ask, Class, Wire};
 use laurelroute_testkit::{until, PATIENCE};
@@ -25,8 +26,6 @@
 const BODY: usize = 60_000;
 /// SIGKILL may come 3.7 s after SIGTERM, and the process ends by itself 0.4 s later.
 const LATEST_END: Duration = Duration::from_millis(4_200);
-/// A new client waits no longer than this.
-const PATIENT: Duration = Duration::from_millis(300);
 
 fn thrift() -> Wire {
     Wire::thrift("framed-binary")
@@ -281,59 +280,6 @@
     all_served(thrift(), Act::Trickle);
 }
 
-/// New clients, one after another on each of some threads; each asks once and leaves.
-struct Newcomers {
-    stop: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<Vec<(Duration, bool)>>>,
-}
-
-/// What became of them.
-#[derive(Debug)]
-struct Came {
-    came: usize,
-    /// Without an answer within [`PATIENT`].
-    unanswered: usize,
-    /// Their connection ended before that.
-    ended: usize,
-    slowest: Duration,
-}
-
-impl Newcomers {
-    fn start(wire: Wire, address: SocketAddr, threads: usize, pause: Duration) -> Newcomers {
-        let stop = Arc::new(AtomicBool::new(false));
-        let one = move || {
-            let begun = Instant::now();
-            let answer = Client::connect_within(wire, address, PATIENT)
-                .and_then(|mut c| c.ask(&Ask::new(Class::Read)));
-            (begun.elapsed(), answer.is_some())
-        };
-        let run = |ends: Arc<AtomicBool>| {
-            move || {
-                let mut all = Vec::new();
-                while !ends.load(Ordering::SeqCst) {
-                    all.push(one());
-                    thread::sleep(pause);
-                }
-                all
-            }
-        };
-        let threads = (0..threads).map(|_| thread::spawn(run(stop.clone()))).collect();
-        Newcomers { stop, threads }
-    }
-
-    fn finish(self) -> Came {
-        self.stop.store(true, Ordering::SeqCst);
-        let all: Vec<_> = self.threads.into_iter().flat_map(|t| t.join().expect("newcomers end")).collect();
-        let failed = all.iter().filter(|(_, answered)| !answered);
-        Came {
-            came: all.len(),
-            unanswered: failed.clone().count(),
-            ended: failed.filter(|(took, _)| *took < PATIENT).count(),
-            slowest: all.iter().map(|(took, _)| *took).max().unwrap_or_default(),
-        }
-    }
-}
-
 /// What of a load is lost, and how long it is, in words; none where all is well.
 fn lost(what: &str, tally: &Tally) -> Option<String> {
     let (crossed, lost, mixed) = (tally.crossed.len(), tally.lost.len(), tally.mixed.len());
@@ -350,14 +296,6 @@
     (crossed + lost + mixed > 0).then(|| format!("{what}: {crossed} crossed, {lost} lost, {mixed} mixed"))
 }
 
-fn late(came: &Came) -> Option<String> {
-    let Came { came, unanswered, ended, slowest } = came;
-    let told =
-        format!("newcomers: {unanswered} of {came} unanswered, {ended} of them cut; slowest {slowest:?}");
-    println!("{told}");
-    (*unanswered > 0).then_some(told)
-}
-
 /// A node all of whose places are taken by clients that ask without a pause, and newcomers beside them.
 fn full(wire: Wire) -> (Tally, Came) {
     let bed = bed(wire, Wishes { sockets: 48, managed: true, cold: (1.0, 1_000), ..Wishes::default() });
@@ -376,7 +314,7 @@
 #[test]
 fn a_full_node_takes_newcomers_and_closes_on_no_client_at_work() {
     let (tally, came) = full(Wire::Http);
-    let broken: Vec<String> = lost("kept", &tally).into_iter().chain(late(&came)).collect();
+    let broken: Vec<String> = lost("kept", &tally).into_iter().chain(came.late()).collect();
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
@@ -387,7 +325,7 @@
     let (tally, came) = full(thrift());
     println!("{:?}", lost("kept", &tally));
     assert!(tally.lost.is_empty() && tally.mixed.is_empty(), "{:?} {:?}", tally.lost, tally.mixed);
-    assert_eq!(late(&came), None);
+    assert_eq!(came.late(), None);
 }
 
 /// A takeover's load: what its kept clients lost, in words.
@@ -448,7 +386,7 @@
     thread::sleep(Duration::from_millis(50));
     end(bed.node);
     let came = newcomers.finish();
-    let broken: Vec<String> = kept.finish().into_iter().chain(late(&came)).collect();
+    let broken: Vec<String> = kept.finish().into_iter().chain(came.late()).collect();
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
@@ -467,7 +405,7 @@
     thread::sleep(Duration::from_millis(50));
     end(bed.node);
     let came = newcomers.finish();
-    let broken: Vec<String> = kept.finish().into_iter().chain(late(&came)).collect();
+    let broken: Vec<String> = kept.finish().into_iter().chain(came.late()).collect();
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod levels;
 pub mod load;
 pub mod mesh;
+pub mod newcomers;
 pub mod outage;
 pub mod port;
 pub mod process;
