A full node serves newcomers beyond its places: it closed on clients that were late to read

What callers saw: a kept client that is held up itself, and reads its answer 0.3 s after it was written or later, met a closed connection under its next request while a new client needed a place. And new clients were not heard for 0.65 s where all places were held by connections served less than 0.3 s before.

Cause: places are few (7 of 48 descriptors, as at a new process beside a stopped one), and a newcomer got one only from somebody. `make_room` ended a connection after three looks at rest as soon as no worker could be told, or one already was; and where all rests were shorter it found nobody, and the newcomer waited at the door with all behind it.

Change: a newcomer with no place is served at once with an answer that says close, in an overflow of one in 16 places, one at least, only where a descriptor is free (`Budget::overflow`). Its place turns over with its answer, so nobody at rest need be ended for it. Thrift has no word for a close and stays as it was.

--- a/crates/core/src/accept.rs
+++ b/crates/core/src/accept.rs
@@ -32,6 +32,12 @@
     /// A client has connected.
     fn open(self: &Rc<Self>, stream: TcpStream);
 
+    /// A client has connected for whom there is no place: it is served beyond the places where its answer can tell it to
+    /// come back on another connection and a descriptor is free, and is given back where not.
+    fn open_overflow(self: &Rc<Self>, stream: TcpStream) -> Result<(), TcpStream> {
+        Err(stream)
+    }
+
     /// Told whenever a connection has gone.
     fn left(&self) -> &Notify;
 }
@@ -74,15 +80,16 @@
     loop {
         let now = *gate.borrow_and_update();
         let (open, shut) = (now != Gate::Held, now == Gate::Shut);
-        // Once no further ones are accepted, nothing comes of keeping this one waiting.
-        if let Some((stream, _)) = waiting.take_if(|_| !budget.clients_exhausted() || now != Gate::Open) {
-            door.open(stream);
+        if let Some((stream, since)) = waiting.take() {
+            // Once no further ones are accepted, nothing comes of keeping this one waiting.
+            if !budget.clients_exhausted() || now != Gate::Open {
+                door.open(stream);
+            } else {
+                waiting = open_full(&door, &make_room, stream, since);
+            }
         }
         // What does not find a place any more as the door shuts stays with the kernel.
         let takes = open && waiting.is_none() && !(shut && budget.clients_exhausted());
-        if let Some((_, since)) = &waiting {
-            make_room(Need::Now(since.elapsed()));
-        }
         tokio::select! {
             biased;
             _ = door.left().notified(), if waiting.is_some() => {}
@@ -105,6 +112,25 @@
     }
 }
 
+/// Serves a client that has waited since then where all places are taken, or gives it back and makes room for it.
+fn open_full<D: Door>(
+    door: &Rc<D>,
+    make_room: &MakeRoom,
+    stream: TcpStream,
+    since: Instant,
+) -> Option<(TcpStream, Instant)> {
+    match door.open_overflow(stream) {
+        Ok(()) => {
+            make_room(Need::Soon);
+            None
+        }
+        Err(stream) => {
+            make_room(Need::Now(since.elapsed()));
+            Some((stream, since))
+        }
+    }
+}
+
 async fn not_accepted(error: &io::Error, make_room: &MakeRoom) {
     if exhausted(error) {
         make_room(Need::Now(Duration::ZERO));
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -14,6 +14,9 @@
 /// ... and this part of what connections to servers leave free beyond a margin that they may grow by.
 const CROWD_PART: f64 = 0.66;
 const MARGIN: f64 = 0.12;
+/// Beside the places of clients, one for each so many of them, and one at least: for clients that leave with their answer
+/// ([`Budget::overflow`]).
+const OVERFLOW_PART: usize = 16;
 /// Part of the memory limit that bodies may fill; connection buffers and the heap's slack need the rest.
 const BODY_PART: f64 = 0.35;
 /// Bookkeeping for one piece of a body: without it a body of one-byte chunks would cost far more than counted.
@@ -26,6 +29,8 @@
     most_bytes: usize,
     own: usize,
     clients: Cell<usize>,
+    /// Of the clients, those beyond the places.
+    overflow: Cell<usize>,
     servers: Cell<usize>,
     bytes: Cell<usize>,
 }
@@ -39,6 +44,7 @@
             most_bytes: (memory_mb as f64 * BODY_PART) as usize * 1024 * 1024,
             own: OWN_SOCKETS + kept,
             clients: Cell::new(0),
+            overflow: Cell::new(0),
             servers: Cell::new(0),
             bytes: Cell::new(0),
         });
@@ -97,6 +103,15 @@
         Slot::take(self, |b| &b.clients)
     }
 
+    /// A place beyond those for clients, for one whose answer tells it to come back on another connection, if there is any.
+    /// A descriptor has to be free, whatever clients or servers hold.
+    pub fn overflow(self: &Rc<Self>) -> Option<OverflowSlot> {
+        let most = (self.client_places() / OVERFLOW_PART).max(1);
+        let free = self.clients.get() + self.servers.get() < self.rest.get();
+        (free && self.overflow.get() < most)
+            .then(|| OverflowSlot { _client: self.client(), _overflow: Slot::take(self, |b| &b.overflow) })
+    }
+
     /// A place for one more connection to a server, if there is any.
     pub fn server(self: &Rc<Self>) -> Option<Slot> {
         (self.servers.get() < self.server_places()).then(|| Slot::take(self, |b| &b.servers))
@@ -129,6 +144,13 @@
     }
 }
 
+/// A client's descriptor beyond the places, given back when dropped.
+#[derive(Debug)]
+pub struct OverflowSlot {
+    _client: Slot,
+    _overflow: Slot,
+}
+
 /// Bytes of one body, given back when dropped.
 #[derive(Debug)]
 pub struct Lease {
--- /dev/null
+++ b/crates/core/tests/overflow.rs
@@ -0,0 +1,42 @@
+//! Clients beyond the places: as many as there are descriptors for, and few.
+
+use laurelroute_core::budget::Budget;
+
+/// The node's own descriptors are not clients' or servers'.
+const OWN: usize = 20;
+
+/// Guards against more descriptors than the limit, however clients and servers share them.
+#[test]
+fn clients_beyond_the_places_keep_within_the_descriptors() {
+    for limit in [32, 48, 64, 256, 1_000] {
+        let budget = Budget::new(limit, 64, 0);
+        let servers: Vec<_> = std::iter::from_fn(|| budget.server()).collect();
+        let mut clients = Vec::new();
+        while !budget.clients_exhausted() {
+            clients.push(budget.client());
+        }
+        let places = clients.len();
+        let beyond: Vec<_> = std::iter::from_fn(|| budget.overflow()).collect();
+        assert!(budget.held() <= limit, "{} of {limit}", budget.held());
+        assert!(beyond.len() <= (places / 16).max(1), "{} beyond {places} places", beyond.len());
+        let own_part = (limit - OWN) - servers.len();
+        assert!(places + beyond.len() <= own_part.max(places), "{limit}: servers keep theirs");
+    }
+}
+
+/// Guards against an overflow that stays taken, and against one that a node without servers does not have.
+#[test]
+fn a_client_beyond_the_places_gives_its_descriptor_back() {
+    let budget = Budget::new(48, 64, 16);
+    let mut clients = Vec::new();
+    while !budget.clients_exhausted() {
+        clients.push(budget.client());
+    }
+    let held = budget.held();
+    let beyond = budget.overflow().expect("a descriptor is free");
+    assert!(budget.overflow().is_none(), "a small node has one");
+    assert_eq!(budget.held(), held + 1);
+    drop(beyond);
+    assert_eq!(budget.held(), held);
+    assert!(budget.overflow().is_some());
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -1,7 +1,7 @@
 //! One client's connection: where it stands, when it has stood still for too long, and when it may be ended.
 
 use crate::socket::Socket;
-use laurelroute_core::budget::Slot;
+use laurelroute_core::budget::{OverflowSlot, Slot};
 use laurelroute_core::events::Kind;
 use laurelroute_core::rest::Rest;
 use laurelroute_policy::interface::Nanos;
@@ -48,6 +48,14 @@
     Now,
 }
 
+/// What a connection counts as against the limits.
+pub(crate) enum Place {
+    /// One of the places, which it may keep.
+    Kept { _slot: Slot },
+    /// One beyond them: it ends with its first answer.
+    Overflow { _slot: OverflowSlot },
+}
+
 /// A client's connection. All times are running time ([`laurelroute_core::running`]).
 pub(crate) struct Client {
     pub(crate) socket: Rc<Socket>,
@@ -66,11 +74,11 @@
     /// Told to end; it still holds its descriptor.
     end: Cell<Option<End>>,
     ended: Notify,
-    _slot: Slot,
+    _place: Place,
 }
 
 impl Client {
-    pub(crate) fn new(socket: Rc<Socket>, now: Nanos, used: bool, slot: Slot) -> Client {
+    pub(crate) fn new(socket: Rc<Socket>, now: Nanos, used: bool, place: Place) -> Client {
         Client {
             socket,
             rest: Rest::new(now, used),
@@ -79,10 +87,10 @@
             head_since: Cell::new(None),
             came_at: Cell::new(0),
             requests: Cell::new(0),
-            last_answer: Cell::new(false),
+            last_answer: Cell::new(matches!(place, Place::Overflow { .. })),
             end: Cell::new(None),
             ended: Notify::new(),
-            _slot: slot,
+            _place: place,
         }
     }
 
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -1,7 +1,7 @@
 //! Towards the clients: the listener, requests coming in, final answers going out.
 
 use crate::body::{AnswerBody, Message, PieceBody};
-use crate::client::{Client, End};
+use crate::client::{Client, End, Place};
 use crate::intake::{Intake, IntakeError};
 use crate::service::{NameError, Routing};
 use crate::socket::{Socket, SocketIo};
@@ -94,11 +94,9 @@
     pub fn make_room(&self, need: Need) -> bool {
         let open = self.open.borrow();
         let now = self.gateway.running();
-        let at_rest = || Some((longest_at_rest(&open, now, |rest| rest.over(now))?, End::AtRest));
         let found = spare(&open, now).or_else(|| match need {
             Need::Soon => None,
-            Need::Now(waited) if waited < AT_REST_AFTER => with_answer(&open, need).or_else(at_rest),
-            Need::Now(_) => at_rest().or_else(|| with_answer(&open, need)),
+            Need::Now(waited) => needed(&open, now, waited, need.ends_wanted()),
         });
         let Some((client, end)) = found else { return false };
         client.tell(end);
@@ -149,7 +147,7 @@
 
     /// Takes a connection that another process of the node has given over between two requests, or before the first one.
     pub fn resume(self: &Rc<Self>, stream: TcpStream, used: bool) {
-        self.serve(stream, used);
+        self.serve(stream, used, self.place());
     }
 
     /// Closes all connections that rest; the number of those that are left.
@@ -160,9 +158,13 @@
         open.len()
     }
 
-    fn serve(self: &Rc<Self>, stream: TcpStream, used: bool) {
-        let (now, slot) = (self.gateway.running(), self.gateway.budget.client());
-        let client = Rc::new(Client::new(Socket::of_client(stream), now, used, slot));
+    fn place(&self) -> Place {
+        Place::Kept { _slot: self.gateway.budget.client() }
+    }
+
+    fn serve(self: &Rc<Self>, stream: TcpStream, used: bool, place: Place) {
+        let now = self.gateway.running();
+        let client = Rc::new(Client::new(Socket::of_client(stream), now, used, place));
         let id = self.next.get();
         self.next.set(id + 1);
         self.open.borrow_mut().insert(id, client.clone());
@@ -194,14 +196,24 @@
     resting.into_iter().find(|c| c.may_close(now))
 }
 
-/// Of the connections whose requests are under way, the one that has had its last answer longest ago; none where as many as
-/// are needed end with their answers already.
-fn with_answer(open: &Open, need: Need) -> Option<(&Rc<Client>, End)> {
-    let (told, at_work): (Vec<_>, Vec<_>) =
-        open.values().filter(|c| c.before_answer()).partition(|c| c.ends_with_answer());
-    let wanted = told.len() < need.ends_wanted();
-    let longest = at_work.into_iter().min_by_key(|c| c.rest.since());
-    longest.filter(|_| wanted).map(|client| (client, End::WithAnswer))
+/// A connection whose client may go on asking, where a new client has waited for so long and so many connections should be
+/// about to end. One at rest is ended only where no answer is due that says so, or where those that are due take too long:
+/// its client may be late to read.
+fn needed(open: &Open, now: Nanos, waited: Duration, ends_wanted: usize) -> Option<(&Rc<Client>, End)> {
+    let due = open.values().filter(|client| client.ends_with_answer()).count();
+    let with_answer = || Some((longest_at_work(open)?, End::WithAnswer)).filter(|_| due < ends_wanted);
+    let at_rest = || Some((longest_at_rest(open, now, |rest| rest.over(now))?, End::AtRest));
+    if waited >= AT_REST_AFTER {
+        return at_rest().or_else(with_answer);
+    }
+    with_answer().or_else(|| at_rest().filter(|_| due == 0))
+}
+
+/// Of the connections whose requests are under way and that do not end with their answers already, the one that has had its
+/// last answer longest ago.
+fn longest_at_work(open: &Open) -> Option<&Rc<Client>> {
+    let at_work = open.values().filter(|c| c.before_answer() && !c.ends_with_answer());
+    at_work.min_by_key(|c| c.rest.since())
 }
 
 /// The connection that has stood still longest in the middle of a head.
@@ -212,7 +224,13 @@
 
 impl Door for Clients {
     fn open(self: &Rc<Self>, stream: TcpStream) {
-        self.serve(stream, false);
+        self.serve(stream, false, self.place());
+    }
+
+    fn open_overflow(self: &Rc<Self>, stream: TcpStream) -> Result<(), TcpStream> {
+        let Some(slot) = self.gateway.budget.overflow() else { return Err(stream) };
+        self.serve(stream, false, Place::Overflow { _slot: slot });
+        Ok(())
     }
 
     fn left(&self) -> &Notify {
