A takeover's fallen lease made a crowd of five clients, and their rests ended after a second

What callers saw: clients that keep their connections and read an answer 1.4 s late met a closed connection at a new process whose old one was stopped, though it had places for all of them and for newcomers.

It went by the places of the moment, and a lease that has fallen to 48 descriptors has 5 to 7: four clients are "crowded".

The test below, order forced: 6 of 21 requests lost before.

Change: crowded by the places that the process has alone (`Budget::crowded`). Newcomers need no crowd to be ended ahead of them: there is the overflow, and room made for one that waits. Opening an overflow no longer ends one at rest, either.

A unit test of the budget.

--- a/crates/core/src/accept.rs
+++ b/crates/core/src/accept.rs
@@ -119,16 +119,9 @@
     stream: TcpStream,
     since: Instant,
 ) -> Option<(TcpStream, Instant)> {
-    match door.open_overflow(stream) {
-        Ok(()) => {
-            make_room(Need::Soon);
-            None
-        }
-        Err(stream) => {
-            make_room(Need::Now(since.elapsed()));
-            Some((stream, since))
-        }
-    }
+    let stream = door.open_overflow(stream).err()?;
+    make_room(Need::Now(since.elapsed()));
+    Some((stream, since))
 }
 
 async fn not_accepted(error: &io::Error, make_room: &MakeRoom) {
--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 pub struct Budget {
     rest: Cell<usize>,
+    /// What it is without another process of the node beside this one.
+    whole_rest: usize,
     most_bytes: usize,
     own: usize,
     clients: Cell<usize>,
@@ -39,27 +41,31 @@
     /// Splits `sockets` descriptors and `memory_mb` MiB among clients, servers and messages; `kept` more descriptors are
     /// neither's.
     pub fn new(sockets: usize, memory_mb: u64, kept: usize) -> Rc<Self> {
-        let budget = Rc::new(Budget {
-            rest: Cell::new(0),
+        let own = OWN_SOCKETS + kept;
+        let rest = rest_of(sockets, own);
+        Rc::new(Budget {
+            rest: Cell::new(rest),
+            whole_rest: rest,
             most_bytes: (memory_mb as f64 * BODY_PART) as usize * 1024 * 1024,
-            own: OWN_SOCKETS + kept,
+            own,
             clients: Cell::new(0),
             overflow: Cell::new(0),
             servers: Cell::new(0),
             bytes: Cell::new(0),
-        });
-        budget.resize(sockets);
-        budget
+        })
     }
 
     /// From now on the process may hold so many descriptors. What is above it goes as it is given back.
     pub fn resize(&self, sockets: usize) {
-        self.rest.set(sockets.saturating_sub(self.own).max(8));
+        self.rest.set(rest_of(sockets, self.own));
     }
 
     /// Places for clients: their own part, and in a crowd of them what servers do not need.
     fn client_places(&self) -> usize {
-        let rest = self.rest.get();
+        self.client_places_of(self.rest.get())
+    }
+
+    fn client_places_of(&self, rest: usize) -> usize {
         let part = |of: f64| (rest as f64 * of) as usize;
         let free = rest.saturating_sub(self.servers.get() + part(MARGIN));
         part(CLIENT_PART).max(free.min(part(CROWD_PART)))
@@ -73,9 +79,13 @@
 
     /// Connections that clients may hold before new ones are refused.
     pub fn most_clients(&self) -> usize {
-        // One in eight is kept for those that are only told to come back.
-        let places = self.client_places();
-        (places - places / 8).max(1)
+        most_of(self.client_places())
+    }
+
+    /// So many clients hold more than half of the places that there are without another process of the node beside this
+    /// one. While one takes over from another, either may have places for a few only: that makes no crowd of its clients.
+    pub fn crowded(&self, clients: usize) -> bool {
+        clients > most_of(self.client_places_of(self.whole_rest)) / 2
     }
 
     /// More connections are open to servers than may be.
@@ -123,6 +133,16 @@
     }
 }
 
+/// What clients and servers share.
+fn rest_of(sockets: usize, own: usize) -> usize {
+    sockets.saturating_sub(own).max(8)
+}
+
+/// Of so many places, those for clients that are not only told to come back: for these one in eight is kept.
+fn most_of(places: usize) -> usize {
+    (places - places / 8).max(1)
+}
+
 /// One descriptor in use, given back when dropped.
 #[derive(Debug)]
 pub struct Slot {
--- a/crates/core/tests/overflow.rs
+++ b/crates/core/tests/overflow.rs
@@ -40,3 +40,13 @@
     assert_eq!(budget.held(), held);
     assert!(budget.overflow().is_some());
 }
+
+/// Guards against clients taken for a crowd, and their connections ended, because a takeover has left few places.
+#[test]
+fn a_fallen_lease_makes_no_crowd_of_a_few_clients() {
+    let budget = Budget::new(256, 64, 16);
+    let crowd = (0..).find(|clients| budget.crowded(*clients)).expect("some are a crowd");
+    budget.resize(48);
+    assert!(budget.most_clients() < crowd, "places for {}", budget.most_clients());
+    assert_eq!((0..).find(|clients| budget.crowded(*clients)), Some(crowd));
+}
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -108,7 +108,7 @@
     pub fn sweep(&self) {
         let now = self.gateway.running();
         let open = self.open.borrow();
-        let crowded = open.len() > self.gateway.budget.most_clients() / 2;
+        let crowded = self.gateway.budget.crowded(open.len());
         let ended = open.values().filter_map(|client| client.sweep(now, crowded));
         ended.for_each(|kind| events::count(self.gateway.clock.now(), kind));
     }
--- a/crates/node/tests/held_up.rs
+++ b/crates/node/tests/held_up.rs
@@ -18,8 +18,12 @@
 const LATE: Duration = Duration::from_millis(500);
 /// ... or for two.
 const LITTLE_LATE: Duration = Duration::from_millis(200);
+/// ... or for fourteen.
+const VERY_LATE: Duration = Duration::from_millis(1_400);
 /// As many as a node with [`SMALL`] descriptors has places.
 const KEPT: usize = 7;
+/// Fewer than there are places, and more than half of them.
+const FEW: usize = 5;
 /// Leaves 12 descriptors beside the node's own ones: 5 to 7 places.
 const SMALL: usize = 48;
 /// For so long new clients come.
@@ -137,20 +141,30 @@
 }
 
 /// The same at a new process of a takeover whose old one is stopped, once its lease has fallen (`Heir::doubt`).
-#[test]
-fn late_readers_lose_no_request_at_a_new_process_beside_a_stopped_one() {
+fn beside_a_stopped_process(kept: usize, late: Duration, at_a_time: usize) {
     let bed = bed(Wishes::default().sockets);
     let new = successor(&bed);
     bed.node.signal("STOP");
     thread::sleep(Duration::from_millis(300));
-    let kept = LateReaders::start(bed.node.http, KEPT + 1, LATE);
-    thread::sleep(2 * LATE);
-    let broken = broken(bed.node.http, kept, 4);
+    let kept = LateReaders::start(bed.node.http, kept, late);
+    thread::sleep(2 * late);
+    let broken = broken(bed.node.http, kept, at_a_time);
     bed.node.signal("CONT");
     until("the new process serves", || new.call("GET", "/_ready") == Some(200));
     assert!(broken.is_empty(), "{broken:#?}");
 }
 
+#[test]
+fn late_readers_lose_no_request_at_a_new_process_beside_a_stopped_one() {
+    beside_a_stopped_process(KEPT + 1, LATE, 4);
+}
+
+/// A few clients are no crowd because the lease has fallen to a few places (`Clients::sweep`).
+#[test]
+fn very_late_readers_lose_no_request_at_a_new_process_beside_a_stopped_one() {
+    beside_a_stopped_process(FEW, VERY_LATE, 1);
+}
+
 /// A new process that has said that it is ready.
 fn successor(bed: &Bed) -> Program {
     let new = bed.node.successor();
