A full node keeps the overflow's descriptor free: connections to servers could hold it

What callers would see: the overflow that newcomers are served in is not there where servers hold all that clients leave, and a client late to read meets a close again.

Cause: clients' part and servers' places add up to all descriptors; the overflow was given only what happened to be free.

Change: places for servers and for crowds leave the overflow free.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -14,7 +14,7 @@
 /// ... and this part of what connections to servers leave free beyond a margin that they may grow by.
 const CROWD_PART: f64 = 0.66;
 const MARGIN: f64 = 0.12;
-/// Beside the places of clients, one for each so many of them, and one at least: for clients that leave with their answer
+/// Beside the part of clients, one place for each so many in it, and one at least: for clients that leave with their answer
 /// ([`Budget::overflow`]).
 const OVERFLOW_PART: usize = 16;
 /// Part of the memory limit that bodies may fill; connection buffers and the heap's slack need the rest.
@@ -67,14 +67,18 @@
 
     fn client_places_of(&self, rest: usize) -> usize {
         let part = |of: f64| (rest as f64 * of) as usize;
-        let free = rest.saturating_sub(self.servers.get() + part(MARGIN));
+        let margin = part(MARGIN).max(overflow_places(rest));
+        let free = rest.saturating_sub(self.servers.get() + margin);
         part(CLIENT_PART).max(free.min(part(CROWD_PART)))
     }
 
-    /// Places for connections to servers: what clients leave of the rest, and more than their own part to none.
+    /// Places for connections to servers: what clients and their overflow leave of the rest, and more than their own part
+    /// to none.
     fn server_places(&self) -> usize {
         let rest = self.rest.get();
-        rest - ((rest as f64 * CLIENT_PART) as usize).max(self.clients.get()).min(rest)
+        let kept = self.clients.get().saturating_sub(self.overflow.get());
+        let of_clients = ((rest as f64 * CLIENT_PART) as usize).max(kept);
+        rest.saturating_sub(of_clients + overflow_places(rest))
     }
 
     /// Connections that clients may hold before new ones are refused.
@@ -114,11 +118,10 @@
     }
 
     /// A place beyond those for clients, for one whose answer tells it to come back on another connection, if there is any.
-    /// A descriptor has to be free, whatever clients or servers hold.
+    /// A descriptor has to be free: a lease that has just fallen may be held by more clients and servers than it has places for.
     pub fn overflow(self: &Rc<Self>) -> Option<OverflowSlot> {
-        let most = (self.client_places() / OVERFLOW_PART).max(1);
         let free = self.clients.get() + self.servers.get() < self.rest.get();
-        (free && self.overflow.get() < most)
+        (free && self.overflow.get() < overflow_places(self.rest.get()))
             .then(|| OverflowSlot { _client: self.client(), _overflow: Slot::take(self, |b| &b.overflow) })
     }
 
@@ -138,6 +141,13 @@
     sockets.saturating_sub(own).max(8)
 }
 
+/// Places beyond those for clients ([`Budget::overflow`]), of what clients and servers share. No connection to a server takes
+/// one of them.
+fn overflow_places(rest: usize) -> usize {
+    let part = (rest as f64 * CLIENT_PART) as usize;
+    (part / OVERFLOW_PART).max(1)
+}
+
 /// Of so many places, those for clients that are not only told to come back: for these one in eight is kept.
 fn most_of(places: usize) -> usize {
     (places - places / 8).max(1)
--- a/crates/core/tests/overflow.rs
+++ b/crates/core/tests/overflow.rs
@@ -2,25 +2,30 @@
 
 use laurelroute_core::budget::Budget;
 
-/// The node's own descriptors are not clients' or servers'.
-const OWN: usize = 20;
-
-/// Guards against more descriptors than the limit, however clients and servers share them.
+/// Guards against more descriptors than the limit, and against a full node that has no overflow, whoever came first.
 #[test]
-fn clients_beyond_the_places_keep_within_the_descriptors() {
-    for limit in [32, 48, 64, 256, 1_000] {
-        let budget = Budget::new(limit, 64, 0);
-        let servers: Vec<_> = std::iter::from_fn(|| budget.server()).collect();
-        let mut clients = Vec::new();
-        while !budget.clients_exhausted() {
-            clients.push(budget.client());
+fn a_full_node_has_an_overflow_and_keeps_within_the_descriptors() {
+    for limit in [28, 32, 48, 64, 256, 1_000] {
+        for servers_first in [true, false] {
+            let budget = Budget::new(limit, 64, 0);
+            let servers = || std::iter::from_fn(|| budget.server()).collect::<Vec<_>>();
+            let clients = || {
+                let one = || (!budget.clients_exhausted()).then(|| budget.client());
+                std::iter::from_fn(one).collect::<Vec<_>>()
+            };
+            let (_servers, clients) = match servers_first {
+                true => (servers(), clients()),
+                false => {
+                    let clients = clients();
+                    (servers(), clients)
+                }
+            };
+            let overflow: Vec<_> = std::iter::from_fn(|| budget.overflow()).collect();
+            assert!(budget.held() <= limit, "{} of {limit}", budget.held());
+            assert!(!overflow.is_empty(), "{limit}, servers first: {servers_first}");
+            assert!(overflow.len() <= (clients.len() / 16).max(1), "{} of {limit}", overflow.len());
+            assert!(budget.server().is_none(), "{limit}: what is left is nobody's");
         }
-        let places = clients.len();
-        let beyond: Vec<_> = std::iter::from_fn(|| budget.overflow()).collect();
-        assert!(budget.held() <= limit, "{} of {limit}", budget.held());
-        assert!(beyond.len() <= (places / 16).max(1), "{} beyond {places} places", beyond.len());
-        let own_part = (limit - OWN) - servers.len();
-        assert!(places + beyond.len() <= own_part.max(places), "{limit}: servers keep theirs");
     }
 }
 
