--- a/crates/node/tests/held_up.rs
+++ b/crates/node/tests/held_up.rs
@@ -4,15 +4,15 @@
 use laurelroute_testkit::boxes::Act;
 use laurelroute_testkit::client::Client;
 use laurelroute_testkit::newcomers::Newcomers;
-use laurelroute_testkit::program::{Bed, Program, Wishes};
+use laurelroute_testkit::program::{Bed, Wishes};
+use laurelroute_testkit::until;
 use laurelroute_testkit::wire::{Answer, Ask, Class, Wire};
-use laurelroute_testkit::{until, PATIENCE};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// An answer is read so long after it was written: to the node its client has rested for five looks ...
 const LATE: Duration = Duration::from_millis(500);
@@ -143,7 +143,7 @@
 /// The same at a new process of a takeover whose old one is stopped, once its lease has fallen (`Heir::doubt`).
 fn beside_a_stopped_process(kept: usize, late: Duration, at_a_time: usize) {
     let bed = bed(Wishes::default().sockets);
-    let new = successor(&bed);
+    let new = bed.node.ready_successor();
     bed.node.signal("STOP");
     thread::sleep(Duration::from_millis(300));
     let kept = LateReaders::start(bed.node.http, kept, late);
@@ -164,13 +164,3 @@
 fn very_late_readers_lose_no_request_at_a_new_process_beside_a_stopped_one() {
     beside_a_stopped_process(FEW, VERY_LATE, 1);
 }
-
-/// A new process that has said that it is ready.
-fn successor(bed: &Bed) -> Program {
-    let new = bed.node.successor();
-    let end = Instant::now() + PATIENCE;
-    while new.call("GET", "/_ready") != Some(200) {
-        assert!(Instant::now() < end, "the new process never is ready");
-    }
-    new
-}
--- a/crates/node/tests/stopped.rs
+++ b/crates/node/tests/stopped.rs
@@ -6,8 +6,8 @@
 use laurelroute_testkit::load::{Load, Tally};
 use laurelroute_testkit::newcomers::{Came, Newcomers, PATIENT};
 use laurelroute_testkit::program::{Bed, Program, Wishes};
+use laurelroute_testkit::until;
 use laurelroute_testkit::wire::{Answer, Ask, Class, Wire};
-use laurelroute_testkit::{until, PATIENCE};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -350,16 +350,6 @@
     bed
 }
 
-/// The heir, as soon as it has said that it is ready.
-fn ready_heir(bed: &Bed) -> Program {
-    let heir = bed.node.successor();
-    let end = Instant::now() + PATIENCE;
-    while heir.call("GET", "/_ready") != Some(200) {
-        assert!(Instant::now() < end, "the heir never is ready");
-    }
-    heir
-}
-
 /// The elder is told to end, and does; nothing goes wrong for a while after.
 fn end(mut elder: Program) {
     elder.signal("TERM");
@@ -367,6 +357,16 @@
     thread::sleep(Duration::from_millis(200));
 }
 
+/// The elder ends soon after its stop, and neither kept clients nor newcomers have lost anything.
+fn ends_well(bed: Bed, heir: &Program, kept: Kept, newcomers: Newcomers) {
+    counters(heir);
+    thread::sleep(Duration::from_millis(50));
+    end(bed.node);
+    let came = newcomers.finish();
+    let broken: Vec<String> = kept.finish().into_iter().chain(came.late()).collect();
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
 fn counters(program: &Program) {
     let text = program.call_for_text("GET", "/_counters").map(|(_, text)| text).unwrap_or_default();
     let told = text.lines().filter(|l| l.starts_with("close") || l.starts_with("refused"));
@@ -379,34 +379,24 @@
     let bed = takeover();
     let kept = Kept::start(bed.node.http);
     thread::sleep(Duration::from_millis(200));
-    let heir = ready_heir(&bed);
+    let heir = bed.node.ready_successor();
     let newcomers =
         stopped(&bed.node, STOP, || Newcomers::start(Wire::Http, bed.node.http, 2, Duration::from_millis(5)));
-    counters(&heir);
-    thread::sleep(Duration::from_millis(50));
-    end(bed.node);
-    let came = newcomers.finish();
-    let broken: Vec<String> = kept.finish().into_iter().chain(came.late()).collect();
-    assert!(broken.is_empty(), "{broken:#?}");
+    ends_well(bed, &heir, kept, newcomers);
 }
 
 /// The same of clients that come to the heir while its elder is stopped, once its lease has fallen (`share::doubted`).
 #[test]
 fn clients_that_come_to_an_heir_beside_a_stopped_elder_lose_no_request() {
     let bed = takeover();
-    let heir = ready_heir(&bed);
+    let heir = bed.node.ready_successor();
     let (kept, newcomers) = stopped(&bed.node, STOP, || {
         thread::sleep(Duration::from_millis(500));
         let kept = Kept::start(bed.node.http);
         thread::sleep(Duration::from_millis(300));
         (kept, Newcomers::start(Wire::Http, bed.node.http, 2, Duration::from_millis(5)))
     });
-    counters(&heir);
-    thread::sleep(Duration::from_millis(50));
-    end(bed.node);
-    let came = newcomers.finish();
-    let broken: Vec<String> = kept.finish().into_iter().chain(came.late()).collect();
-    assert!(broken.is_empty(), "{broken:#?}");
+    ends_well(bed, &heir, kept, newcomers);
 }
 
 /// An heir that is stopped once it is ready, while clients lie in the hand-over's socket and its elder is told to end.
@@ -415,7 +405,7 @@
     let bed = takeover();
     let kept = Kept::start(bed.node.http);
     thread::sleep(Duration::from_millis(200));
-    let heir = ready_heir(&bed);
+    let heir = bed.node.ready_successor();
     stopped(&heir, STOP, || bed.node.signal("TERM"));
     end(bed.node);
     counters(&heir);
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -7,7 +7,7 @@
 use crate::port::Port;
 use crate::process;
 use crate::wire::{Answer, Ask, Class, Wire};
-use crate::{fresh, until};
+use crate::{fresh, until, PATIENCE};
 use laurelroute_thrift::codec::Form;
 use rustix::process::{Resource, Rlimit};
 use std::collections::HashMap;
@@ -17,6 +17,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::time::Instant;
 
 /// What a test may want otherwise of the site.
 #[derive(Clone, Debug)]
@@ -172,6 +173,17 @@
         Program::spawn(command, files, self.place.clone(), (self.http, self.thrift), self.wishes.clone())
     }
 
+    /// The same, as soon as it has said that it is ready. It is asked without a pause: what a test does next is to come within
+    /// microseconds of that.
+    pub fn ready_successor(&self) -> Program {
+        let new = self.successor();
+        let end = Instant::now() + PATIENCE;
+        while new.call("GET", "/_ready") != Some(200) {
+            assert!(Instant::now() < end, "the new process never is ready");
+        }
+        new
+    }
+
     /// Starts the same again with a folder of its own, so that the two share nothing but their addresses.
     pub fn stranger(&self) -> Program {
         let folder = self.place.folder.with_extension(format!("apart-{}", fresh()));
