--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -7,9 +7,11 @@
 use laurelroute_testkit::boxes::{Act, StandIn};
 use laurelroute_testkit::client::{Client, Leaving, LEAVINGS};
 use laurelroute_testkit::discovery::Entry;
+use laurelroute_testkit::process;
 use laurelroute_testkit::program::{Bed, Wishes};
-use laurelroute_testkit::wire::{Answer, Ask, Class, Wire};
+use laurelroute_testkit::wire::{Answer, Ask, Class, Say, Wire};
 use laurelroute_testkit::{seed, until, Random};
+use std::collections::VecDeque;
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -244,3 +246,76 @@
 fn before_a_hedge_attempt_thrift() {
     waiting_before_a_hedge_attempt(thrift());
 }
+
+/// How long a client has its connection kept after it has disconnected: shorter than an abandoned attempt goes on.
+const CLOSED_WITHIN: Duration = Duration::from_millis(400);
+
+/// The connections of clients that have disconnected are closed while their abandoned attempts go on.
+#[test]
+fn abandoned_attempts_do_not_hold_the_connections_of_their_clients() {
+    const WAITING: u32 = 2_000;
+    const ANSWERED: u32 = 300;
+    for wire in [Wire::Http, thrift()] {
+        let bed = bed(wire, 4, Wishes { aim_ms: 150, ..Wishes::default() });
+        bed.boxes.iter().for_each(|b| b.usually(Act::Stall));
+        for deadline_ms in [WAITING, ANSWERED] {
+            let clients: Vec<Client> = (0..40)
+                .map(|_| {
+                    let mut client = bed.node.connect(wire);
+                    client.send(&Ask::new(Class::Read).within(deadline_ms));
+                    client
+                })
+                .collect();
+            thread::sleep(Duration::from_millis(150));
+            for mut client in clients {
+                if deadline_ms == ANSWERED {
+                    assert!(client.answer().is_some(), "{wire:?}: no answer");
+                }
+            }
+            thread::sleep(CLOSED_WITHIN);
+            let held = process::close_wait(bed.node.address(wire));
+            assert_eq!(held, 0, "{wire:?}, {deadline_ms} ms: connections of clients that have disconnected");
+        }
+    }
+}
+
+/// The process keeps within its descriptors while clients disconnect whose attempts go on.
+#[test]
+fn descriptors_stay_within_their_limit_while_clients_disconnect() {
+    const SOCKETS: usize = 256;
+    const CROWD: usize = 60;
+    const ROUNDS: usize = 50;
+    let limited = format!("ulimit -n {SOCKETS} && exec \"$@\"");
+    let program = env!("CARGO_BIN_EXE_laurelroute");
+    let launch: Vec<String> = ["sh", "-c", &limited, "sh", program].into_iter().map(str::to_owned).collect();
+    for launch in [Vec::new(), launch] {
+        let wishes = Wishes { sockets: SOCKETS, aim_ms: 150, launch, ..Wishes::default() };
+        let bed = bed(Wire::Http, 4, wishes);
+        bed.boxes.iter().for_each(|b| b.usually(Act::Stall));
+        let mut crowds: VecDeque<Vec<Client>> = VecDeque::new();
+        let mut most = 0;
+        for _ in 0..ROUNDS {
+            let crowd = (0..CROWD).filter_map(|_| Client::connect(Wire::Http, bed.node.http));
+            crowds.push_back(
+                crowd
+                    .map(|mut client| {
+                        client.send(&Ask::new(Class::Read).within(300));
+                        client
+                    })
+                    .collect(),
+            );
+            if crowds.len() > 2 {
+                crowds.pop_front();
+            }
+            let end = Instant::now() + Duration::from_millis(80);
+            while Instant::now() < end {
+                most = most.max(bed.node.descriptors());
+                thread::sleep(Duration::from_millis(4));
+            }
+        }
+        assert!(most <= SOCKETS, "{most} descriptors of {SOCKETS}");
+        crowds.clear();
+        bed.boxes.iter().for_each(|b| b.usually(Act::Say(Say::Served)));
+        until("a request is served", || bed.one(Class::Read).is_some_and(|a| a.served()));
+    }
+}
--- a/crates/testkit/src/lib.rs
+++ b/crates/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 //! Ports are the system's choice, every wait is for a condition and has an end, and whatever is drawn comes from a
 //! printed seed (`LAURELROUTE_SEED` repeats one).
 
+pub mod attempts;
 pub mod between;
 pub mod boxes;
 pub mod catalogue;
--- a/crates/testkit/src/process.rs
+++ b/crates/testkit/src/process.rs
@@ -1,5 +1,6 @@
 //! What the kernel says of a process.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// What is told of a process's memory.
@@ -42,3 +43,15 @@
 pub fn descriptors(pid: u32) -> usize {
     std::fs::read_dir(format!("/proc/{pid}/fd")).map_or(0, Iterator::count)
 }
+
+/// Connections with this local IPv4 address that their peers have closed and that are still open here (CLOSE_WAIT).
+pub fn close_wait(local: SocketAddr) -> usize {
+    const CLOSE_WAIT: &str = "08";
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let local = format!("0100007F:{:04X}", local.port());
+    let row = |line: &&str| {
+        let mut fields = line.split_ascii_whitespace().skip(1);
+        fields.next() == Some(&local) && fields.nth(1) == Some(CLOSE_WAIT)
+    };
+    table.lines().filter(row).count()
+}
