--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -86,9 +86,3 @@
         f.write_str("ResponseSlot")
     }
 }
-
-/// How far an upstream connection has got in sending its request.
-pub trait SendProgress {
-    /// Whether the kernel has the last byte of the request: from then on it may run.
-    fn fully_sent(&self) -> bool;
-}
--- a/crates/core/src/connect.rs
+++ b/crates/core/src/connect.rs
@@ -2,6 +2,7 @@
 
 use crate::budget::Slot;
 use crate::call::Wire;
+use crate::connection::Connection;
 use crate::fleet::ServerConnectionSlot;
 use crate::gateway::Gateway;
 use crate::retry_io::{classify_error, ErrorClass};
@@ -58,13 +59,6 @@
     Exhausted,
 }
 
-/// The slots that a connection occupies for as long as it is open.
-#[derive(Debug)]
-pub struct ConnectionPermit {
-    _slot: Slot,
-    _server_slot: ServerConnectionSlot,
-}
-
 /// Connects to a server. If the node's descriptors or the server's connections are used up, idle connections are closed
 /// to make room.
 pub async fn connect(
@@ -72,15 +66,15 @@
     server: Endpoint,
     wire: Wire,
     address: SocketAddr,
-) -> Result<(TcpStream, ConnectionPermit), ConnectError> {
-    let server_slot = loop {
+) -> Result<Rc<Connection>, ConnectError> {
+    let server_slot: ServerConnectionSlot = loop {
         match gateway.fleet(|f| f.reserve_connection(server, wire)) {
             Some(server_slot) => break server_slot,
             None if gateway.evict_from_other_services(server) => {}
             None => return Err(ConnectError::Exhausted),
         }
     };
-    let slot = loop {
+    let slot: Slot = loop {
         if let Some(slot) = gateway.budget.acquire_server() {
             break slot;
         }
@@ -90,12 +84,10 @@
         if !gateway.abort_lingering() {
             return Err(ConnectError::Exhausted);
         }
-        // An aborted task releases its descriptor only when the runtime next polls it.
-        tokio::task::yield_now().await;
     };
     let limit = Duration::from_nanos(gateway.config.connect_timeout);
     match tokio::time::timeout(limit, connect_with_retry(address)).await {
-        Ok(Ok(stream)) => Ok((stream, ConnectionPermit { _slot: slot, _server_slot: server_slot })),
+        Ok(Ok(stream)) => Ok(Connection::new(stream, (slot, server_slot))),
         Ok(Err(e)) if is_local_failure(&e) => Err(ConnectError::Exhausted),
         Ok(Err(_)) | Err(_) => Err(ConnectError::Failed),
     }
--- /dev/null
+++ b/crates/core/src/connection.rs
@@ -0,0 +1,164 @@
+//! A TCP connection that one owner holds and others refer to: it can be closed at once, whoever still refers to it, and
+//! what it takes up within the limits is released exactly when its descriptor is closed.
+
+use crate::peer::{self, PeerState};
+use crate::retry_io;
+use std::any::Any;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::os::fd::{AsFd, BorrowedFd};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// An open descriptor and its slots, in the order in which they are released.
+struct Open {
+    stream: TcpStream,
+    _slots: Box<dyn Any>,
+}
+
+/// A TCP connection of the node.
+pub struct Connection {
+    open: RefCell<Option<Open>>,
+    request_sent: Cell<bool>,
+}
+
+impl std::fmt::Debug for Connection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Connection(open: {})", self.is_open())
+    }
+}
+
+impl Connection {
+    /// A connection that holds these slots until it is closed.
+    pub fn new(stream: TcpStream, slots: impl Any) -> Rc<Connection> {
+        // Messages are written in full: waiting to fill a segment would only delay them.
+        let _ = stream.set_nodelay(true);
+        let open = Open { stream, _slots: Box::new(slots) };
+        Rc::new(Connection { open: RefCell::new(Some(open)), request_sent: Cell::new(false) })
+    }
+
+    /// Closes the connection now: the peer is notified before this returns. Later reads and writes fail.
+    pub fn close(&self) {
+        drop(self.open.take());
+    }
+
+    /// Whether the connection has not been closed here.
+    pub fn is_open(&self) -> bool {
+        self.open.borrow().is_some()
+    }
+
+    /// Whether the kernel has the last byte of the request that the connection carries: from then on it may run.
+    pub fn request_sent(&self) -> bool {
+        self.request_sent.get()
+    }
+
+    /// Records whether the kernel has the last byte of the request.
+    pub fn set_request_sent(&self, sent: bool) {
+        self.request_sent.set(sent);
+    }
+
+    fn with_stream<T>(&self, f: impl FnOnce(&TcpStream) -> T) -> Option<T> {
+        self.open.borrow().as_ref().map(|open| f(&open.stream))
+    }
+
+    /// Whether nothing has arrived and the peer has not closed. This asks the kernel: the runtime's state may be older
+    /// than a close that would lose the next request.
+    pub fn is_quiescent(&self) -> bool {
+        self.with_stream(peer::is_quiescent).unwrap_or(false)
+    }
+
+    /// Whether the connection is closed here or by the peer, even if data is still unread.
+    pub fn peer_closed(&self) -> bool {
+        self.with_stream(peer::closed).unwrap_or(true)
+    }
+
+    /// The state of the peer, as the kernel has it now.
+    pub fn peer_state(&self) -> PeerState {
+        self.with_stream(peer::peer_state).unwrap_or(PeerState::Closed)
+    }
+
+    /// Whether the peer has closed the connection behind a request that has just been read, the connection's first or a
+    /// later one. The runtime reads a new connection before it has polled it at all, and an old one on the strength of
+    /// an earlier event. On the first request of a connection, where the end of the stream may be behind unread data,
+    /// the poller is given time to run.
+    pub async fn peer_closed_after_read(&self, first_request: bool) -> bool {
+        match self.peer_state() {
+            PeerState::Connected => false,
+            PeerState::Closed => true,
+            PeerState::Unknown if first_request => {
+                tokio::time::sleep(peer::POLLER_TURN).await;
+                self.peer_closed()
+            }
+            PeerState::Unknown => false,
+        }
+    }
+
+    /// Runs `f` on the descriptor, if the connection is open.
+    pub fn with_descriptor<T>(&self, f: impl FnOnce(BorrowedFd<'_>) -> T) -> Option<T> {
+        self.with_stream(|stream| f(stream.as_fd()))
+    }
+
+    /// Reads available data, or waits for some ([`retry_io::poll_read`]).
+    pub fn poll_read(&self, cx: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<usize>> {
+        self.with_stream(|stream| retry_io::poll_read(stream, cx, buffer)).unwrap_or_else(closed_error)
+    }
+
+    /// Writes as much as the connection accepts, or waits until it accepts some ([`retry_io::poll_write`]).
+    pub fn poll_write(&self, cx: &mut Context<'_>, slices: &[io::IoSlice<'_>]) -> Poll<io::Result<usize>> {
+        self.with_stream(|stream| retry_io::poll_write(stream, cx, slices)).unwrap_or_else(closed_error)
+    }
+
+    /// Ends the sending direction.
+    pub fn shutdown_write(&self) -> io::Result<()> {
+        let shut = |stream: &TcpStream| socket2::SockRef::from(stream).shutdown(std::net::Shutdown::Write);
+        self.with_stream(shut).unwrap_or(Ok(()))
+    }
+}
+
+fn closed_error<T>() -> Poll<io::Result<T>> {
+    Poll::Ready(Err(io::ErrorKind::NotConnected.into()))
+}
+
+/// Reads and writes of a connection, for its owner.
+#[derive(Debug)]
+pub struct ConnectionIo(pub Rc<Connection>);
+
+impl AsyncRead for ConnectionIo {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.0.poll_read(cx, buffer).map_ok(|_| ())
+    }
+}
+
+impl AsyncWrite for ConnectionIo {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.0.poll_write(cx, &[io::IoSlice::new(bytes)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.0.poll_write(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // Writes are unbuffered: the kernel already has the data.
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.0.shutdown_write())
+    }
+}
--- a/crates/core/src/connection_source.rs
+++ b/crates/core/src/connection_source.rs
@@ -2,11 +2,19 @@
 
 use crate::call::Wire;
 use crate::connect::ConnectError;
+use crate::connection::Connection;
 use crate::fleet::PooledConnection;
 use crate::gateway::Attempt;
 use laurelroute_policy::interface::{AttemptOutcome, Nanos};
 use std::future::Future;
 use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A connection to a server, with the state of its protocol, that can carry attempts.
+pub trait CarriesAttempts: PooledConnection {
+    /// The connection itself.
+    fn connection(&self) -> &Rc<Connection>;
+}
 
 /// A connection checked out by an attempt.
 pub struct AttemptConnection<C> {
@@ -40,9 +48,10 @@
         open: impl FnOnce(SocketAddr) -> F,
     ) -> Result<AttemptConnection<C>, AttemptOutcome>
     where
-        C: PooledConnection,
+        C: CarriesAttempts,
         F: Future<Output = Result<C, ConnectError>>,
     {
+        self.attempt.detach_connection();
         let (gateway, server) = (self.attempt.gateway(), self.attempt.server());
         let pooled = match std::mem::replace(&mut self.pool_tried, true) {
             false => gateway.fleet(|f| f.checkout(server, self.wire, gateway.idle_cutoff())),
@@ -62,13 +71,17 @@
         };
         // Connecting takes time, and the client, the deadline or the server may have changed meanwhile.
         match self.attempt.may_begin(self.wire).await {
-            Ok(address) if address == self.address => Ok(connection),
+            Ok(address) if address == self.address => {
+                self.attempt.attach_connection(connection.connection.connection());
+                Ok(connection)
+            }
             _ => Err(AttemptOutcome::NotSent),
         }
     }
 
-    /// Returns a connection to the pool after a complete response.
+    /// Returns a connection to the pool after a complete response: the attempt is over at its server.
     pub fn release<C: PooledConnection>(&self, connection: AttemptConnection<C>) {
+        self.attempt.detach_connection();
         let gateway = self.attempt.gateway();
         let times = (connection.opened_at, gateway.clock.now());
         gateway.fleet(|f| {
--- a/crates/core/src/dispatch.rs
+++ b/crates/core/src/dispatch.rs
@@ -33,7 +33,7 @@
     /// A request that must not run more than once may have run.
     #[error("it may have run")]
     MayHaveRun,
-    /// Another attempt is in flight, and the settings forbid concurrent attempts.
+    /// As many attempts as the settings allow are under way at once.
     #[error("another attempt is out")]
     SecondCopy,
 }
@@ -63,9 +63,15 @@
     pub ending: Option<AttemptOutcome>,
     /// When it was sent.
     pub sent_at: Nanos,
+    /// Whether its connection is open, however it is said to have ended: its server may still be at work on it.
+    pub connection_open: bool,
 }
 
 impl PriorAttempt {
+    fn is_under_way(&self) -> bool {
+        self.ending.is_none() || self.connection_open
+    }
+
     fn may_have_run(&self) -> bool {
         self.ending.is_none_or(|ending| !ending.never_ran())
     }
@@ -91,7 +97,8 @@
     locality: Option<Locality>,
     now: Nanos,
 ) -> Result<(), Denied> {
-    if !policy.hedging && earlier.clone().any(|e| e.ending.is_none()) {
+    let allowed_at_once = if policy.hedging { 2 } else { 1 };
+    if earlier.clone().filter(PriorAttempt::is_under_way).count() >= allowed_at_once {
         return Err(Denied::SecondCopy);
     }
     let mut ran = earlier.filter(PriorAttempt::may_have_run);
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -4,7 +4,7 @@
 //! Everything runs on one thread. The state is borrowed only inside the methods here, never across an await.
 
 use crate::budget::Budget;
-use crate::call::{Call, Exchange, LocalReply, SendProgress};
+use crate::call::{Call, Exchange, LocalReply};
 use crate::clock::Clock;
 use crate::dispatch::{Locality, PriorAttempt};
 use crate::events::{self, Kind, Label};
@@ -30,10 +30,12 @@
 use tokio::task::AbortHandle;
 
 mod attempt;
+mod carrier;
 mod pending_request;
 mod permits;
 
 pub use attempt::Attempt;
+use carrier::Carrier;
 pub use pending_request::PendingRequest;
 
 /// How long an abandoned attempt may continue, so that its connection can be reused. Closing the connection would cost
@@ -111,8 +113,6 @@
     number: u8,
 }
 
-type ProgressSlot = Rc<RefCell<Option<Rc<dyn SendProgress>>>>;
-
 struct SentAttempt {
     server: Endpoint,
     sent_at: Nanos,
@@ -120,18 +120,11 @@
     /// How the attempt ended, once it has.
     ending: Option<AttemptOutcome>,
     locality: Option<Locality>,
-    /// The send progress of its connection, once it has one.
-    progress: ProgressSlot,
+    /// Its connection, while it has one.
+    carrier: Carrier,
     task: Option<AbortHandle>,
 }
 
-impl SentAttempt {
-    /// Whether the kernel has the last byte of the request: from then on it may run.
-    fn fully_sent(&self) -> bool {
-        self.progress.borrow().as_ref().is_some_and(|p| p.fully_sent())
-    }
-}
-
 struct RequestState {
     exchange: Rc<dyn Exchange>,
     label: Label,
@@ -149,8 +142,28 @@
             locality: a.locality,
             ending: a.ending,
             sent_at: a.sent_at,
+            connection_open: a.carrier.is_open(),
         })
     }
+
+    /// Whether a further attempt may still be sent.
+    fn may_be_sent_again(&self, now: Nanos) -> bool {
+        self.awaiting_response && now < self.give_up_at
+    }
+}
+
+/// An abandoned attempt of a request that is not sent again. It goes on for a while, so that its connection can be kept.
+struct LingeringAttempt {
+    until: Nanos,
+    carrier: Carrier,
+    task: AbortHandle,
+}
+
+impl LingeringAttempt {
+    fn end(&self) {
+        self.carrier.close();
+        self.task.abort();
+    }
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -171,7 +184,7 @@
     /// The time until which the timer task sleeps.
     armed: Nanos,
     /// Abandoned attempts whose outcome has been reported; bounded by the connections to servers.
-    lingering: VecDeque<(Nanos, AbortHandle)>,
+    lingering: VecDeque<LingeringAttempt>,
     next_id: RequestId,
     ids: Ids,
     /// The shift of traffic from one pool of servers to another, if the operator's file configures one.
@@ -404,7 +417,7 @@
         let attempts = state.in_flight.get(&request).map_or(0, |entry| entry.attempts.len());
         for number in 0..attempts as u8 {
             let attempt = state.in_flight.get(&request).and_then(|l| l.attempts.get(usize::from(number)));
-            if attempt.is_some_and(|a| a.open && !a.fully_sent()) {
+            if attempt.is_some_and(|a| a.open && !a.carrier.fully_sent()) {
                 self.conclude(state, AttemptId { request, number }, AttemptOutcome::NotSent);
             }
         }
@@ -626,7 +639,7 @@
             let next = {
                 let mut state = self.state.borrow_mut();
                 let next = state.timers.peek().map_or(Nanos::MAX, |Reverse((at, _))| *at);
-                let linger = state.lingering.front().map_or(Nanos::MAX, |(at, _)| *at);
+                let linger = state.lingering.front().map_or(Nanos::MAX, |attempt| attempt.until);
                 state.armed = next.min(linger);
                 if done(&state) {
                     return;
@@ -659,12 +672,9 @@
                 }
             }
         }
-        while let Some((at, _)) = state.lingering.front() {
-            if *at > self.clock.now() {
-                break;
-            }
-            if let Some((_, task)) = state.lingering.pop_front() {
-                task.abort();
+        while state.lingering.front().is_some_and(|attempt| attempt.until <= self.clock.now()) {
+            if let Some(attempt) = state.lingering.pop_front() {
+                attempt.end();
             }
         }
     }
@@ -687,13 +697,20 @@
         self.forget(state, request);
     }
 
-    /// Reports to the module how an attempt ended, once.
+    /// Reports to the module how an attempt ended, once. As the module may send the request again, the attempt's
+    /// connection is closed first; only where no further attempt can follow may it go on for a while.
     fn conclude(self: &Rc<Self>, state: &mut State, id: AttemptId, ending: AttemptOutcome) {
+        let now = self.clock.now();
         let Some(entry) = state.in_flight.get_mut(&id.request) else { return };
+        let may_be_sent_again = entry.may_be_sent_again(now);
         let Some(attempt) = entry.attempts.get_mut(usize::from(id.number)).filter(|a| a.open) else { return };
         attempt.open = false;
         attempt.ending = Some(ending);
-        let took = self.clock.now().saturating_sub(attempt.sent_at);
+        let may_linger = !may_be_sent_again && attempt.carrier.fully_sent();
+        if may_be_sent_again {
+            attempt.carrier.close();
+        }
+        let took = now.saturating_sub(attempt.sent_at);
         if let Some(shift) = &mut state.shift {
             let at = (attempt.server, usize::from(id.number));
             shift.attempt_ended(&entry.request, at, (attempt.sent_at, took), ending);
@@ -710,11 +727,15 @@
         if matches!(ending, AttemptOutcome::TimedOut | AttemptOutcome::Cancelled | AttemptOutcome::NotSent) {
             if let Some(task) = attempt.task.take() {
                 // A request cut off before its last byte never runs; after it, the server does the work anyway.
-                if attempt.fully_sent() {
-                    let at = self.clock.now() + LINGER_TIME;
-                    state.lingering.push_back((at, task));
-                    if at < state.armed {
-                        state.armed = at;
+                if may_linger {
+                    let until = now + LINGER_TIME;
+                    state.lingering.push_back(LingeringAttempt {
+                        until,
+                        carrier: attempt.carrier.clone(),
+                        task,
+                    });
+                    if until < state.armed {
+                        state.armed = until;
                         self.timer.notify_one();
                     }
                 } else {
@@ -779,14 +800,14 @@
         let locality = state.fleet.locality(server);
         let Some(entry) = state.in_flight.get_mut(&request) else { return };
         let id = AttemptId { request, number: entry.attempts.len() as u8 };
-        let (sent_at, progress) = (self.clock.now(), ProgressSlot::default());
+        let (sent_at, carrier) = (self.clock.now(), Carrier::default());
         let mut sent = SentAttempt {
             server,
             sent_at,
             open: true,
             ending: None,
             locality,
-            progress: progress.clone(),
+            carrier: carrier.clone(),
             task: None,
         };
         let decided = self.may_send(entry, locality);
@@ -807,7 +828,7 @@
                 server,
                 give_up_at,
                 send_by,
-                progress,
+                carrier,
                 exchange: entry.exchange.clone(),
                 arrived_at: entry.arrived_at,
                 label: entry.label,
@@ -847,11 +868,11 @@
         }
     }
 
-    /// Aborts the oldest abandoned attempt to free its connection; returns false if there is none.
+    /// Ends the oldest abandoned attempt and closes its connection; returns false if there is none.
     pub fn abort_lingering(&self) -> bool {
         let stop = |g: &Self| {
             let oldest = g.state.borrow_mut().lingering.pop_front();
-            oldest.inspect(|(_, task)| task.abort()).is_some()
+            oldest.inspect(LingeringAttempt::end).is_some()
         };
         stop(self) || self.process.others(self).iter().any(|g| stop(g))
     }
--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -1,8 +1,10 @@
 //! An attempt of a request, as used by the upstream connection that carries it: queries to the gateway, and the report
 //! of its ending.
 
-use super::{AttemptId, Gateway, ProgressSlot, CLIENT_CHECK_TTL};
-use crate::call::{Exchange, SendProgress, Wire};
+use super::carrier::Carrier;
+use super::{AttemptId, Gateway, CLIENT_CHECK_TTL};
+use crate::call::{Exchange, Wire};
+use crate::connection::Connection;
 use crate::dispatch::Denied;
 use crate::events::Label;
 use crate::peer::PeerState;
@@ -17,7 +19,7 @@
     pub(super) server: Endpoint,
     pub(super) give_up_at: Nanos,
     pub(super) send_by: Nanos,
-    pub(super) progress: ProgressSlot,
+    pub(super) carrier: Carrier,
     pub(super) exchange: Rc<dyn Exchange>,
     /// When the request arrived.
     pub(super) arrived_at: Nanos,
@@ -91,12 +93,18 @@
         }
     }
 
-    /// Registers the source of send progress; to be called before the first byte is written.
-    pub fn set_send_progress(&self, progress: Rc<dyn SendProgress>) {
-        *self.progress.borrow_mut() = Some(progress);
+    /// Registers the connection that is about to carry the attempt, which the gateway closes when the attempt ends.
+    pub(crate) fn attach_connection(&self, connection: &Rc<Connection>) {
+        self.carrier.attach(connection);
     }
 
-    /// Reports that the attempt ended without a response for the client.
+    /// Deregisters the connection: nothing of the attempt is left on it.
+    pub(crate) fn detach_connection(&self) {
+        self.carrier.detach();
+    }
+
+    /// Reports that the attempt ended without a response for the client. A connection that it still has is closed
+    /// first, unless no further attempt can follow.
     pub fn fail(&self, ending: AttemptOutcome) {
         let mut state = self.gateway.state.borrow_mut();
         self.gateway.conclude(&mut state, self.id, ending);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod call;
 pub mod clock;
 pub mod connect;
+pub mod connection;
 pub mod connection_source;
 pub mod dispatch;
 pub mod events;
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -19,11 +19,11 @@
 
 /// Within this time the poller reports pending events. Only clients that have sent far more than their first request
 /// wait for it.
-const POLLER_TURN: Duration = Duration::from_millis(1);
+pub(crate) const POLLER_TURN: Duration = Duration::from_millis(1);
 
 /// Whether the peer has closed its side or reset the connection, as far as the poller has reported it (EPOLLRDHUP,
 /// EPOLLHUP), regardless of unread data.
-pub fn closed(stream: &TcpStream) -> bool {
+pub(crate) fn closed(stream: &TcpStream) -> bool {
     let ready = pin!(stream.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
     matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
 }
@@ -37,7 +37,7 @@
 
 /// Whether nothing is unread and the peer has not closed: closing the connection now loses no request, and a request
 /// sent now does not meet a close.
-pub fn is_quiescent(stream: &TcpStream) -> bool {
+pub(crate) fn is_quiescent(stream: &TcpStream) -> bool {
     matches!(peek(stream), Err(e) if classify_error(&e) == ErrorClass::WouldBlock)
 }
 
@@ -54,7 +54,7 @@
 }
 
 /// The state of the connection to the peer, as the kernel reports it now.
-pub fn peer_state(stream: &TcpStream) -> PeerState {
+pub(crate) fn peer_state(stream: &TcpStream) -> PeerState {
     if closed(stream) {
         return PeerState::Closed;
     }
@@ -65,19 +65,3 @@
         Err(_) => PeerState::Connected,
     }
 }
-
-/// Like [`closed`], but queries the kernel: to be called right after a request has been read, when the poller may not
-/// have reported the close yet. The runtime reads a new connection before it has polled it at all, and an old one on
-/// the strength of an earlier event. On the first request of a connection, where the end of the stream may be behind
-/// unread data, the poller is given time to run.
-pub async fn closed_after_read(stream: &TcpStream, first_request: bool) -> bool {
-    match peer_state(stream) {
-        PeerState::Connected => false,
-        PeerState::Closed => true,
-        PeerState::Unknown if first_request => {
-            tokio::time::sleep(POLLER_TURN).await;
-            closed(stream)
-        }
-        PeerState::Unknown => false,
-    }
-}
--- a/crates/core/src/retry_io.rs
+++ b/crates/core/src/retry_io.rs
@@ -4,7 +4,6 @@
 use crate::io_counters;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -87,17 +86,12 @@
 
 /// A connection whose reads and writes handle interrupted and short system calls.
 #[derive(Debug)]
-pub struct RetryingStream(Rc<TcpStream>);
+pub struct RetryingStream(TcpStream);
 
 impl RetryingStream {
     /// Wraps a connection.
     pub fn new(stream: TcpStream) -> RetryingStream {
-        RetryingStream(Rc::new(stream))
-    }
-
-    /// The underlying connection, for inspection.
-    pub fn connection(&self) -> &Rc<TcpStream> {
-        &self.0
+        RetryingStream(stream)
     }
 }
 
@@ -134,6 +128,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&*self.0).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(socket2::SockRef::from(&self.0).shutdown(std::net::Shutdown::Write))
     }
 }
--- a/crates/core/tests/dispatch.rs
+++ b/crates/core/tests/dispatch.rs
@@ -12,7 +12,7 @@
 }
 
 fn earlier(ending: Option<AttemptOutcome>) -> PriorAttempt {
-    PriorAttempt { locality: Some(CELL_2), ending, sent_at: 100 }
+    PriorAttempt { locality: Some(CELL_2), ending, sent_at: 100, connection_open: false }
 }
 
 fn retry(
@@ -71,6 +71,22 @@
     assert_eq!(retry(forbidden, Some(AttemptOutcome::Reset), CELL_2, 200), Ok(()));
 }
 
+/// An attempt that is said to have ended is under way as long as its connection is open.
+#[test]
+fn attempts_with_an_open_connection_are_under_way() {
+    let open = PriorAttempt { connection_open: true, ..earlier(Some(AttemptOutcome::Reset)) };
+    let closed = PriorAttempt { connection_open: false, ..open };
+    let allowed = policy(Idempotency::Safe, DedupGroup::All);
+    let forbidden = RetryPolicy { hedging: false, ..allowed };
+    let retry =
+        |policy, earlier: &[PriorAttempt]| may_retry(&policy, earlier.iter().copied(), Some(CELL_2), 200);
+    assert_eq!(retry(forbidden, &[open]), Err(Denied::SecondCopy));
+    assert_eq!(retry(forbidden, &[closed, closed]), Ok(()));
+    assert_eq!(retry(allowed, &[open, closed]), Ok(()));
+    assert_eq!(retry(allowed, &[open, open]), Err(Denied::SecondCopy));
+    assert_eq!(retry(allowed, &[open, earlier(None)]), Err(Denied::SecondCopy));
+}
+
 #[test]
 fn a_request_is_refused_only_if_a_retry_is_harmless() {
     let refuse = |effect, group, ending| may_refuse(&policy(effect, group), [earlier(ending)].into_iter());
--- a/crates/core/tests/services.rs
+++ b/crates/core/tests/services.rs
@@ -2,7 +2,8 @@
 
 use laurelroute_core::call::{Exchange, LocalReply, Wire};
 use laurelroute_core::clock::Clock;
-use laurelroute_core::connect::{connect, ConnectError, ConnectionPermit};
+use laurelroute_core::connect::{connect, ConnectError};
+use laurelroute_core::connection::Connection;
 use laurelroute_core::fleet::{PooledConnection, ServerEntry};
 use laurelroute_core::gateway::{Attempt, Gateway, GatewayConfig};
 use laurelroute_core::route::{
@@ -16,7 +17,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, Notify};
 use tokio::task::{spawn_local, AbortHandle, LocalSet};
 
@@ -60,16 +61,12 @@
     gateway.update_servers(ListKind::Changes, vec![entry(host, at, Phase::Ready)]);
 }
 
-async fn open(
-    gateway: &Rc<Gateway>,
-    host: &str,
-    at: SocketAddr,
-) -> Result<(TcpStream, ConnectionPermit), ConnectError> {
+async fn open(gateway: &Rc<Gateway>, host: &str, at: SocketAddr) -> Result<Rc<Connection>, ConnectError> {
     let server = gateway.fleet(|f| f.endpoint_of(host)).expect("listed");
     connect(gateway, server, HTTP, at).await
 }
 
-struct Link(#[allow(dead_code)] (TcpStream, ConnectionPermit));
+struct Link(#[allow(dead_code)] Rc<Connection>);
 
 impl PooledConnection for Link {
     fn is_reusable(&self) -> bool {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -7,6 +7,7 @@
 use laurelroute_policy::interface::Nanos;
 use std::cell::Cell;
 use std::rc::Rc;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// No client may hold a descriptor indefinitely, whether it is silent, slow or malicious. A connection without a
@@ -78,23 +79,22 @@
     close_mode: Cell<Option<CloseMode>>,
     /// Notified when `close_mode` is set.
     close_notify: Notify,
-    _slot: ClientSlot,
 }
 
 impl Client {
-    pub(crate) fn new(socket: Rc<Socket>, now: Nanos, used: bool, slot: ClientSlot) -> Client {
+    pub(crate) fn new(stream: TcpStream, now: Nanos, used: bool, slot: ClientSlot) -> Client {
+        let close_after_response = matches!(slot, ClientSlot::Overflow { .. });
         Client {
-            socket,
+            socket: Socket::for_client(stream, slot),
             idle_tracker: IdleTracker::new(now, used),
             stage: Cell::new(Stage::Idle),
             last_progress_at: Cell::new(now),
             head_started_at: Cell::new(None),
             head_received_at: Cell::new(0),
             request_count: Cell::new(0),
-            close_after_response: Cell::new(matches!(slot, ClientSlot::Overflow { .. })),
+            close_after_response: Cell::new(close_after_response),
             close_mode: Cell::new(None),
             close_notify: Notify::new(),
-            _slot: slot,
         }
     }
 
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -174,7 +174,7 @@
 
     fn serve(self: &Rc<Self>, stream: TcpStream, used: bool, slot: ClientSlot) {
         let now = self.gateway.running_time();
-        let client = Rc::new(Client::new(Socket::for_client(stream), now, used, slot));
+        let client = Rc::new(Client::new(stream, now, used, slot));
         let id = self.next_id.get();
         self.next_id.set(id + 1);
         self.connections.borrow_mut().insert(id, client.clone());
@@ -515,7 +515,7 @@
     let request = policy_request(gateway, &head, &parts.headers, give_up_at);
     let (body, upload) = intake.into_message(complete);
     let client_timeout_ms = upload.is_some().then_some(head.client_timeout / 1_000_000);
-    let (exchange, mut response) = http_exchange(parts, body, client_timeout_ms, client.socket.clone());
+    let (exchange, mut response) = http_exchange(parts, body, client_timeout_ms, &client.socket);
     let pending = service_gateway.submit(Call { request, give_up_at, label: head.label }, Rc::new(exchange));
     let outcome = match upload {
         None => pending.response(&mut response).await,
@@ -579,7 +579,7 @@
     parts: Parts,
     body: Rc<Message>,
     client_timeout_ms: Option<u64>,
-    client: Rc<Socket>,
+    client: &Rc<Socket>,
 ) -> (HttpExchange, oneshot::Receiver<FinalResponse<UpstreamResponse>>) {
     let mut headers = parts.headers;
     upstream::strip_hop_by_hop(&mut headers);
@@ -592,6 +592,7 @@
         _ => parts.uri,
     };
     let (reply, response) = ResponseSlot::new();
+    let client = client.clone();
     (HttpExchange { method: parts.method, uri, headers, body, client_timeout_ms, reply, client }, response)
 }
 
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -2,11 +2,12 @@
 //! transferred.
 
 use crate::body::MAX_BODY_BYTES;
-use laurelroute_core::call::SendProgress;
-use laurelroute_core::{peer, retry_io};
+use laurelroute_core::connection::Connection;
+use laurelroute_core::peer::PeerState;
+use std::any::Any;
 use std::cell::Cell;
 use std::io;
-use std::os::fd::{AsFd, BorrowedFd};
+use std::os::fd::BorrowedFd;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -16,7 +17,7 @@
 /// A connection and the state of its transfers.
 #[derive(Debug)]
 pub struct Socket {
-    stream: TcpStream,
+    connection: Rc<Connection>,
     /// Data has been received since the node last cleared this flag.
     pub data_received: Cell<bool>,
     /// Another process has the connection: nothing more is read here.
@@ -40,6 +41,10 @@
 }
 
 impl RequestProgress {
+    fn is_complete(&self) -> bool {
+        self.head_done && self.body_remaining == 0
+    }
+
     fn observe(&mut self, bytes: &[u8]) {
         let mut at = 0;
         while !self.head_done && at < bytes.len() {
@@ -191,28 +196,20 @@
     }
 }
 
-impl SendProgress for Socket {
-    fn fully_sent(&self) -> bool {
-        self.request_sent()
-    }
-}
-
 impl Socket {
     /// A connection to a server.
-    pub fn new(stream: TcpStream) -> Rc<Self> {
-        Self::with_framing(stream, None)
+    pub fn new(connection: Rc<Connection>) -> Rc<Self> {
+        Self::with_framing(connection, None)
     }
 
-    /// A client connection, on which the framing of requests is tracked.
-    pub fn for_client(stream: TcpStream) -> Rc<Self> {
-        Self::with_framing(stream, Some(Cell::new(RequestFraming::NEW)))
+    /// A client connection, on which the framing of requests is tracked. It holds these slots until it is closed.
+    pub fn for_client(stream: TcpStream, slots: impl Any) -> Rc<Self> {
+        Self::with_framing(Connection::new(stream, slots), Some(Cell::new(RequestFraming::NEW)))
     }
 
-    fn with_framing(stream: TcpStream, request_framing: Option<Cell<RequestFraming>>) -> Rc<Self> {
-        // Responses and requests are written in full: waiting to fill a segment would only delay them.
-        let _ = stream.set_nodelay(true);
+    fn with_framing(connection: Rc<Connection>, request_framing: Option<Cell<RequestFraming>>) -> Rc<Self> {
         Rc::new(Socket {
-            stream,
+            connection,
             data_received: Cell::new(false),
             handed_over: Cell::new(false),
             progressed: Cell::new(true),
@@ -222,6 +219,11 @@
         })
     }
 
+    /// The underlying connection.
+    pub fn connection(&self) -> &Rc<Connection> {
+        &self.connection
+    }
+
     /// Whether the framing of the request with this number, counted from 1, or of an earlier one is ambiguous.
     pub fn has_ambiguous_framing(&self, request: u32) -> bool {
         self.request_framing
@@ -239,52 +241,56 @@
 
     /// Whether the peer has closed or reset the connection, even if data is still unread.
     pub fn peer_closed(&self) -> bool {
-        peer::closed(&self.stream)
+        self.connection.peer_closed()
     }
 
     /// Whether the peer has closed the connection behind a request that has just been read, the connection's first or a
     /// later one.
     pub async fn peer_closed_after_read(&self, first: bool) -> bool {
-        peer::closed_after_read(&self.stream, first).await
+        self.connection.peer_closed_after_read(first).await
     }
 
     /// The state of the peer, as the kernel has it now.
-    pub fn peer_state(&self) -> peer::PeerState {
-        peer::peer_state(&self.stream)
+    pub fn peer_state(&self) -> PeerState {
+        self.connection.peer_state()
     }
 
     /// Called when a request with a body of this length is about to be written; [`Socket::body_finished`] ends a body
     /// of unknown length.
     pub fn expect_request(&self, body: Option<u64>) {
-        self.request_progress
-            .set(RequestProgress { body_remaining: body.unwrap_or(u64::MAX), ..RequestProgress::default() });
+        let body_remaining = body.unwrap_or(u64::MAX);
+        self.set_request_progress(RequestProgress { body_remaining, ..RequestProgress::default() });
     }
 
     /// Called when a body of unknown length has been read to its end: the request may be complete from here on.
     pub fn body_finished(&self) {
         let progress = self.request_progress.get();
         if progress.body_remaining > MAX_BODY_BYTES {
-            self.request_progress.set(RequestProgress { body_remaining: 0, ..progress });
+            self.set_request_progress(RequestProgress { body_remaining: 0, ..progress });
         }
     }
 
     /// Whether the kernel has the last byte of the request: from then on it may have run.
     pub fn request_sent(&self) -> bool {
-        let progress = self.request_progress.get();
-        progress.head_done && progress.body_remaining == 0
+        self.connection.request_sent()
+    }
+
+    fn set_request_progress(&self, progress: RequestProgress) {
+        self.request_progress.set(progress);
+        self.connection.set_request_sent(progress.is_complete());
     }
 
     /// Hands the connection over to another process by `send`, which gets its descriptor and returns whether the other
     /// process has it. From then on nothing is read here, and the connection only remains to be dropped.
     pub fn hand_over(&self, send: impl FnOnce(BorrowedFd<'_>) -> bool) -> bool {
-        self.handed_over.set(send(self.stream.as_fd()));
+        self.handed_over.set(self.connection.with_descriptor(send).unwrap_or(false));
         self.handed_over.get()
     }
 
     /// Whether nothing has arrived and the peer has not closed. This asks the kernel: the runtime's state may be older
     /// than a close that would lose the next request.
     pub fn is_quiescent(&self) -> bool {
-        peer::is_quiescent(&self.stream)
+        self.connection.is_quiescent()
     }
 }
 
@@ -297,7 +303,7 @@
             return Poll::Pending;
         }
         let before = buf.filled().len();
-        let read = ready!(retry_io::poll_read(&self.0.stream, cx, buf))?;
+        let read = ready!(self.0.connection.poll_read(cx, buf))?;
         if let Some(framing) = &self.0.request_framing {
             let mut state = framing.get();
             state.observe(&buf.filled()[before..]);
@@ -319,7 +325,7 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = ready!(retry_io::poll_write(&self.0.stream, cx, slices))?;
+        let written = ready!(self.0.connection.poll_write(cx, slices))?;
         self.0.progressed.set(true);
         let (mut progress, mut unaccounted) = (self.0.request_progress.get(), written);
         for slice in slices {
@@ -327,7 +333,7 @@
             progress.observe(&slice[..part]);
             unaccounted -= part;
         }
-        self.0.request_progress.set(progress);
+        self.0.set_request_progress(progress);
         Poll::Ready(Ok(written))
     }
 
@@ -342,7 +348,7 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(socket2::SockRef::from(&self.0.stream).shutdown(std::net::Shutdown::Write))
+        Poll::Ready(self.0.connection.shutdown_write())
     }
 }
 
@@ -355,10 +361,10 @@
         let request = b"POST /a HTTP/1.1\r\nA: b\r\r\r\n\r\nbody";
         let mut progress = RequestProgress { body_remaining: 4, ..RequestProgress::default() };
         for (k, byte) in request.iter().enumerate() {
-            assert!(!(progress.head_done && progress.body_remaining == 0), "done after {k} bytes");
+            assert!(!progress.is_complete(), "done after {k} bytes");
             progress.observe(&[*byte]);
         }
-        assert!(progress.head_done && progress.body_remaining == 0);
+        assert!(progress.is_complete());
     }
 
     fn ambiguous_head(bytes: &[u8]) -> Option<u32> {
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -8,11 +8,13 @@
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use laurelroute_core::call::{Exchange, FinalResponse, LocalReply, ResponseSlot, Wire};
-use laurelroute_core::connect::{connect, ConnectError, ConnectionPermit};
-use laurelroute_core::connection_source::ConnectionSource;
+use laurelroute_core::connect::{connect, ConnectError};
+use laurelroute_core::connection::Connection as TcpConnection;
+use laurelroute_core::connection_source::{CarriesAttempts, ConnectionSource};
 use laurelroute_core::fleet::PooledConnection;
 use laurelroute_core::gateway::Attempt;
 use laurelroute_core::payload::BufferedBody;
@@ -40,6 +42,9 @@
 const HEAD_STALL_TIMEOUT: Duration = Duration::from_millis(1000);
 /// How long a body may make no progress before its response has begun to the client.
 const BODY_STALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// How long the body of a response that fails the attempt is waited for, so that its connection can be kept. The
+/// attempt is reported, and can be retried, only once it is over at its server.
+const FAILED_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 /// A streamed response is given longer: once it has begun to its client, no other can replace it.
 const STREAM_STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A response of unknown length that is not complete after this time is streamed to its client.
@@ -97,7 +102,6 @@
     socket: Rc<Socket>,
     sender: SendRequest<MessageBody>,
     driver: Option<Connection<TokioIo<SocketIo>, MessageBody>>,
-    _permit: ConnectionPermit,
 }
 
 impl PooledConnection for UpstreamConnection {
@@ -106,6 +110,12 @@
     }
 }
 
+impl CarriesAttempts for UpstreamConnection {
+    fn connection(&self) -> &Rc<TcpConnection> {
+        self.socket.connection()
+    }
+}
+
 impl UpstreamConnection {
     fn poll_driver(&mut self, cx: &mut Context<'_>) {
         if let Some(driver) = &mut self.driver {
@@ -137,13 +147,12 @@
 }
 
 async fn open_connection(attempt: &Attempt, address: SocketAddr) -> Result<UpstreamConnection, ConnectError> {
-    let (stream, permit) = connect(attempt.gateway(), attempt.server(), HTTP, address).await?;
-    let socket = Socket::new(stream);
+    let socket = Socket::new(connect(attempt.gateway(), attempt.server(), HTTP, address).await?);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(READ_BUFFER_BYTES);
     let handshake = builder.handshake(TokioIo::new(SocketIo(socket.clone()))).await;
     let (sender, driver) = handshake.map_err(|_| ConnectError::Failed)?;
-    Ok(UpstreamConnection { socket, sender, driver: Some(driver), _permit: permit })
+    Ok(UpstreamConnection { socket, sender, driver: Some(driver) })
 }
 
 /// Runs one attempt to its end; an error is its outcome where that has not been reported yet. When the gateway has
@@ -157,19 +166,19 @@
             return Err(AttemptOutcome::NotSent);
         }
         connection.socket.expect_request(message.body.length());
-        attempt.set_send_progress(connection.socket.clone());
         let remaining_ms = message.client_timeout_ms.unwrap_or_else(|| attempt.remaining_ms());
         let response =
             connection.sender.send_request(build_request(message, remaining_ms, connection.socket.clone()));
         let socket = connection.socket.clone();
         return match read_head(connection, response).await {
             Ok(response) => {
-                if forward_response(message, attempt, connection, response).await
-                    && connection.is_ready_for_reuse().await
-                {
-                    source.release(attempt_connection);
+                let received = receive_response(message, attempt, connection, response).await?;
+                // Nothing of the attempt is left at its server when its outcome is reported.
+                match received.complete && connection.is_ready_for_reuse().await {
+                    true => source.release(attempt_connection),
+                    false => drop(attempt_connection),
                 }
-                Ok(())
+                received.report(message, attempt)
             }
             Err(_) if socket.request_sent() => Err(AttemptOutcome::Reset),
             Err(_) if attempt_connection.reused && message.body.is_available() => continue,
@@ -230,54 +239,82 @@
     BufferLimit,
 }
 
-/// Reads a response and reports the attempt's outcome; true where the connection has reached the end of the response.
-async fn forward_response(
+/// A response of which no more is read.
+struct ReceivedResponse {
+    /// The connection has reached the end of the response.
+    complete: bool,
+    result: ResponseResult,
+}
+
+enum ResponseResult {
+    /// The whole of a successful response.
+    Success(UpstreamResponse),
+    /// The attempt has failed in this way.
+    Failure(AttemptOutcome),
+    /// A streamed response, whose beginning has been reported.
+    Streamed,
+}
+
+impl ReceivedResponse {
+    /// Reports the attempt's outcome, unless that was done.
+    fn report(self, message: &HttpExchange, attempt: &Attempt) -> Result<(), AttemptOutcome> {
+        match self.result {
+            ResponseResult::Failure(outcome) => return Err(outcome),
+            ResponseResult::Success(response) if attempt.succeed() => {
+                message.reply.send(FinalResponse::Upstream(response));
+            }
+            ResponseResult::Success(_) | ResponseResult::Streamed => {}
+        }
+        Ok(())
+    }
+}
+
+/// The outcome of an attempt whose response has another status than success.
+fn failed_status(head: &Parts) -> Option<AttemptOutcome> {
+    if head.status == StatusCode::OK {
+        return None;
+    }
+    let not_processed = head.headers.get(NOT_PROCESSED).is_some_and(|v| v == "1");
+    let rejected = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
+    Some(if rejected && not_processed { AttemptOutcome::Rejected } else { AttemptOutcome::Error })
+}
+
+/// Reads a response. Only a long one is begun to its client, and reported, before its end; an error is the outcome of
+/// an attempt whose response is broken.
+async fn receive_response(
     message: &HttpExchange,
     attempt: &Attempt,
     connection: &mut UpstreamConnection,
     response: Response<Incoming>,
-) -> bool {
-    let budget = &attempt.gateway().budget;
+) -> Result<ReceivedResponse, AttemptOutcome> {
+    let buffered = BufferedBody::new(attempt.gateway().budget.body_lease());
     let (head, body) = response.into_parts();
-    let not_processed = head.headers.get(NOT_PROCESSED).is_some_and(|v| v == "1");
-    let rejected = matches!(head.status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT);
-    if head.status != StatusCode::OK {
-        let outcome =
-            if rejected && not_processed { AttemptOutcome::Rejected } else { AttemptOutcome::Error };
-        attempt.fail(outcome);
-        let discard = read_body(connection, body, &head.headers, BufferedBody::new(budget.body_lease()));
-        let read = running::timeout(BODY_STALL_TIMEOUT, discard).await;
-        return matches!(read, Ok(Ok(BodyRead::Complete(_))));
+    if let Some(outcome) = failed_status(&head) {
+        let discard = read_body(connection, body, &head.headers, buffered);
+        let read = running::timeout(FAILED_BODY_TIMEOUT, discard).await;
+        let complete = matches!(read, Ok(Ok(BodyRead::Complete(_))));
+        return Ok(ReceivedResponse { complete, result: ResponseResult::Failure(outcome) });
     }
-    let body_read = read_body(connection, body, &head.headers, BufferedBody::new(budget.body_lease())).await;
+    let body_read = read_body(connection, body, &head.headers, buffered).await;
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
-    match body_read {
-        Ok(BodyRead::Complete(buffered)) => {
-            if attempt.succeed() {
-                message.reply.send(FinalResponse::Upstream(UpstreamResponse {
-                    headers,
-                    body: Message::buffered(buffered),
-                }));
-            }
-            true
-        }
-        Ok(BodyRead::Partial(buffered, body)) => {
-            // No client waits for it, so its remainder is not worth reading.
-            if !attempt.succeed() {
-                return false;
-            }
-            let (sender, remainder) = remainder_channel();
-            let (received, length) =
-                (buffered.len(), body.size_hint().exact().map(|remaining| remaining + buffered.len()));
-            let streamed = Message::streamed(buffered, remainder, length);
-            message.reply.send(FinalResponse::Upstream(UpstreamResponse { headers, body: streamed }));
-            stream_body(connection, body, received, sender).await
+    match body_read.map_err(|_| AttemptOutcome::Reset)? {
+        BodyRead::Complete(buffered) => {
+            let response = UpstreamResponse { headers, body: Message::buffered(buffered) };
+            Ok(ReceivedResponse { complete: true, result: ResponseResult::Success(response) })
         }
-        Err(_) => {
-            attempt.fail(AttemptOutcome::Reset);
-            false
+        BodyRead::Partial(buffered, body) => {
+            // Where no client waits for it, its remainder is not worth reading.
+            let complete = attempt.succeed() && {
+                let (sender, remainder) = remainder_channel();
+                let (received, length) =
+                    (buffered.len(), body.size_hint().exact().map(|remaining| remaining + buffered.len()));
+                let streamed = Message::streamed(buffered, remainder, length);
+                message.reply.send(FinalResponse::Upstream(UpstreamResponse { headers, body: streamed }));
+                stream_body(connection, body, received, sender).await
+            };
+            Ok(ReceivedResponse { complete, result: ResponseResult::Streamed })
         }
     }
 }
--- a/crates/node/tests/second_copies.rs
+++ b/crates/node/tests/second_copies.rs
@@ -5,7 +5,7 @@
 use laurelroute_testkit::attempts::{peer_closed, Attempts};
 use laurelroute_testkit::discovery::Discovery;
 use laurelroute_testkit::program::Wishes;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -9,13 +9,12 @@
 use crate::table::{BadFact, Table};
 use crate::upstream::{read, write, Boxes, Served, ThriftExchange, READ};
 use laurelroute_core::accept::{ConnectionHandler, SlotDemand};
-use laurelroute_core::budget::Slot;
 use laurelroute_core::call::{Call, FinalResponse, LocalReply, ResponseSlot};
+use laurelroute_core::connection::{Connection, ConnectionIo};
 use laurelroute_core::events::Label;
 use laurelroute_core::gateway::{route_key, Gateway, PendingRequest};
 use laurelroute_core::idle::IdleTracker;
 use laurelroute_core::peer;
-use laurelroute_core::retry_io::RetryingStream;
 use laurelroute_core::running::{self, timeout};
 use laurelroute_policy::interface::{Nanos, Request};
 use std::cell::{Cell, RefCell};
@@ -69,7 +68,6 @@
     last_answer: Cell<bool>,
     closing: Cell<bool>,
     close: Notify,
-    _slot: Slot,
 }
 
 impl Client {
@@ -155,7 +153,7 @@
     }
 
     /// Takes what was read. `None` where no answer is owed.
-    fn take(self: &Rc<Self>, item: Item, left: bool, client: &Rc<TcpStream>) -> Option<Owed> {
+    fn take(self: &Rc<Self>, item: Item, left: bool, client: &Rc<Connection>) -> Option<Owed> {
         match item {
             // Nobody waits for its answer any more: what has waited to be read is not sent on.
             Item::Message(message) if message.head.kind == Kind::Call && left => None,
@@ -171,7 +169,7 @@
         }
     }
 
-    fn call(self: &Rc<Self>, message: Message, client: &Rc<TcpStream>) -> Option<Owed> {
+    fn call(self: &Rc<Self>, message: Message, client: &Rc<Connection>) -> Option<Owed> {
         let (form, header, head) = (message.form, message.header.clone(), message.head.clone());
         match self.submit(message, client) {
             Ok((claim, answer)) => {
@@ -208,7 +206,7 @@
     fn submit(
         self: &Rc<Self>,
         message: Message,
-        client: &Rc<TcpStream>,
+        client: &Rc<Connection>,
     ) -> Result<(PendingRequest, oneshot::Receiver<FinalResponse<Served>>), Fault> {
         let gateway = &self.gateway;
         if !matches!(message.head.kind, Kind::Call | Kind::Oneway) {
@@ -290,20 +288,20 @@
 
 impl ConnectionHandler for Front {
     fn serve(self: &Rc<Self>, stream: TcpStream) {
+        let connection = Connection::new(stream, self.gateway.budget.acquire_client());
         let client = Rc::new(Client {
             idle: Cell::new(true),
             rest: IdleTracker::new(self.gateway.running_time(), false),
             last_answer: Cell::new(false),
             closing: Cell::new(false),
             close: Notify::new(),
-            _slot: self.gateway.budget.acquire_client(),
         });
         let id = self.next.get();
         self.next.set(id + 1);
         self.open.borrow_mut().insert(id, client.clone());
         let front = self.clone();
         tokio::task::spawn_local(async move {
-            serve(&front, &client, stream).await;
+            serve(&front, &client, connection).await;
             front.open.borrow_mut().remove(&id);
             front.left.notify_one();
         });
@@ -359,10 +357,9 @@
 }
 
 /// Serves one connection to its end.
-async fn serve(front: &Rc<Front>, client: &Client, stream: TcpStream) {
-    let _ = stream.set_nodelay(true);
-    let mut stream = RetryingStream::new(stream);
+async fn serve(front: &Rc<Front>, client: &Client, connection: Rc<Connection>) {
     let (settings, gateway) = (&front.settings, &front.gateway);
+    let mut stream = ConnectionIo(connection);
     let mut decoder = Decoder::new(settings.accept, settings.limits);
     let mut owed: VecDeque<Owed> = VecDeque::new();
     let (mut reading, mut first) = (true, true);
@@ -372,9 +369,9 @@
         while reading && owed.len() < settings.pipeline {
             let Some(item) = decoder.take_item() else { break };
             reading = !matches!(&item, Item::Malformed(m) if !m.in_step);
-            let left = peer::closed_after_read(stream.connection(), std::mem::take(&mut first)).await;
+            let left = stream.0.peer_closed_after_read(std::mem::take(&mut first)).await;
             client.rest.request_started();
-            owed.extend(front.take(item, left, stream.connection()));
+            owed.extend(front.take(item, left, &stream.0));
             if owed.is_empty() {
                 // A oneway call: nothing comes after it.
                 client.rest.response_sent(gateway.running_time());
@@ -406,7 +403,7 @@
                 }
                 client.rest.response_sent(gateway.running_time());
                 let last = gateway.is_draining() || client.last_answer.get();
-                if last && owed.is_empty() && !decoder.partial() && peer::is_quiescent(stream.connection()) {
+                if last && owed.is_empty() && !decoder.partial() && stream.0.is_quiescent() {
                     return;
                 }
             }
@@ -418,17 +415,17 @@
             }
             _ = client.close.notified(), if owed.is_empty() && !partial => {
                 // What has come in the meantime is still read, and answered.
-                if client.rest.may_evict(gateway.running_time()) && peer::is_quiescent(stream.connection()) {
+                if client.rest.may_evict(gateway.running_time()) && stream.0.is_quiescent() {
                     return;
                 }
                 client.closing.set(false);
             }
             // What is not read does not tell of its end: with its claims dropped, what is under way is called off.
-            _ = tokio::time::sleep(peer::PEER_CHECK_INTERVAL), if !room => if peer::closed(stream.connection()) {
+            _ = tokio::time::sleep(peer::PEER_CHECK_INTERVAL), if !room => if stream.0.peer_closed() {
                 return;
             },
             // What has come in the meantime is still read.
-            _ = running::sleep(left) => if left.is_zero() && peer::is_quiescent(stream.connection()) {
+            _ = running::sleep(left) => if left.is_zero() && stream.0.is_quiescent() {
                 return;
             } else {
                 tokio::task::yield_now().await;
--- a/crates/thrift/src/upstream.rs
+++ b/crates/thrift/src/upstream.rs
@@ -6,22 +6,20 @@
 use crate::codec::{Fault, Form, Kind, Limits, Transport};
 use crate::table::Method;
 use laurelroute_core::budget::BodyLease;
-use laurelroute_core::call::{Exchange, FinalResponse, LocalReply, ResponseSlot, SendProgress, Wire};
-use laurelroute_core::connect::{connect, ConnectError, ConnectionPermit};
-use laurelroute_core::connection_source::ConnectionSource;
+use laurelroute_core::call::{Exchange, FinalResponse, LocalReply, ResponseSlot, Wire};
+use laurelroute_core::connect::{connect, ConnectError};
+use laurelroute_core::connection::{Connection, ConnectionIo};
+use laurelroute_core::connection_source::{CarriesAttempts, ConnectionSource};
 use laurelroute_core::fleet::PooledConnection;
 use laurelroute_core::gateway::Attempt;
-use laurelroute_core::peer::{self, PeerState};
-use laurelroute_core::retry_io::RetryingStream;
+use laurelroute_core::peer::PeerState;
 use laurelroute_core::running;
 use laurelroute_policy::interface::AttemptOutcome;
-use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
 /// Thrift's place among a server's addresses.
@@ -58,7 +56,7 @@
     method: Rc<Method>,
     boxes: Boxes,
     reply: ResponseSlot<Served>,
-    client: Rc<TcpStream>,
+    client: Rc<Connection>,
     _lease: BodyLease,
 }
 
@@ -69,7 +67,7 @@
         method: Rc<Method>,
         boxes: Boxes,
         reply: ResponseSlot<Served>,
-        (client, lease): (Rc<TcpStream>, BodyLease),
+        (client, lease): (Rc<Connection>, BodyLease),
     ) -> Self {
         ThriftExchange { message, method, boxes, reply, client, _lease: lease }
     }
@@ -111,43 +109,36 @@
         match self.oneway() {
             // Nobody waits for its answer, and it goes on whatever becomes of its connection.
             true => PeerState::Connected,
-            false => peer::peer_state(&self.client),
+            false => self.client.peer_state(),
         }
     }
 }
 
-/// How much of a call the kernel has.
-#[derive(Debug, Default)]
-struct Progress {
-    complete: Cell<bool>,
-}
-
-impl SendProgress for Progress {
-    fn fully_sent(&self) -> bool {
-        self.complete.get()
-    }
-}
-
 struct Link {
-    stream: RetryingStream,
+    stream: ConnectionIo,
     decoder: Decoder,
-    _held: ConnectionPermit,
 }
 
 impl PooledConnection for Link {
     fn is_reusable(&self) -> bool {
-        !self.decoder.partial() && peer::is_quiescent(self.stream.connection())
+        !self.decoder.partial() && self.stream.0.is_quiescent()
+    }
+}
+
+impl CarriesAttempts for Link {
+    fn connection(&self) -> &Rc<Connection> {
+        &self.stream.0
     }
 }
 
 /// Reads once into the decoder; 0 where the peer has closed.
-pub(crate) async fn read(stream: &mut RetryingStream, decoder: &mut Decoder) -> io::Result<usize> {
+pub(crate) async fn read(stream: &mut ConnectionIo, decoder: &mut Decoder) -> io::Result<usize> {
     decoder.buffer().reserve(READ);
     stream.read_buf(decoder.buffer()).await
 }
 
 /// Writes both parts whole.
-pub(crate) async fn write(stream: &mut RetryingStream, out: &Encoded) -> io::Result<()> {
+pub(crate) async fn write(stream: &mut ConnectionIo, out: &Encoded) -> io::Result<()> {
     let (mut prefix, mut payload) = (&out.prefix[..], &out.payload[..]);
     while !(prefix.is_empty() && payload.is_empty()) {
         let slices = [io::IoSlice::new(prefix), io::IoSlice::new(payload)];
@@ -164,11 +155,9 @@
 }
 
 async fn open(attempt: &Attempt, boxes: &Boxes, dial: SocketAddr) -> Result<Link, ConnectError> {
-    let (stream, held) = connect(attempt.gateway(), attempt.server(), THRIFT, dial).await?;
-    // Calls are written whole: waiting to fill a segment would only delay them.
-    let _ = stream.set_nodelay(true);
+    let connection = connect(attempt.gateway(), attempt.server(), THRIFT, dial).await?;
     let decoder = Decoder::new(Accept::Only(boxes.form), boxes.limits);
-    Ok(Link { stream: RetryingStream::new(stream), decoder, _held: held })
+    Ok(Link { stream: ConnectionIo(connection), decoder })
 }
 
 /// Plays one attempt to its end; an error is how it ended where it was not told of yet. Where the gateway has
@@ -180,31 +169,51 @@
         let link: &mut Link = &mut line.connection;
         // What was walked through when it came can be encoded; were it otherwise, it would never have run.
         let out = call.encode(attempt.remaining_ms()).map_err(|_| AttemptOutcome::NotSent)?;
-        let progress = Rc::new(Progress::default());
-        attempt.set_send_progress(progress.clone());
         match write(&mut link.stream, &out).await {
-            Ok(()) => progress.complete.set(true),
+            Ok(()) => link.stream.0.set_request_sent(true),
             Err(_) if line.reused => continue,
             Err(_) => return Err(AttemptOutcome::ConnectFailed),
         }
-        let keep = if call.oneway() { sent(call, attempt) } else { answer(call, attempt, link).await? };
-        if keep {
-            lines.release(line);
+        let response = match call.oneway() {
+            // No answer is owed: with its last byte handed over all is done that can be done.
+            true => Response::Success(None, attempt.gateway().budget.body_lease()),
+            false => receive_response(call, attempt, link).await?,
+        };
+        // Nothing of the attempt is left at its server when its outcome is reported.
+        match link.decoder.partial() {
+            true => drop(line),
+            false => lines.release(line),
         }
-        return Ok(());
+        return response.report(call, attempt);
     }
 }
 
-/// No answer is owed to a oneway call: with its last byte handed over all is done that can be done.
-fn sent(call: &ThriftExchange, attempt: &Attempt) -> bool {
-    if attempt.succeed() {
-        call.put(None, attempt.gateway().budget.body_lease());
+/// A whole response.
+enum Response {
+    /// It goes to the client: a message, unless none is owed, and the memory that it takes.
+    Success(Option<Message>, BodyLease),
+    /// The attempt has failed in this way.
+    Failure(AttemptOutcome),
+}
+
+impl Response {
+    /// Reports the attempt's outcome; an error is one that has not been reported yet.
+    fn report(self, call: &ThriftExchange, attempt: &Attempt) -> Result<(), AttemptOutcome> {
+        match self {
+            Response::Failure(outcome) => return Err(outcome),
+            Response::Success(message, lease) if attempt.succeed() => call.put(message, lease),
+            Response::Success(..) => {}
+        }
+        Ok(())
     }
-    true
 }
 
-/// Takes an answer and tells of it; whether the connection is at the answer's end.
-async fn answer(call: &ThriftExchange, attempt: &Attempt, link: &mut Link) -> Result<bool, AttemptOutcome> {
+/// Reads a whole response; an error is the outcome of an attempt whose response is broken.
+async fn receive_response(
+    call: &ThriftExchange,
+    attempt: &Attempt,
+    link: &mut Link,
+) -> Result<Response, AttemptOutcome> {
     let message = whole(link).await.ok_or(AttemptOutcome::Reset)?;
     // Another call's answer, or a call: what else may come on this connection nobody knows.
     if !call.message.head.answered_by(&message.head) {
@@ -216,17 +225,15 @@
             if !lease.grow(message.bytes().len().max(READ)) {
                 return Err(AttemptOutcome::Reset);
             }
-            if attempt.succeed() {
-                call.put(Some(message), lease);
-            }
+            Ok(Response::Success(Some(message), lease))
         }
         Kind::Exception => {
             let turned_away = application::decode(&message).0 == call.boxes.turned_away;
-            attempt.fail(if turned_away { AttemptOutcome::Rejected } else { AttemptOutcome::Error });
+            let outcome = if turned_away { AttemptOutcome::Rejected } else { AttemptOutcome::Error };
+            Ok(Response::Failure(outcome))
         }
-        Kind::Call | Kind::Oneway => return Err(AttemptOutcome::Reset),
+        Kind::Call | Kind::Oneway => Err(AttemptOutcome::Reset),
     }
-    Ok(!link.decoder.partial())
 }
 
 /// A whole message, waited for as long as it may take; once it has begun it has to come to its end. `None` where it
