Abandoned attempts no longer hold the connections of their clients

Callers: a client that left, or closed behind its 504, had its connection in CLOSE-WAIT for up to a second more.

Cause: each attempt holds its exchange, for a look at whether the client is still there, and the exchange owned the client's socket; abandoned attempts linger for 1 s. Evidence: 40 of 40 clients' connections in CLOSE-WAIT 0.4 s after they had left, on HTTP.

Fix: exchanges refer to the client's connection weakly, on both wires; one that is gone counts as a client that has left.

--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -592,7 +592,7 @@
         _ => parts.uri,
     };
     let (reply, response) = ResponseSlot::new();
-    let client = client.clone();
+    let client = Rc::downgrade(client);
     (HttpExchange { method: parts.method, uri, headers, body, client_timeout_ms, reply, client }, response)
 }
 
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -24,7 +24,7 @@
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
@@ -74,8 +74,8 @@
     pub client_timeout_ms: Option<u64>,
     /// Where the front waits for the response.
     pub reply: ResponseSlot<UpstreamResponse>,
-    /// The client's connection.
-    pub client: Rc<Socket>,
+    /// The client's connection, which an abandoned attempt does not keep open.
+    pub client: Weak<Socket>,
 }
 
 impl Exchange for HttpExchange {
@@ -93,7 +93,7 @@
     }
 
     fn client_state(&self) -> PeerState {
-        self.client.peer_state()
+        self.client.upgrade().map_or(PeerState::Closed, |client| client.peer_state())
     }
 }
 
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -232,7 +232,7 @@
             ..Request::new(0, give_up_at)
         };
         let (reply, answer) = ResponseSlot::new();
-        let held = (client.clone(), lease);
+        let held = (Rc::downgrade(client), lease);
         let exchange = ThriftExchange::new(message, method.clone(), self.settings.boxes, reply, held);
         let label = facts.request_id.as_deref().map(Label::of).unwrap_or_default();
         Ok((gateway.submit(Call { request, give_up_at, label }, Rc::new(exchange)), answer))
--- a/crates/thrift/src/upstream.rs
+++ b/crates/thrift/src/upstream.rs
@@ -17,7 +17,7 @@
 use laurelroute_policy::interface::AttemptOutcome;
 use std::io;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::AbortHandle;
@@ -56,7 +56,8 @@
     method: Rc<Method>,
     boxes: Boxes,
     reply: ResponseSlot<Served>,
-    client: Rc<Connection>,
+    /// The client's connection, which an abandoned attempt does not keep open.
+    client: Weak<Connection>,
     _lease: BodyLease,
 }
 
@@ -67,7 +68,7 @@
         method: Rc<Method>,
         boxes: Boxes,
         reply: ResponseSlot<Served>,
-        (client, lease): (Rc<Connection>, BodyLease),
+        (client, lease): (Weak<Connection>, BodyLease),
     ) -> Self {
         ThriftExchange { message, method, boxes, reply, client, _lease: lease }
     }
@@ -109,7 +110,7 @@
         match self.oneway() {
             // Nobody waits for its answer, and it goes on whatever becomes of its connection.
             true => PeerState::Connected,
-            false => self.client.peer_state(),
+            false => self.client.upgrade().map_or(PeerState::Closed, |client| client.peer_state()),
         }
     }
 }
