The rule suite, takeovers, meshes and outages see attempts of one request at once

Stand-in servers record when an attempt's last byte comes and when it is over: its whole answer is written, or the kernel has the node's FIN or reset. Every site of the testkit asserts as it ends that no more attempts of a request were under way at once than its settings allow; takeovers (rig kills), meshes and outages say it beside what else is broken.

--- a/crates/testkit/src/boxes.rs
+++ b/crates/testkit/src/boxes.rs
@@ -1,5 +1,6 @@
 //! Stand-in web boxes: each listens on HTTP and on Thrift, acts by a plan, and records what came and what ran.
 
+use crate::attempts::{AttemptRecord, Attempts, Overlap};
 use crate::lock;
 use crate::wire::{Conn, Say, Seen, Wire};
 use crate::PATIENCE;
@@ -56,6 +57,8 @@
     /// How often they were told to go on.
     told: Mutex<usize>,
     go_on: Condvar,
+    /// The attempts of all requests at all boxes.
+    attempts: Attempts,
 }
 
 impl Plan {
@@ -82,6 +85,11 @@
         let _ = self.go_on.wait_timeout_while(told, PATIENCE, |told| *told == before);
     }
 
+    /// Requests of which more attempts were under way at once than may be.
+    pub fn too_many_attempts(&self, allowed: usize) -> Vec<Overlap> {
+        self.attempts.over(allowed)
+    }
+
     fn take(&self) -> Option<Act> {
         lock(&self.acts).pop_front()
     }
@@ -293,6 +301,11 @@
     ran
 }
 
+/// How often more attempts of one request were under way at once than may be, over these boxes, which share a plan.
+pub fn too_many_attempts(boxes: &[StandIn], allowed: usize) -> usize {
+    boxes.first().map_or(0, |one| one.shared.plan.too_many_attempts(allowed).len())
+}
+
 fn listen(shared: Arc<Shared>, listener: TcpListener, form: Option<Form>) -> SocketAddr {
     let address = listener.local_addr().expect("an address");
     thread::spawn(move || {
@@ -346,10 +359,11 @@
     if seen.ask.oneway {
         return true;
     }
+    let attempt = shared.plan.attempts.begin(&seen.ask.id, &conn.stream);
     if act == Act::TurnAwayWhenTold {
         shared.plan.wait();
     }
-    act_on(conn, &seen, act)
+    act_on(conn, &seen, act, attempt)
 }
 
 fn pushed_over(shared: &Shared) -> bool {
@@ -359,13 +373,21 @@
     came as f64 > ramp.budget()
 }
 
-fn act_on(conn: &mut Conn, seen: &Seen, act: Act) -> bool {
+/// Writes a whole answer, with which the attempt is over.
+fn answer(conn: &mut Conn, bytes: &[u8], attempt: AttemptRecord) -> bool {
+    drop(attempt);
+    conn.write(bytes)
+}
+
+fn act_on(conn: &mut Conn, seen: &Seen, act: Act, attempt: AttemptRecord) -> bool {
     match act {
-        Act::Say(say) => conn.write(&seen.answer(say)),
-        Act::TurnAwayWhenTold => conn.write(&seen.answer(Say::TurnedAway)),
+        // An answer that can't be used leaves the attempt under way until the peer gives it up.
+        Act::Say(say @ (Say::Misfit | Say::Noise)) => conn.write(&seen.answer(say)) && conn.begun(),
+        Act::Say(say) => answer(conn, &seen.answer(say), attempt),
+        Act::TurnAwayWhenTold => answer(conn, &seen.answer(Say::TurnedAway), attempt),
         Act::After(pause) => {
             thread::sleep(pause);
-            conn.write(&seen.answer(Say::Served))
+            answer(conn, &seen.answer(Say::Served), attempt)
         }
         // The connection is held until the peer gives it up.
         Act::Stall => conn.begun(),
@@ -385,7 +407,7 @@
             conn.write(part)
         }),
         Act::ServeAndClose => {
-            conn.write(&seen.answer(Say::Served));
+            answer(conn, &seen.answer(Say::Served), attempt);
             false
         }
     }
--- a/crates/testkit/src/mesh/mod.rs
+++ b/crates/testkit/src/mesh/mod.rs
@@ -5,7 +5,7 @@
 pub mod copies;
 pub mod relay;
 
-use crate::boxes::{ran, Act, StandIn};
+use crate::boxes::{ran, too_many_attempts, Act, StandIn};
 use crate::discovery::{Discovery, Entry};
 use crate::load::{Load, Tally};
 use crate::process::processor;
@@ -391,10 +391,12 @@
         let losses = copies::Losses { fresh: self.fresh.clone(), kills, stops };
         verdict.broken.extend(all.copies.check(&all.lives, &losses, &answered));
         let late = agreed.is_none_or(|took| took > AGREE);
+        let at_once = too_many_attempts(&self.boxes, Wishes::default().attempts_at_once());
         let wrong = [
             (late, format!("agreed after {agreed:?}, where {AGREE:?} are owed")),
             (verdict.most > 1.0 + 1e-6, format!("{:.4} of one whole is used at once", verdict.most)),
             (twice > 0, format!("{twice} unsafe requests ran twice")),
+            (at_once > 0, format!("{at_once} attempts beside others of their requests")),
             (verdict.lost > 0, format!("{} requests lost at processes that ran on", verdict.lost)),
             (verdict.served.0 == 0, "nothing was served".to_owned()),
             (all.odd > 0, format!("{} lines of histories cannot be read", all.odd)),
--- a/crates/testkit/src/outage.rs
+++ b/crates/testkit/src/outage.rs
@@ -1,6 +1,6 @@
 //! All planners killed in the middle of a load, and their return: several forwarders, real processes, real sockets.
 
-use crate::boxes::{ran, Act, Plan, StandIn};
+use crate::boxes::{ran, too_many_attempts, Act, Plan, StandIn};
 use crate::discovery::{Discovery, Entry};
 use crate::levels::{Levels, Upper};
 use crate::load::{Load, Tally};
@@ -123,6 +123,10 @@
     until("every forwarder holds the new plans", || upper.all_hold(size.forwarders));
     seen.converged = back.elapsed();
     site.finish("return", loads, &mut seen);
+    let at_once = too_many_attempts(&site.boxes, wishes.attempts_at_once());
+    if at_once > 0 {
+        seen.broken.push(format!("{at_once} attempts beside others of their requests"));
+    }
     if seen.served[1] < 0.97 * seen.served[0] {
         seen.broken
             .push(format!("served {:.3} before and {:.3} in the outage", seen.served[0], seen.served[1]));
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -104,6 +104,17 @@
     }
 }
 
+impl Wishes {
+    /// How many attempts of a request may be under way at once.
+    pub fn attempts_at_once(&self) -> usize {
+        if self.hedging {
+            2
+        } else {
+            1
+        }
+    }
+}
+
 /// A running node. It is ended with the test.
 #[derive(Debug)]
 pub struct Program {
@@ -387,6 +398,21 @@
     pub node: Program,
     /// The planners above it, on two levels.
     pub upper: Option<Upper>,
+    _judge: AttemptsJudge,
+}
+
+/// Asserts as the test ends, whatever it is about, that there were never more attempts of a request at once than the
+/// settings allow.
+struct AttemptsJudge {
+    plan: Arc<Plan>,
+    allowed: usize,
+}
+
+impl Drop for AttemptsJudge {
+    fn drop(&mut self) {
+        let too_many = self.plan.too_many_attempts(self.allowed);
+        assert!(std::thread::panicking() || too_many.is_empty(), "too many attempts at once: {too_many:#?}");
+    }
 }
 
 impl Bed {
@@ -409,8 +435,9 @@
         let upper = wishes.levels.map(|levels| Upper::start(program, levels, &discovery, &entries, &wishes));
         let site = upper.as_ref().map(|u| u.site(&wishes.name)).unwrap_or_default();
         let wishes = Wishes { site: wishes.site + &site, ..wishes };
+        let judge = AttemptsJudge { plan: plan.clone(), allowed: wishes.attempts_at_once() };
         let node = Program::start(program, discovery.address, form, wishes);
-        let mut bed = Bed { wire, boxes, plan, discovery, node, upper };
+        let mut bed = Bed { wire, boxes, plan, discovery, node, upper, _judge: judge };
         until("the node serves", || bed.one(Class::Read).is_some_and(|a| a.served()));
         if let Some(upper) = &mut bed.upper {
             upper.settle(&bed.discovery);
--- a/crates/testkit/src/takeover.rs
+++ b/crates/testkit/src/takeover.rs
@@ -1,7 +1,7 @@
 //! One process of a node takes over from another under load, with kills, stops and one-sided silence at every step of it: real processes, real sockets.
 
 use crate::between::Between;
-use crate::boxes::{ran, Act, StandIn};
+use crate::boxes::{ran, too_many_attempts, Act, StandIn};
 use crate::load::{Load, Tally};
 use crate::program::{Bed, Program, Wishes};
 use crate::silence::{Heard, Probes, Who, LONGEST};
@@ -370,9 +370,11 @@
     let used_while_out = |b: &&StandIn| node.banned.contains(&b.name) && b.since(heeded) > 0;
     let forgotten: Vec<&str> = boxes.iter().filter(used_while_out).map(|b| b.name.as_str()).collect();
     let lost = if seen.strike.kills() { 0 } else { seen.lost };
+    let at_once = too_many_attempts(boxes, Wishes::default().attempts_at_once());
     let (held, limit) = seen.descriptors;
     let broken = [
         (twice > 0, format!("{twice} unsafe requests ran twice")),
+        (at_once > 0, format!("{at_once} attempts beside others of their requests")),
         (unserved > 0, format!("{unserved} served requests never ran")),
         (mixed > 0, format!("{mixed} answers were another request's")),
         (!forgotten.is_empty(), format!("bans forgotten: {forgotten:?}")),
