--- a/crates/testkit/src/soak/check.rs
+++ b/crates/testkit/src/soak/check.rs
@@ -47,6 +47,8 @@
     Mixed,
     /// No unsafe effect twice, and no keyed one outside its window.
     Duplicate,
+    /// No more attempts of a request under way at once than the settings allow.
+    SecondCopy,
     /// Nothing new to a server past its grace.
     Drain,
     /// Nothing goes to a server that staff have taken out.
@@ -107,6 +109,7 @@
         repeats(history, &index, id, came, &mut found);
     }
     history.came.iter().for_each(|came| attempt(&index, came, &mut found));
+    history.came.iter().for_each(|came| second_copies(history, came, &mut found));
     history.bans.iter().for_each(|ban| banned(history, ban, &mut found));
     halves(history, &mut found);
     overloads(history, &mut found);
@@ -217,6 +220,18 @@
     }
 }
 
+/// How many attempts of a request may be under way at once.
+fn second_copies(history: &History, came: &Came, found: &mut Vec<Violation>) {
+    let at_once = came.beside + 1;
+    if at_once > history.attempts_at_once {
+        let text = format!(
+            "{at_once} attempts under way at once with that of node {} at s-{}, where {} may be",
+            came.node, came.server, history.attempts_at_once
+        );
+        found.push(Violation { rule: Rule::SecondCopy, at: came.last, id: Some(came.id.clone()), text });
+    }
+}
+
 /// What holds for each attempt.
 fn attempt(index: &Index, came: &Came, found: &mut Vec<Violation>) {
     let mut say = |rule, text: String| {
@@ -341,13 +356,14 @@
 }
 
 /// Seconds in which much was refused unsent while the servers had at most half of their work: no rule is broken, and it is a
-/// fault all the same.
+/// fault all the same. Requests that a warm server with one other request could not serve in time do not count.
 fn idle_refusals(history: &History, found: &mut Vec<Violation>) {
     const SECOND: u64 = 1_000_000;
+    let least_ms = 2.0 * 1e3 / history.ramp.capacity;
     let sent: HashSet<&str> = history.came.iter().map(|c| c.id.as_str()).collect();
     let mut seconds: BTreeMap<u64, (usize, usize)> = BTreeMap::new();
     for asked in &history.asked {
-        let Some(last) = asked.tries.last() else { continue };
+        let Some(last) = asked.tries.last().filter(|t| t.deadline_ms as f64 >= least_ms) else { continue };
         let (all, refused) = seconds.entry(last.sent.0 / SECOND).or_default();
         *all += 1;
         let turned_away = matches!(last.end, End::Answered(429 | 503));
@@ -444,7 +460,10 @@
             came.first,
             format!("s-{server}: first byte from node {node}, told to wait {wait_ms} ms"),
         ));
-        lines.push((came.last, format!("s-{server}: last byte, {made:?}")));
+        lines.push((came.last, format!("s-{server}: last byte, {made:?}, beside {} others", came.beside)));
+        if let Some(over) = came.over {
+            lines.push((over.at, format!("s-{server}: over, {:?}", over.how)));
+        }
     }
     let nodes: Vec<usize> = history.asked.iter().filter(|a| a.id == id).map(|a| a.node).collect();
     let (from, until) = match (lines.iter().map(|(at, _)| *at).min(), lines.iter().map(|(at, _)| *at).max()) {
--- a/crates/testkit/src/soak/history.rs
+++ b/crates/testkit/src/soak/history.rs
@@ -91,6 +91,24 @@
     Incomplete,
 }
 
+/// How an attempt ended at its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Ended {
+    /// Its whole answer was written.
+    Answered,
+    /// Its connection ended first.
+    Unanswered,
+}
+
+/// The end of an attempt at its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Over {
+    /// When.
+    pub at: Moment,
+    /// How.
+    pub how: Ended,
+}
+
 /// A request as a server saw it.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Came {
@@ -108,6 +126,12 @@
     pub wait_ms: u64,
     /// What became of it.
     pub made: Made,
+    /// Earlier attempts of the request that were under way as its last byte came.
+    #[serde(default)]
+    pub beside: usize,
+    /// When it was over, and how.
+    #[serde(default)]
+    pub over: Option<Over>,
 }
 
 /// A server's state in the list.
@@ -212,6 +236,9 @@
     pub ramp: Ramp,
     /// For how long repeats of a keyed request are dropped, in milliseconds.
     pub window_ms: u64,
+    /// How many attempts of a request may be under way at once.
+    #[serde(default = "two")]
+    pub attempts_at_once: usize,
     /// By the clients.
     pub asked: Vec<Asked>,
     /// By the clients that stop in the middle.
@@ -234,6 +261,11 @@
     pub lag: u64,
 }
 
+/// What soaks allowed before it was drawn.
+fn two() -> usize {
+    2
+}
+
 /// Where all parties write, with their one clock.
 #[derive(Clone, Debug)]
 pub struct Recorder {
@@ -245,10 +277,11 @@
 
 impl Recorder {
     /// Nothing seen yet.
-    pub fn new(ramp: Ramp, window_ms: u64) -> Recorder {
+    pub fn new(ramp: Ramp, window_ms: u64, attempts_at_once: usize) -> Recorder {
         let history = History {
             ramp,
             window_ms,
+            attempts_at_once,
             asked: Vec::new(),
             halves: Vec::new(),
             came: Vec::new(),
--- a/crates/testkit/src/soak/relay.rs
+++ b/crates/testkit/src/soak/relay.rs
@@ -2,6 +2,7 @@
 //! direction, lets answers drip, shuts one side or resets the link.
 
 use super::history::Recorder;
+use super::links::Links;
 use super::listen::Grid;
 use super::plan::{Kind, Plan};
 use super::server::reset;
@@ -45,6 +46,7 @@
     server: usize,
     plan: Arc<Plan>,
     recorder: Recorder,
+    links: Links,
 }
 
 impl Relays {
@@ -56,10 +58,10 @@
 }
 
 /// Relays on this thread until it is dropped.
-pub async fn serve(relays: Arc<Relays>, plan: Arc<Plan>, recorder: Recorder) {
+pub async fn serve(relays: Arc<Relays>, plan: Arc<Plan>, recorder: Recorder, links: Links) {
     let all = relays.clone();
     let join = move |stream, server: usize, node: usize| {
-        let link = Link { server, plan: plan.clone(), recorder: recorder.clone() };
+        let link = Link { server, plan: plan.clone(), recorder: recorder.clone(), links: links.clone() };
         let target = all.targets[server][node];
         async move { link.join(stream, target).await }
     };
@@ -74,6 +76,14 @@
     async fn join(&self, node: TcpStream, target: SocketAddr) {
         let Ok(server) = TcpStream::connect(target).await else { return reset(&node) };
         let _ = (node.set_nodelay(true), server.set_nodelay(true));
+        let addresses = (server.local_addr(), node.local_addr(), node.peer_addr());
+        let (Ok(from), Ok(proxy_end), Ok(node_end)) = addresses else { return reset(&node) };
+        self.links.opened(from.port(), (proxy_end, node_end));
+        self.relay(node, server).await;
+        self.links.closed(from.port());
+    }
+
+    async fn relay(&self, node: TcpStream, server: TcpStream) {
         let ((from_node, to_node), (from_server, to_server)) = (node.into_split(), server.into_split());
         let (up, down) = tokio::join!(
             self.pass(from_node, to_server, Direction::ToServer),
