Abandoned attempts give up their places at a server that has a cap on connections

Callers: where connections to a server are capped, requests were refused for up to 1 s after clients had left.

Cause: an abandoned attempt keeps its connection for 1 s, and its place within the cap with it. Only where descriptors ran out were such attempts ended, not where the server's places did.

Fix: the oldest abandoned attempt at the server, of any service, is ended and its connection closed; its place is free at once, as slots go with descriptors. Abandoned attempts have a module of their own (gateway::lingering).

--- a/crates/core/src/connect.rs
+++ b/crates/core/src/connect.rs
@@ -59,8 +59,8 @@
     Exhausted,
 }
 
-/// Connects to a server. If the node's descriptors or the server's connections are used up, idle connections are closed
-/// to make room.
+/// Connects to a server. If the node's descriptors or the server's connections are used up, idle connections and those of
+/// abandoned attempts are closed to make room.
 pub async fn connect(
     gateway: &Rc<Gateway>,
     server: Endpoint,
@@ -70,7 +70,7 @@
     let server_slot: ServerConnectionSlot = loop {
         match gateway.fleet(|f| f.reserve_connection(server, wire)) {
             Some(server_slot) => break server_slot,
-            None if gateway.evict_from_other_services(server) => {}
+            None if gateway.evict_from_other_services(server) || gateway.end_lingering_at(server) => {}
             None => return Err(ConnectError::Exhausted),
         }
     };
@@ -81,7 +81,7 @@
         if gateway.evict_idle_connection() {
             continue;
         }
-        if !gateway.abort_lingering() {
+        if !gateway.end_lingering() {
             return Err(ConnectError::Exhausted);
         }
     };
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -24,24 +24,22 @@
 use laurelroute_shift::rollout::{Change, Command as ShiftCommand, CommandError};
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap};
 use std::rc::Rc;
 use tokio::sync::{mpsc, Notify};
 use tokio::task::AbortHandle;
 
 mod attempt;
 mod carrier;
+mod lingering;
 mod pending_request;
 mod permits;
 
 pub use attempt::Attempt;
 use carrier::Carrier;
+use lingering::{LingeringAttempts, LINGER_TIME};
 pub use pending_request::PendingRequest;
 
-/// How long an abandoned attempt may continue, so that its connection can be reused. Closing the connection would cost
-/// the server a new handshake without stopping the work there.
-const LINGER_TIME: Nanos = 1_000_000_000;
-
 /// How often an idle gateway checks its timers. A process may have hundreds of idle gateways.
 const IDLE_TIMER_INTERVAL: Nanos = 600_000_000_000;
 
@@ -152,20 +150,6 @@
     }
 }
 
-/// An abandoned attempt of a request that is not sent again. It goes on for a while, so that its connection can be kept.
-struct LingeringAttempt {
-    until: Nanos,
-    carrier: Carrier,
-    task: AbortHandle,
-}
-
-impl LingeringAttempt {
-    fn end(&self) {
-        self.carrier.close();
-        self.task.abort();
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Timer {
     Module(u32),
@@ -183,8 +167,7 @@
     timers: BinaryHeap<Reverse<(Nanos, Timer)>>,
     /// The time until which the timer task sleeps.
     armed: Nanos,
-    /// Abandoned attempts whose outcome has been reported; bounded by the connections to servers.
-    lingering: VecDeque<LingeringAttempt>,
+    lingering: LingeringAttempts,
     next_id: RequestId,
     ids: Ids,
     /// The shift of traffic from one pool of servers to another, if the operator's file configures one.
@@ -272,7 +255,7 @@
             in_flight: HashMap::new(),
             timers: BinaryHeap::new(),
             armed: Nanos::MAX,
-            lingering: VecDeque::new(),
+            lingering: LingeringAttempts::default(),
             next_id: 0,
             ids: Ids::default(),
             shift: None,
@@ -639,8 +622,7 @@
             let next = {
                 let mut state = self.state.borrow_mut();
                 let next = state.timers.peek().map_or(Nanos::MAX, |Reverse((at, _))| *at);
-                let linger = state.lingering.front().map_or(Nanos::MAX, |attempt| attempt.until);
-                state.armed = next.min(linger);
+                state.armed = next.min(state.lingering.next_end());
                 if done(&state) {
                     return;
                 }
@@ -672,11 +654,7 @@
                 }
             }
         }
-        while state.lingering.front().is_some_and(|attempt| attempt.until <= self.clock.now()) {
-            if let Some(attempt) = state.lingering.pop_front() {
-                attempt.end();
-            }
-        }
+        state.lingering.end_due(self.clock.now());
     }
 
     /// Handles the deadline of a request: all its attempts in flight have timed out.
@@ -728,17 +706,14 @@
             if let Some(task) = attempt.task.take() {
                 // A request cut off before its last byte never runs; after it, the server does the work anyway.
                 if may_linger {
-                    let until = now + LINGER_TIME;
-                    state.lingering.push_back(LingeringAttempt {
-                        until,
-                        carrier: attempt.carrier.clone(),
-                        task,
-                    });
+                    let (server, carrier) = (attempt.server, attempt.carrier.clone());
+                    let until = state.lingering.push(now, server, carrier, task);
                     if until < state.armed {
                         state.armed = until;
                         self.timer.notify_one();
                     }
                 } else {
+                    attempt.carrier.close();
                     task.abort();
                 }
             }
@@ -867,15 +842,6 @@
             self.timer.notify_one();
         }
     }
-
-    /// Ends the oldest abandoned attempt and closes its connection; returns false if there is none.
-    pub fn abort_lingering(&self) -> bool {
-        let stop = |g: &Self| {
-            let oldest = g.state.borrow_mut().lingering.pop_front();
-            oldest.inspect(LingeringAttempt::end).is_some()
-        };
-        stop(self) || self.process.others(self).iter().any(|g| stop(g))
-    }
 }
 
 /// Passes the server list to the shift. `servers` are in the order of their entries.
--- a/crates/node/tests/leaving.rs
+++ b/crates/node/tests/leaving.rs
@@ -319,3 +319,65 @@
         until("a request is served", || bed.one(Class::Read).is_some_and(|a| a.served()));
     }
 }
+
+/// Sends so many requests to servers that never answer, and disconnects once they have been forwarded.
+fn abandon(bed: &Bed, count: usize, body_bytes: usize) {
+    let clients: Vec<Client> = (0..count)
+        .map(|_| {
+            let mut client = bed.node.connect(bed.wire);
+            client.send(&Ask::new(Class::Write).carrying(body_bytes));
+            client
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(300));
+    drop(clients);
+    thread::sleep(Duration::from_millis(100));
+}
+
+/// Whether a request reaches a server before abandoned attempts have ended by themselves.
+fn is_forwarded(bed: &Bed, body_bytes: usize) -> bool {
+    let end = Instant::now() + CLOSED_WITHIN;
+    while Instant::now() < end {
+        let ask = Ask::new(Class::Write).carrying(body_bytes);
+        let mut client = bed.node.connect(bed.wire);
+        client.send(&ask);
+        thread::sleep(Duration::from_millis(50));
+        if bed.arrivals(&ask.id) > 0 {
+            return true;
+        }
+    }
+    false
+}
+
+/// The memory of request bodies is free for others once their clients have disconnected.
+#[test]
+fn abandoned_attempts_do_not_hold_the_bodies_of_their_requests() {
+    // The node holds 16 MiB of bodies.
+    const BODIES: usize = 50;
+    const BODY_BYTES: usize = 400_000;
+    for wire in [Wire::Http, thrift()] {
+        let thrift = "max_message = 500000".to_owned();
+        let bed = bed(wire, 4, Wishes { thrift, ..Wishes::default() });
+        // Quick answers have the node expect more of them.
+        (0..400).for_each(|_| drop(bed.one(Class::Write)));
+        bed.boxes.iter().for_each(|b| b.usually(Act::Stall));
+        let begun = Instant::now();
+        abandon(&bed, BODIES, BODY_BYTES);
+        let held = bed.boxes.iter().flat_map(StandIn::came).filter(|c| c.at > begun).count();
+        assert!(held * BODY_BYTES > 15 << 20, "{wire:?}: only {held} requests were forwarded");
+        assert!(is_forwarded(&bed, BODY_BYTES), "{wire:?}: no room for another body");
+    }
+}
+
+/// The connections that a server may have are free for others once their clients have disconnected.
+#[test]
+fn abandoned_attempts_do_not_use_up_the_connections_to_their_server() {
+    for wire in [Wire::Http, thrift()] {
+        let site = "[servers]\nmax_connections = 2\n".to_owned();
+        let bed = bed(wire, 1, Wishes { site, ..Wishes::default() });
+        bed.boxes[0].usually(Act::Stall);
+        abandon(&bed, 2, 0);
+        assert!(is_forwarded(&bed, 0), "{wire:?}: the server takes no further connection");
+        assert!(bed.boxes[0].most_open() <= 2, "{wire:?}: {} connections", bed.boxes[0].most_open());
+    }
+}
--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -465,3 +465,28 @@
     drop(program);
     await_both_used(&next);
 }
+
+/// A crowd at the management address keeps within the descriptors that are reserved for it.
+#[test]
+fn a_crowd_at_the_management_address_keeps_within_the_descriptors() {
+    const SOCKETS: usize = 64;
+    const CROWD: usize = 300;
+    let server = FakeServer::serving("served");
+    let discovery = Discovery::start(&[host("s1", server.address)]);
+    let program =
+        Program::wishing(&discovery, Wishes { managed: true, sockets: SOCKETS, ..Wishes::default() });
+    let most = thread::scope(|scope| {
+        let crowd = scope.spawn(|| {
+            let connect = |_| std::net::TcpStream::connect(program.management).ok();
+            (0..CROWD).filter_map(connect).collect::<Vec<_>>()
+        });
+        let mut most = 0;
+        while !crowd.is_finished() {
+            most = most.max(program.descriptors());
+        }
+        drop(crowd);
+        most
+    });
+    assert!(most <= SOCKETS, "{most} descriptors of {SOCKETS}");
+    assert_eq!(program.call("GET", "/_ready"), Some(200));
+}
