A crowd at the management address keeps within its descriptors

Operators: under 300 connections at once to the management address the process held 76 descriptors where 64 are allowed.

Cause: a connection beyond the twelve was given up by aborting its task, which holds the descriptor until the runtime gets to it; the accept loop went on without a pause.

Fix: the connection is closed right away (core::connection), which the list of connections refers to weakly.

--- a/crates/node/src/management.rs
+++ b/crates/node/src/management.rs
@@ -12,16 +12,16 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use laurelroute_core::budget::MANAGEMENT_SOCKETS;
+use laurelroute_core::connection::{Connection, ConnectionIo};
 use laurelroute_core::events;
 use laurelroute_core::gateway::{Gateway, ServerControlError};
-use laurelroute_core::retry_io::RetryingStream;
 use laurelroute_handover::bans::{BanRecord, MAX_NAME_BYTES};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::convert::Infallible;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::timeout;
 
@@ -40,8 +40,10 @@
 /// Maximum size of a request head in bytes.
 const MAX_HEAD_BYTES: usize = 8192;
 
-/// An open connection.
-struct Connection {
+/// A connection of an operator.
+struct OperatorConnection {
+    /// Owned by the task.
+    connection: Weak<Connection>,
     /// Whether a request head has been received.
     request_received: Rc<Cell<bool>>,
     task: AbortHandle,
@@ -67,7 +69,7 @@
 
     /// Accepts connections forever.
     pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
-        let connections = Rc::new(RefCell::new(VecDeque::<Connection>::new()));
+        let connections = Rc::new(RefCell::new(VecDeque::<OperatorConnection>::new()));
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
@@ -77,17 +79,21 @@
             open.retain(|c| !c.task.is_finished());
             if open.len() >= MAX_CONNECTIONS {
                 let evicted = open.iter().position(|c| !c.request_received.get()).unwrap_or(0);
-                if let Some(connection) = open.remove(evicted) {
-                    connection.task.abort();
+                if let Some(operator) = open.remove(evicted) {
+                    // The task lives on until the runtime gets to it, and must not hold the descriptor until then.
+                    operator.connection.upgrade().iter().for_each(|connection| connection.close());
+                    operator.task.abort();
                 }
             }
             let request_received = Rc::new(Cell::new(false));
-            let task = spawn_local(self.clone().serve(stream, request_received.clone())).abort_handle();
-            open.push_back(Connection { request_received, task });
+            let io = ConnectionIo(Connection::new(stream, ()));
+            let connection = Rc::downgrade(&io.0);
+            let task = spawn_local(self.clone().serve(io, request_received.clone())).abort_handle();
+            open.push_back(OperatorConnection { connection, request_received, task });
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, request_received: Rc<Cell<bool>>) {
+    async fn serve(self: Rc<Self>, io: ConnectionIo, request_received: Rc<Cell<bool>>) {
         let service = service_fn(|request| {
             request_received.set(true);
             self.answer(request)
@@ -98,7 +104,7 @@
             .max_buf_size(MAX_HEAD_BYTES)
             .timer(TokioTimer::new())
             .header_read_timeout(REQUEST_TIMEOUT);
-        let connection = builder.serve_connection(TokioIo::new(RetryingStream::new(stream)), service);
+        let connection = builder.serve_connection(TokioIo::new(io), service);
         // Errors are ignored: the client has disconnected or sent an invalid request, which hyper has answered.
         let _ = timeout(REQUEST_TIMEOUT + RESPONSE_TIMEOUT, connection).await;
     }
