Abandoned attempts no longer hold the bodies of their requests

Callers: requests with bodies were refused for want of room for up to 1 s after others had left.

Cause: an abandoned attempt goes on for 1 s and held its request's exchange, whose body counts against the node's memory, though no further attempt can need it.

Fix: as a request is forgotten, its exchange releases what only a further attempt would need; what is still being sent is owned by whoever sends it. On both wires; a Thrift call's encoded form goes once it is written.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -37,6 +37,9 @@
 
     /// The current state of the client's connection, as the kernel reports it.
     fn client_state(&self) -> PeerState;
+
+    /// Releases what only a further attempt would need: none follows.
+    fn release_request(&self);
 }
 
 /// A final response that the node makes itself instead of relaying a server's.
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -726,7 +726,9 @@
     fn forget(&self, state: &mut State, request: RequestId) {
         let finished = |l: &RequestState| !l.awaiting_response && l.attempts.iter().all(|a| !a.open);
         if state.in_flight.get(&request).is_some_and(finished) {
-            state.in_flight.remove(&request);
+            if let Some(entry) = state.in_flight.remove(&request) {
+                entry.exchange.release_request();
+            }
         }
     }
 
--- a/crates/core/tests/services.rs
+++ b/crates/core/tests/services.rs
@@ -184,6 +184,8 @@
     fn client_state(&self) -> laurelroute_core::peer::PeerState {
         laurelroute_core::peer::PeerState::Connected
     }
+
+    fn release_request(&self) {}
 }
 
 #[test]
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -593,7 +593,8 @@
     };
     let (reply, response) = ResponseSlot::new();
     let client = Rc::downgrade(client);
-    (HttpExchange { method: parts.method, uri, headers, body, client_timeout_ms, reply, client }, response)
+    let exchange = HttpExchange::new((parts.method, uri, headers), (body, client_timeout_ms), reply, client);
+    (exchange, response)
 }
 
 fn overloaded_response(retry_after: Nanos, gateway: &Gateway) -> Response<ResponseBody> {
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -21,6 +21,7 @@
 use laurelroute_core::peer::PeerState;
 use laurelroute_core::running;
 use laurelroute_policy::interface::AttemptOutcome;
+use std::cell::RefCell;
 use std::future::{poll_fn, Future};
 use std::net::SocketAddr;
 use std::pin::{pin, Pin};
@@ -63,19 +64,37 @@
 #[derive(Debug)]
 pub struct HttpExchange {
     /// Method, unchanged.
-    pub method: Method,
+    method: Method,
     /// Path and query, unchanged.
-    pub uri: Uri,
+    uri: Uri,
     /// The end-to-end headers.
-    pub headers: HeaderMap,
-    /// The body; only one attempt can take the remainder of a streamed one.
-    pub body: Rc<Message>,
+    headers: HeaderMap,
+    /// The body, until no further attempt can follow; only one attempt can take the remainder of a streamed one.
+    body: RefCell<Option<Rc<Message>>>,
     /// The client's timeout in milliseconds, where it does not run yet because the body is still being received.
-    pub client_timeout_ms: Option<u64>,
+    client_timeout_ms: Option<u64>,
     /// Where the front waits for the response.
-    pub reply: ResponseSlot<UpstreamResponse>,
+    reply: ResponseSlot<UpstreamResponse>,
     /// The client's connection, which an abandoned attempt does not keep open.
-    pub client: Weak<Socket>,
+    client: Weak<Socket>,
+}
+
+impl HttpExchange {
+    /// A request with the parts of its head, its body and the client's connection.
+    pub fn new(
+        (method, uri, headers): (Method, Uri, HeaderMap),
+        (body, client_timeout_ms): (Rc<Message>, Option<u64>),
+        reply: ResponseSlot<UpstreamResponse>,
+        client: Weak<Socket>,
+    ) -> Self {
+        let body = RefCell::new(Some(body));
+        HttpExchange { method, uri, headers, body, client_timeout_ms, reply, client }
+    }
+
+    /// The body, if it can be sent from its first byte.
+    fn available_body(&self) -> Option<Rc<Message>> {
+        self.body.borrow().clone().filter(|body| body.is_available())
+    }
 }
 
 impl Exchange for HttpExchange {
@@ -95,6 +114,10 @@
     fn client_state(&self) -> PeerState {
         self.client.upgrade().map_or(PeerState::Closed, |client| client.peer_state())
     }
+
+    fn release_request(&self) {
+        self.body.take();
+    }
 }
 
 /// An upstream connection with hyper's two halves. No task drives it: its user does.
@@ -162,13 +185,15 @@
     loop {
         let mut attempt_connection = source.next(|address| open_connection(attempt, address)).await?;
         let connection: &mut UpstreamConnection = &mut attempt_connection.connection;
-        if !message.body.is_available() {
-            return Err(AttemptOutcome::NotSent);
-        }
-        connection.socket.expect_request(message.body.length());
+        let body = message.available_body().ok_or(AttemptOutcome::NotSent)?;
+        connection.socket.expect_request(body.length());
         let remaining_ms = message.client_timeout_ms.unwrap_or_else(|| attempt.remaining_ms());
-        let response =
-            connection.sender.send_request(build_request(message, remaining_ms, connection.socket.clone()));
+        let response = connection.sender.send_request(build_request(
+            message,
+            body,
+            remaining_ms,
+            connection.socket.clone(),
+        ));
         let socket = connection.socket.clone();
         return match read_head(connection, response).await {
             Ok(response) => {
@@ -181,7 +206,7 @@
                 received.report(message, attempt)
             }
             Err(_) if socket.request_sent() => Err(AttemptOutcome::Reset),
-            Err(_) if attempt_connection.reused && message.body.is_available() => continue,
+            Err(_) if attempt_connection.reused && message.available_body().is_some() => continue,
             Err(_) => Err(AttemptOutcome::ConnectFailed),
         };
     }
@@ -209,8 +234,13 @@
 }
 
 /// Builds the request to a server, with the time that is left.
-fn build_request(message: &HttpExchange, remaining_ms: u64, socket: Rc<Socket>) -> Request<MessageBody> {
-    let mut request = Request::new(MessageBody::new(message.body.clone(), Some(socket)));
+fn build_request(
+    message: &HttpExchange,
+    body: Rc<Message>,
+    remaining_ms: u64,
+    socket: Rc<Socket>,
+) -> Request<MessageBody> {
+    let mut request = Request::new(MessageBody::new(body, Some(socket)));
     *request.method_mut() = message.method.clone();
     *request.uri_mut() = message.uri.clone();
     let mut headers = message.headers.clone();
--- a/crates/thrift/src/upstream.rs
+++ b/crates/thrift/src/upstream.rs
@@ -2,8 +2,9 @@
 
 use crate::codec::application;
 use crate::codec::decoder::{Accept, Decoder, Item};
+use crate::codec::head::Head;
 use crate::codec::message::{Encoded, Message};
-use crate::codec::{Fault, Form, Kind, Limits, Transport};
+use crate::codec::{Form, Kind, Limits, Transport};
 use crate::table::Method;
 use laurelroute_core::budget::BodyLease;
 use laurelroute_core::call::{Exchange, FinalResponse, LocalReply, ResponseSlot, Wire};
@@ -15,6 +16,7 @@
 use laurelroute_core::peer::PeerState;
 use laurelroute_core::running;
 use laurelroute_policy::interface::AttemptOutcome;
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -52,13 +54,14 @@
 /// A client's call as every attempt sends it, and the place of its answer.
 #[derive(Debug)]
 pub struct ThriftExchange {
-    message: Message,
+    head: Head,
+    /// The call and the memory that it takes, until no further attempt can follow.
+    call: RefCell<Option<(Message, BodyLease)>>,
     method: Rc<Method>,
     boxes: Boxes,
     reply: ResponseSlot<Served>,
     /// The client's connection, which an abandoned attempt does not keep open.
     client: Weak<Connection>,
-    _lease: BodyLease,
 }
 
 impl ThriftExchange {
@@ -70,21 +73,25 @@
         reply: ResponseSlot<Served>,
         (client, lease): (Weak<Connection>, BodyLease),
     ) -> Self {
-        ThriftExchange { message, method, boxes, reply, client, _lease: lease }
+        let head = message.head.clone();
+        ThriftExchange { head, call: RefCell::new(Some((message, lease))), method, boxes, reply, client }
     }
 
-    fn encode(&self, millis_left: u64) -> Result<Encoded, Fault> {
+    /// The call as it is sent; `None` where it is not to be sent, or cannot be.
+    fn encode(&self, millis_left: u64) -> Option<Encoded> {
+        let call = self.call.borrow();
+        let (message, _) = call.as_ref()?;
         if self.boxes.form.transport != Transport::Header {
-            return self.message.encode(self.boxes.form, None);
+            return message.encode(self.boxes.form, None).ok();
         }
-        let mut header = self.message.header.clone().unwrap_or_default();
+        let mut header = message.header.clone().unwrap_or_default();
         self.method.tell_deadline(&mut header, millis_left);
-        header.seqid = self.message.head.seqid as u32;
-        self.message.encode(self.boxes.form, Some(&header))
+        header.seqid = self.head.seqid as u32;
+        message.encode(self.boxes.form, Some(&header)).ok()
     }
 
     fn oneway(&self) -> bool {
-        self.message.head.kind == Kind::Oneway
+        self.head.kind == Kind::Oneway
     }
 
     fn put(&self, message: Option<Message>, lease: BodyLease) {
@@ -113,6 +120,10 @@
             false => self.client.upgrade().map_or(PeerState::Closed, |client| client.peer_state()),
         }
     }
+
+    fn release_request(&self) {
+        self.call.take();
+    }
 }
 
 struct Link {
@@ -169,8 +180,10 @@
         let mut line = lines.next(|dial| open(attempt, &call.boxes, dial)).await?;
         let link: &mut Link = &mut line.connection;
         // What was walked through when it came can be encoded; were it otherwise, it would never have run.
-        let out = call.encode(attempt.remaining_ms()).map_err(|_| AttemptOutcome::NotSent)?;
-        match write(&mut link.stream, &out).await {
+        let out = call.encode(attempt.remaining_ms()).ok_or(AttemptOutcome::NotSent)?;
+        let written = write(&mut link.stream, &out).await;
+        drop(out);
+        match written {
             Ok(()) => link.stream.0.set_request_sent(true),
             Err(_) if line.reused => continue,
             Err(_) => return Err(AttemptOutcome::ConnectFailed),
@@ -217,7 +230,7 @@
 ) -> Result<Response, AttemptOutcome> {
     let message = whole(link).await.ok_or(AttemptOutcome::Reset)?;
     // Another call's answer, or a call: what else may come on this connection nobody knows.
-    if !call.message.head.answered_by(&message.head) {
+    if !call.head.answered_by(&message.head) {
         return Err(AttemptOutcome::Reset);
     }
     match message.head.kind {
