Nothing is sent again once a request's time is over, however long its deadline was

Callers: with debug assertions the process ended at SIGTERM with requests unanswered 4.1 s after the signal; without them it counted violations of its own.

Cause: at shutdown deadlines are capped, which the decision module does not know. At the capped time it sends requests again whose attempts have just been abandoned and are still open at their servers. As long as an abandoned attempt counted as ended this went unseen; the check by the state of the connection denies it as a second copy.

Fix: whether a request may still be sent goes by the gateway's own deadline, as for its abandoned attempts.

--- a/crates/core/src/gateway/permits.rs
+++ b/crates/core/src/gateway/permits.rs
@@ -12,6 +12,10 @@
         if !entry.awaiting_response {
             return Err(Denied::Answered);
         }
+        // The module may count on more time than the process has: its deadlines are capped at shutdown.
+        if self.clock.now() >= entry.give_up_at {
+            return Err(Denied::DeadlinePassed);
+        }
         if entry.attempts.len() >= self.config.settings.max_attempts as usize {
             return Err(Denied::NoAttemptLeft);
         }
