Events at the operators' address show each attempt's server, end and connection

The operators could not see that a failed attempt was still open.

GET /_events shows for each attempt that ended without a response its number, server, outcome, how long it took and what became of its connection, and for each repeated one its number and server, beside the end of the request's id. Counter attempt_failed. Rate and size as before: the last 256. How attempts and requests end has a module of its own (gateway::ending).

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -3,7 +3,7 @@
 //! Counters run for the lifetime of the process; recent events are in a ring buffer of fixed size, for incident
 //! analysis. Both are served at the management address.
 
-use laurelroute_policy::interface::Nanos;
+use laurelroute_policy::interface::{AttemptOutcome, Nanos};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::fmt::Write;
@@ -13,6 +13,9 @@
 /// Bytes kept of a request's id: its end, where ids differ.
 const LABEL_BYTES: usize = 16;
 
+/// Characters shown of a server's name.
+const MAX_SERVER_NAME_BYTES: usize = 64;
+
 /// The kind of an event.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -20,6 +23,8 @@
     AttemptBegun,
     /// A retry or a hedged attempt began.
     AttemptRepeated,
+    /// An attempt ended without a response for the client.
+    AttemptFailed,
     /// An attempt was not started because the client had disconnected.
     DeniedClientGone,
     /// An attempt was not started because the server was draining or gone.
@@ -55,9 +60,10 @@
 }
 
 /// All kinds, in the order of the enum, with the names that operators see.
-const NAMES: [(Kind, &str); 18] = [
+const NAMES: [(Kind, &str); 19] = [
     (Kind::AttemptBegun, "attempt_begun"),
     (Kind::AttemptRepeated, "attempt_repeated"),
+    (Kind::AttemptFailed, "attempt_failed"),
     (Kind::DeniedClientGone, "denied_client_gone"),
     (Kind::DeniedServerClosed, "denied_server_closed"),
     (Kind::DeniedWindowOver, "denied_window_over"),
@@ -106,11 +112,47 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
+/// What became of the connection of an attempt that has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// It is closed.
+    Closed,
+    /// It stays open for a while: no further attempt can follow.
+    Kept,
+    /// The attempt had none, or had returned it to the pool after a whole response.
+    Released,
+}
+
+/// What an event of an attempt states beside its request.
+#[derive(Clone, Debug)]
+pub struct AttemptDetails {
+    /// The attempt's number, from 0.
+    pub number: u8,
+    /// The server's name.
+    pub server: String,
+    /// How the attempt ended, what became of its connection, and how long it took; `None` for a beginning.
+    pub ended: Option<(AttemptOutcome, ConnectionEnd, Nanos)>,
+}
+
+impl AttemptDetails {
+    fn write(&self, text: &mut String) {
+        let printable = |c: &char| c.is_ascii_graphic();
+        let server: String = self.server.chars().filter(printable).take(MAX_SERVER_NAME_BYTES).collect();
+        // Writing to a string cannot fail.
+        let _ = write!(text, " attempt={} server={server}", self.number);
+        if let Some((outcome, connection, took)) = self.ended {
+            let took_ms = took as f64 / 1e6;
+            let _ = write!(text, " outcome={outcome:?} connection={connection:?} took_ms={took_ms:.3}");
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
 struct Event {
     at: Nanos,
     kind: Kind,
     label: Label,
+    attempt: Option<AttemptDetails>,
 }
 
 #[derive(Debug, Default)]
@@ -125,15 +167,24 @@
 
 /// Records an event of a request.
 pub fn record(at: Nanos, kind: Kind, label: Label) {
+    push(Event { at, kind, label, attempt: None });
+}
+
+/// Records an event of an attempt.
+pub fn record_attempt(at: Nanos, kind: Kind, label: Label, attempt: AttemptDetails) {
+    push(Event { at, kind, label, attempt: Some(attempt) });
+}
+
+fn push(event: Event) {
     LOG.with_borrow_mut(|log| {
-        log.counts[kind as usize] += 1;
-        if kind.is_frequent() {
+        log.counts[event.kind as usize] += 1;
+        if event.kind.is_frequent() {
             return;
         }
         if log.recent.len() >= MAX_RECENT_EVENTS {
             log.recent.pop_front();
         }
-        log.recent.push_back(Event { at, kind, label });
+        log.recent.push_back(event);
     });
 }
 
@@ -160,13 +211,18 @@
     })
 }
 
-/// The recent events, oldest first, one per line: how long ago, the kind, and the request.
+/// The recent events, oldest first, one per line: how long ago, the kind, the request, and for attempts `name=value`
+/// fields.
 pub fn recent(now: Nanos) -> String {
     LOG.with_borrow(|log| {
         let mut text = String::new();
         for event in &log.recent {
             let ago = now.saturating_sub(event.at) as f64 / 1e9;
-            let _ = writeln!(text, "-{ago:.3} s {} {}", event.kind.name(), event.label.text());
+            let _ = write!(text, "-{ago:.3} s {} {}", event.kind.name(), event.label.text());
+            if let Some(attempt) = &event.attempt {
+                attempt.write(&mut text);
+            }
+            text.push('\n');
         }
         text
     })
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -7,7 +7,7 @@
 use crate::call::{Call, Exchange, LocalReply};
 use crate::clock::Clock;
 use crate::dispatch::{Locality, PriorAttempt};
-use crate::events::{self, Kind, Label};
+use crate::events::{self, AttemptDetails, Kind, Label};
 use crate::fleet::{Fleet, ServerAttributes, ServerEntry};
 use crate::ids::Ids;
 use crate::name_index::NameIndex;
@@ -31,6 +31,7 @@
 
 mod attempt;
 mod carrier;
+mod ending;
 mod lingering;
 mod pending_request;
 mod permits;
@@ -383,29 +384,6 @@
         PendingRequest { gateway: self.clone(), id }
     }
 
-    fn client_gone(self: &Rc<Self>, request: RequestId) {
-        let mut state = self.state.borrow_mut();
-        let Some(entry) = state.in_flight.get_mut(&request) else { return };
-        if std::mem::replace(&mut entry.awaiting_response, false) {
-            events::record(self.clock.now(), Kind::ClientLeft, entry.label);
-            self.withdraw(&mut state, request);
-            self.handle(&mut state, Event::ClientDisconnected { request });
-            self.forget(&mut state, request);
-        }
-    }
-
-    /// Ends the attempts of a request that no client waits for and that no server can have begun, whatever the settings
-    /// say on cancellation: an attempt whose connection opens late would otherwise run without anyone waiting for it.
-    fn withdraw(self: &Rc<Self>, state: &mut State, request: RequestId) {
-        let attempts = state.in_flight.get(&request).map_or(0, |entry| entry.attempts.len());
-        for number in 0..attempts as u8 {
-            let attempt = state.in_flight.get(&request).and_then(|l| l.attempts.get(usize::from(number)));
-            if attempt.is_some_and(|a| a.open && !a.carrier.fully_sent()) {
-                self.conclude(state, AttemptId { request, number }, AttemptOutcome::NotSent);
-            }
-        }
-    }
-
     /// Applies a server list or changes to it. The fleet is updated before the decision module, whose actions must find
     /// the servers there.
     pub fn update_servers(self: &Rc<Self>, kind: ListKind, entries: Vec<ServerEntry>) {
@@ -657,81 +635,6 @@
         state.lingering.end_due(self.clock.now());
     }
 
-    /// Handles the deadline of a request: all its attempts in flight have timed out.
-    fn deadline(self: &Rc<Self>, state: &mut State, request: RequestId) {
-        // The deadline was moved if the last byte of the request arrived late.
-        let Some(entry) = state.in_flight.get(&request).filter(|l| l.give_up_at <= self.clock.now()) else {
-            return;
-        };
-        for number in 0..entry.attempts.len() as u8 {
-            self.conclude(state, AttemptId { request, number }, AttemptOutcome::TimedOut);
-        }
-        // The module responds to the last timeout. If it does not, or if it counts on more time than this process has,
-        // the client must still get a response, and further attempts of the module are of no use.
-        if self.reply(state, request, LocalReply::Failed { late: true }) {
-            self.withdraw(state, request);
-            self.handle(state, Event::ClientDisconnected { request });
-        }
-        self.forget(state, request);
-    }
-
-    /// Reports to the module how an attempt ended, once. As the module may send the request again, the attempt's
-    /// connection is closed first; only where no further attempt can follow may it go on for a while.
-    fn conclude(self: &Rc<Self>, state: &mut State, id: AttemptId, ending: AttemptOutcome) {
-        let now = self.clock.now();
-        let Some(entry) = state.in_flight.get_mut(&id.request) else { return };
-        let may_be_sent_again = entry.may_be_sent_again(now);
-        let Some(attempt) = entry.attempts.get_mut(usize::from(id.number)).filter(|a| a.open) else { return };
-        attempt.open = false;
-        attempt.ending = Some(ending);
-        let may_linger = !may_be_sent_again && attempt.carrier.fully_sent();
-        if may_be_sent_again {
-            attempt.carrier.close();
-        }
-        let took = now.saturating_sub(attempt.sent_at);
-        if let Some(shift) = &mut state.shift {
-            let at = (attempt.server, usize::from(id.number));
-            shift.attempt_ended(&entry.request, at, (attempt.sent_at, took), ending);
-        }
-        let event = Event::AttemptEnded {
-            request: id.request,
-            server: attempt.server,
-            attempt: id.number,
-            finished: !entry.awaiting_response,
-            took,
-            outcome: ending,
-            report: None,
-        };
-        if matches!(ending, AttemptOutcome::TimedOut | AttemptOutcome::Cancelled | AttemptOutcome::NotSent) {
-            if let Some(task) = attempt.task.take() {
-                // A request cut off before its last byte never runs; after it, the server does the work anyway.
-                if may_linger {
-                    let (server, carrier) = (attempt.server, attempt.carrier.clone());
-                    let until = state.lingering.push(now, server, carrier, task);
-                    if until < state.armed {
-                        state.armed = until;
-                        self.timer.notify_one();
-                    }
-                } else {
-                    attempt.carrier.close();
-                    task.abort();
-                }
-            }
-        }
-        self.handle(state, event);
-        self.forget(state, id.request);
-    }
-
-    /// Drops a request that has its response and no attempt in flight.
-    fn forget(&self, state: &mut State, request: RequestId) {
-        let finished = |l: &RequestState| !l.awaiting_response && l.attempts.iter().all(|a| !a.open);
-        if state.in_flight.get(&request).is_some_and(finished) {
-            if let Some(entry) = state.in_flight.remove(&request) {
-                entry.exchange.release_request();
-            }
-        }
-    }
-
     fn handle(self: &Rc<Self>, state: &mut State, event: Event) {
         let mut actions = Vec::new();
         state.balancer.handle(self.clock.now(), event, &mut actions);
@@ -791,7 +694,11 @@
         match decided {
             Err(denied) => self.denied(denied, entry.label),
             Ok(()) if id.number == 0 => events::record(sent_at, Kind::AttemptBegun, entry.label),
-            Ok(()) => events::record(sent_at, Kind::AttemptRepeated, entry.label),
+            Ok(()) => {
+                let server = state.fleet.host_of(server).unwrap_or_default().to_owned();
+                let details = AttemptDetails { number: id.number, server, ended: None };
+                events::record_attempt(sent_at, Kind::AttemptRepeated, entry.label, details);
+            }
         }
         let wanted = decided.is_ok();
         if wanted {
@@ -839,6 +746,11 @@
 
     fn start_timer(&self, state: &mut State, at: Nanos, timer: Timer) {
         state.timers.push(Reverse((at, timer)));
+        self.wake_timers_by(state, at);
+    }
+
+    /// Has the timer task run at this time at the latest.
+    fn wake_timers_by(&self, state: &mut State, at: Nanos) {
         if at < state.armed {
             state.armed = at;
             self.timer.notify_one();
--- a/crates/core/src/gateway/carrier.rs
+++ b/crates/core/src/gateway/carrier.rs
@@ -2,6 +2,7 @@
 //! it open.
 
 use crate::connection::Connection;
+use crate::events::ConnectionEnd;
 use std::cell::RefCell;
 use std::rc::{Rc, Weak};
 
@@ -34,6 +35,15 @@
         carrier.as_ref().and_then(Weak::upgrade).is_some_and(|connection| connection.is_open())
     }
 
+    /// What has become of the connection.
+    pub(super) fn connection_end(&self) -> ConnectionEnd {
+        match self.0.borrow().is_some() {
+            _ if self.is_open() => ConnectionEnd::Kept,
+            true => ConnectionEnd::Closed,
+            false => ConnectionEnd::Released,
+        }
+    }
+
     /// Closes the connection now.
     pub(super) fn close(&self) {
         if let Some(connection) = self.0.borrow().as_ref().and_then(Weak::upgrade) {
--- a/crates/core/src/gateway/lingering.rs
+++ b/crates/core/src/gateway/lingering.rs
@@ -30,17 +30,10 @@
 pub(super) struct LingeringAttempts(VecDeque<LingeringAttempt>);
 
 impl LingeringAttempts {
-    /// Adds an attempt that is abandoned now; returns until when it may go on.
-    pub(super) fn push(
-        &mut self,
-        now: Nanos,
-        server: Endpoint,
-        carrier: Carrier,
-        task: AbortHandle,
-    ) -> Nanos {
+    /// Adds an attempt that is abandoned now.
+    pub(super) fn push(&mut self, now: Nanos, server: Endpoint, carrier: Carrier, task: AbortHandle) {
         let until = now.saturating_add(LINGER_TIME);
         self.0.push_back(LingeringAttempt { until, server, carrier, task });
-        until
     }
 
     pub(super) fn is_empty(&self) -> bool {
--- a/crates/node/tests/second_copies.rs
+++ b/crates/node/tests/second_copies.rs
@@ -246,3 +246,33 @@
 fn no_third_attempt_is_under_way_where_two_are_allowed_without_cancelling() {
     attempts_under_way(true, false);
 }
+
+/// The events at the management address show each attempt of a repeated request: its server, its end and its connection.
+#[test]
+fn the_attempts_of_a_repeated_request_are_shown() {
+    let attempts = Attempts::default();
+    let servers: Vec<_> = (0..4).map(|_| spoiling_server(&attempts)).collect();
+    let names: Vec<_> = (0..4).map(|k| format!("s{k}")).collect();
+    let entries: Vec<_> = names.iter().zip(&servers).map(|(name, s)| host(name, s.address)).collect();
+    let program =
+        Program::wishing(&Discovery::start(&entries), Wishes { managed: true, ..Wishes::default() });
+    let ends = [
+        (Spoilt::BodyStalls, "outcome=Reset connection=Closed"),
+        (Spoilt::RejectionBodyStalls, "outcome=Rejected connection=Closed"),
+        (Spoilt::RejectionWhole, "outcome=Rejected connection=Released"),
+    ];
+    for (spoilt, end) in ends {
+        until("a request is sent again and shown", || {
+            (0..100).for_each(|_| drop(program.ask()));
+            let id = spoilt_id(spoilt, 1);
+            ask_all(&program, &[(id.clone(), false)]);
+            let (_, events) = program.call_for_text("GET", "/_events").unwrap_or_default();
+            let shown: Vec<&str> =
+                events.lines().filter(|line| line.contains(&id[id.len() - 16..])).collect();
+            let failed = |line: &&str| line.contains("attempt_failed") && line.contains(end);
+            let repeated =
+                |line: &&str| line.contains("attempt_repeated") && line.contains("attempt=1 server=s");
+            attempts.begun(&id) > 1 && shown.iter().any(failed) && shown.iter().any(repeated)
+        });
+    }
+}
