--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -8,20 +8,16 @@
 use crate::clock::Clock;
 use crate::dispatch::{Locality, PriorAttempt};
 use crate::events::{self, AttemptDetails, Kind, Label};
-use crate::fleet::{Fleet, ServerAttributes, ServerEntry};
+use crate::fleet::Fleet;
 use crate::ids::Ids;
 use crate::name_index::NameIndex;
 use crate::process::ProcessState;
-use crate::running;
-use laurelroute_handover::bans::{BanError, BanRecord, Bans};
 use laurelroute_policy::interface::{
-    Action, AttemptOutcome, Endpoint, Event, LearnedState, ListKind, Nanos, NodePlan, Request, RequestId,
-    Server, ServerObservation, Settings, SettingsError,
+    Action, AttemptOutcome, Endpoint, Event, LearnedState, Nanos, NodePlan, Request, RequestId,
+    ServerObservation, Settings, SettingsError,
 };
 use laurelroute_policy::Balancer;
-use laurelroute_shift::controller::{Evaluation, ListedServer, ShiftController};
-use laurelroute_shift::pool::ServerLabels;
-use laurelroute_shift::rollout::{Change, Command as ShiftCommand, CommandError};
+use laurelroute_shift::controller::ShiftController;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -35,14 +31,16 @@
 mod lingering;
 mod pending_request;
 mod permits;
+mod servers;
+mod shift;
+mod timers;
 
 pub use attempt::Attempt;
 use carrier::Carrier;
 use lingering::{LingeringAttempts, LINGER_TIME};
 pub use pending_request::PendingRequest;
-
-/// How often an idle gateway checks its timers. A process may have hundreds of idle gateways.
-const IDLE_TIMER_INTERVAL: Nanos = 600_000_000_000;
+pub use servers::ServerControlError;
+use timers::Timer;
 
 /// A pooled connection is reused only within this fraction of the server's idle timeout.
 const IDLE_REUSE_FRACTION: f64 = 0.6;
@@ -95,17 +93,6 @@
     hex.unwrap_or_else(|| crate::stable_hash(text))
 }
 
-/// Why a server could not be detached or attached.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum ServerControlError {
-    /// There is no server of this name.
-    #[error("no server has this name")]
-    Unknown,
-    /// The ban list is full.
-    #[error("{0}")]
-    Bans(#[from] BanError),
-}
-
 #[derive(Clone, Copy, Debug)]
 struct AttemptId {
     request: RequestId,
@@ -151,13 +138,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Timer {
-    Module(u32),
-    Deadline(RequestId),
-    AttemptTimeout(RequestId, u8),
-}
-
 struct State {
     balancer: Balancer,
     fleet: Fleet,
@@ -384,116 +364,6 @@
         PendingRequest { gateway: self.clone(), id }
     }
 
-    /// Applies a server list or changes to it. The fleet is updated before the decision module, whose actions must find
-    /// the servers there.
-    pub fn update_servers(self: &Rc<Self>, kind: ListKind, entries: Vec<ServerEntry>) {
-        let mut state = self.state.borrow_mut();
-        let now = self.clock.now();
-        let shift_entries = state.shift.is_some().then(|| entries.clone());
-        state.fleet.set_wall_clock_offset(self.clock.wall().wrapping_sub(now) as i64);
-        let servers = state.fleet.update(now, kind, entries);
-        if let (Some(shift), Some(entries)) = (&mut state.shift, shift_entries) {
-            update_shift_servers(shift, kind != ListKind::Changes, &entries, &servers);
-        }
-        self.report_servers(&mut state, kind, servers);
-    }
-
-    /// Records a contact with discovery that brought no changes.
-    pub fn record_discovery_contact(&self) {
-        let now = self.clock.now();
-        self.fleet(|f| f.record_discovery_contact(now));
-    }
-
-    fn report_servers(self: &Rc<Self>, state: &mut State, kind: ListKind, servers: Vec<Server>) {
-        if let Some(shift) = &mut state.shift {
-            shift.update_servers(&servers);
-        }
-        self.handle(state, Event::List { kind, servers });
-        if let Some(split) = state.shift.as_mut().and_then(|s| s.split_after_list_update()) {
-            self.handle(state, Event::Split(split));
-        }
-        for server in state.fleet.take_restored() {
-            self.handle(state, Event::Reinstated { server });
-        }
-    }
-
-    /// Takes a server out of use, whatever the list says; returns the record to send to other processes, if this is a
-    /// change.
-    pub fn detach(self: &Rc<Self>, host: &str) -> Result<Option<BanRecord>, ServerControlError> {
-        self.control_server(host, |bans, now| bans.detach(host, now))
-    }
-
-    /// Puts a detached server back into use; does nothing for a server that was not detached.
-    pub fn attach(self: &Rc<Self>, host: &str) -> Result<Option<BanRecord>, ServerControlError> {
-        self.control_server(host, |bans, now| Ok(bans.attach(host, now)))
-    }
-
-    /// Applies an operator's command on a server, if the server is known.
-    fn control_server(
-        self: &Rc<Self>,
-        host: &str,
-        command: impl FnOnce(&mut Bans, Nanos) -> Result<Option<BanRecord>, BanError>,
-    ) -> Result<Option<BanRecord>, ServerControlError> {
-        let others = self.process.others(self);
-        let known = |g: &Rc<Self>| g.fleet(|f| f.is_listed(host) || f.bans.is_banned(host));
-        if !known(self) && !others.iter().any(known) {
-            return Err(ServerControlError::Unknown);
-        }
-        let record = self.fleet(|f| command(&mut f.bans, self.clock.now()))?;
-        self.reapply_bans_and_drains(&[host.to_owned()]);
-        // An operator's command applies to the server in all its services.
-        others.iter().for_each(|g| g.merge_ban_records(record.iter().cloned().collect()));
-        Ok(record)
-    }
-
-    /// Applies the fleet's decision on a server, which overrides local commands.
-    pub fn apply_fleet_ban(self: &Rc<Self>, host: &str, banned: bool) {
-        let now = self.clock.now();
-        let record = self.fleet(|f| match banned {
-            true => f.bans.detach(host, now).ok().flatten(),
-            false => f.bans.attach(host, now),
-        });
-        if let Some(record) = record {
-            self.reapply_bans_and_drains(&[host.to_owned()]);
-            self.process.others(self).iter().for_each(|g| g.merge_ban_records(vec![record.clone()]));
-        }
-    }
-
-    /// Sets whether other nodes report a server as draining, which may be ahead of the list here.
-    pub fn apply_fleet_drain(self: &Rc<Self>, host: &str, draining: bool) {
-        if self.fleet(|f| f.set_drained(host, draining)) {
-            self.reapply_bans_and_drains(&[host.to_owned()]);
-            for other in self.process.others(self) {
-                other.fleet(|f| f.set_drained(host, draining));
-                other.reapply_bans_and_drains(&[host.to_owned()]);
-            }
-        }
-    }
-
-    /// Merges ban records from another process of this node.
-    pub fn merge_bans(self: &Rc<Self>, records: Vec<BanRecord>) {
-        self.process.others(self).iter().for_each(|g| g.merge_ban_records(records.clone()));
-        self.merge_ban_records(records);
-    }
-
-    fn merge_ban_records(self: &Rc<Self>, records: Vec<BanRecord>) {
-        let now = self.clock.now();
-        let changed = self.fleet(|f| f.bans.merge_received(records, now));
-        // Known records are received again with each call, mostly without changes, which need no update.
-        if !changed.is_empty() {
-            self.reapply_bans_and_drains(&changed);
-        }
-    }
-
-    fn reapply_bans_and_drains(self: &Rc<Self>, hosts: &[String]) {
-        let mut state = self.state.borrow_mut();
-        let now = self.clock.now();
-        let slow_start_over = now.saturating_sub(2 * self.config.settings.ramp);
-        state.fleet.bans.forget_restored_before(slow_start_over);
-        let servers = state.fleet.reapply(now, hosts);
-        self.report_servers(&mut state, ListKind::Changes, servers);
-    }
-
     /// Sets the maximum number of descriptors of this process.
     pub fn set_descriptor_limit(&self, descriptors: usize) {
         self.budget.resize(descriptors);
@@ -523,45 +393,6 @@
         self.handle(&mut state, Event::Plan(plan));
     }
 
-    /// Sets the shift that this node follows; to be called before the first server list is applied.
-    pub fn set_shift(&self, controller: ShiftController) {
-        self.state.borrow_mut().shift = Some(Box::new(controller));
-    }
-
-    /// Runs `f` on the shift, if there is one.
-    pub fn shift<T>(&self, f: impl FnOnce(&ShiftController) -> T) -> Option<T> {
-        self.state.borrow().shift.as_deref().map(f)
-    }
-
-    /// Evaluates the shift's pools and evidence, and returns the resulting changes. `no_planner` means that planners
-    /// are configured and none is reachable.
-    pub fn evaluate_shift(self: &Rc<Self>, no_planner: bool) -> Vec<Change> {
-        let mut state = self.state.borrow_mut();
-        let now = self.clock.now();
-        let Some(evaluation) = state.shift.as_mut().map(|s| s.evaluate(now, no_planner)) else {
-            return Vec::new();
-        };
-        self.apply_split(&mut state, evaluation)
-    }
-
-    /// Applies an operator's command to the shift; `None` if there is no shift.
-    pub fn apply_shift_command(
-        self: &Rc<Self>,
-        command: &ShiftCommand,
-    ) -> Option<Result<Vec<Change>, CommandError>> {
-        let mut state = self.state.borrow_mut();
-        let now = self.clock.now();
-        let evaluation = state.shift.as_mut()?.apply_command(now, command);
-        Some(evaluation.map(|evaluation| self.apply_split(&mut state, evaluation)))
-    }
-
-    fn apply_split(self: &Rc<Self>, state: &mut State, evaluation: Evaluation) -> Vec<Change> {
-        if let Some(split) = evaluation.split {
-            self.handle(state, Event::Split(split));
-        }
-        evaluation.changes
-    }
-
     /// The decision module's observations of each server, by server name.
     pub fn observed_servers(&self) -> Vec<(String, ServerObservation)> {
         let state = self.state.borrow();
@@ -585,56 +416,6 @@
         self.state.borrow().balancer.admitted_rates(self.clock.now())
     }
 
-    /// Runs the timers; never returns.
-    pub async fn run_timers(self: Rc<Self>) {
-        self.run_timers_while_not(|_| false).await;
-    }
-
-    /// Runs the timers until no request or attempt is left; for a gateway that gets no new requests.
-    pub async fn run_timers_until_idle(self: Rc<Self>) {
-        self.run_timers_while_not(|state| state.in_flight.is_empty() && state.lingering.is_empty()).await;
-    }
-
-    async fn run_timers_while_not(self: &Rc<Self>, done: impl Fn(&State) -> bool) {
-        loop {
-            let next = {
-                let mut state = self.state.borrow_mut();
-                let next = state.timers.peek().map_or(Nanos::MAX, |Reverse((at, _))| *at);
-                state.armed = next.min(state.lingering.next_end());
-                if done(&state) {
-                    return;
-                }
-                state.armed
-            };
-            // Data that arrived while the process was stalled is read before any timeout is reported.
-            let sleep =
-                running::sleep_until(self.clock.instant(next.min(self.clock.now() + IDLE_TIMER_INTERVAL)));
-            tokio::select! {
-                _ = sleep => {}
-                _ = self.timer.notified() => {}
-            }
-            self.run_due_timers();
-        }
-    }
-
-    fn run_due_timers(self: &Rc<Self>) {
-        let mut state = self.state.borrow_mut();
-        while let Some(&Reverse((at, timer))) = state.timers.peek() {
-            if at > self.clock.now() {
-                break;
-            }
-            state.timers.pop();
-            match timer {
-                Timer::Module(token) => self.handle(&mut state, Event::Timer { token }),
-                Timer::Deadline(id) => self.deadline(&mut state, id),
-                Timer::AttemptTimeout(request, number) => {
-                    self.conclude(&mut state, AttemptId { request, number }, AttemptOutcome::TimedOut);
-                }
-            }
-        }
-        state.lingering.end_due(self.clock.now());
-    }
-
     fn handle(self: &Rc<Self>, state: &mut State, event: Event) {
         let mut actions = Vec::new();
         state.balancer.handle(self.clock.now(), event, &mut actions);
@@ -743,43 +524,4 @@
         }
         awaited
     }
-
-    fn start_timer(&self, state: &mut State, at: Nanos, timer: Timer) {
-        state.timers.push(Reverse((at, timer)));
-        self.wake_timers_by(state, at);
-    }
-
-    /// Has the timer task run at this time at the latest.
-    fn wake_timers_by(&self, state: &mut State, at: Nanos) {
-        if at < state.armed {
-            state.armed = at;
-            self.timer.notify_one();
-        }
-    }
-}
-
-/// Passes the server list to the shift. `servers` are in the order of their entries.
-fn update_shift_servers(
-    shift: &mut ShiftController,
-    is_full_list: bool,
-    entries: &[ServerEntry],
-    servers: &[Server],
-) {
-    let no_attributes = ServerAttributes::default();
-    let zones = shift.rollout.settings.zones.clone();
-    let listed = entries.iter().zip(servers).map(|(entry, server)| {
-        let attributes = entry.attributes.as_deref().unwrap_or(&no_attributes);
-        let address = entry.addresses.iter().flatten().next().map(|a| a.ip());
-        let zone = zones.get(usize::from(server.zone)).map_or("", String::as_str);
-        let labels = ServerLabels {
-            id: &entry.host,
-            zone,
-            kind: &attributes.kind,
-            version: &attributes.version,
-            address,
-            metadata: &attributes.metadata,
-        };
-        ListedServer { labels, server: *server }
-    });
-    shift.update_list(is_full_list, listed);
 }
--- a/crates/node/tests/second_copies.rs
+++ b/crates/node/tests/second_copies.rs
@@ -5,8 +5,10 @@
 use laurelroute_testkit::attempts::{peer_closed, Attempts};
 use laurelroute_testkit::discovery::Discovery;
 use laurelroute_testkit::program::Wishes;
+use laurelroute_testkit::soak::shim::{self, Shim};
 use std::io::Write;
 use std::net::TcpStream;
+use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -190,7 +192,7 @@
 
 /// Plays all kinds of spoilt answers, the first and the first two of each request, and asserts how many attempts of a
 /// request are under way at once.
-fn attempts_under_way(hedging: bool, cancelling: bool) {
+fn attempts_under_way(wishes: Wishes, beside: impl Fn(&Program) + Sync) {
     const SERVERS: usize = 12;
     const HEALTHY_REQUESTS: usize = 100;
     let attempts = Attempts::default();
@@ -198,53 +200,83 @@
     let names: Vec<_> = (0..SERVERS).map(|k| format!("s{k}")).collect();
     let entries: Vec<_> = names.iter().zip(&servers).map(|(name, s)| host(name, s.address)).collect();
     let discovery = Discovery::start(&entries);
-    let program = Program::wishing(&discovery, Wishes { hedging, cancelling, ..Wishes::default() });
+    let allowed = wishes.attempts_at_once();
+    let program = Program::wishing(&discovery, wishes);
     let mut over = Vec::new();
     for spoilt in SPOILT {
         until("requests are sent again", || {
             // Retries are a part of what is served, and attempts go over kept connections as well.
             (0..HEALTHY_REQUESTS).for_each(|_| drop(program.ask()));
             let ids: Vec<_> = (0..4).map(|k| (spoilt_id(spoilt, 1 + k / 2), k % 2 == 1)).collect();
-            ask_all(&program, &ids);
+            ask_all(&program, &ids, &beside);
             ids.iter().any(|(id, _)| attempts.begun(id) > 1)
         });
-        let found = attempts.over(if hedging { 2 } else { 1 });
+        let found = attempts.over(allowed);
         over.extend(found.into_iter().skip(over.len()).map(|overlap| (spoilt, overlap)));
     }
     assert!(over.is_empty(), "too many attempts of a request at once: {over:#?}");
 }
 
-/// Sends all requests at once, keyed ones where told, and waits for the answers.
-fn ask_all(program: &Program, ids: &[(String, bool)]) {
+/// Sends all requests at once, keyed ones where told, and does this again and again until all are answered.
+fn ask_all(program: &Program, ids: &[(String, bool)], beside: impl Fn(&Program)) {
     thread::scope(|scope| {
-        for (id, keyed) in ids {
-            scope.spawn(move || program.raw(request(id, *keyed).as_bytes()));
+        let ask = |(id, keyed): &(String, bool)| {
+            let bytes = request(id, *keyed);
+            scope.spawn(move || program.raw(bytes.as_bytes()))
+        };
+        let asked: Vec<_> = ids.iter().map(ask).collect();
+        while asked.iter().any(|thread| !thread.is_finished()) {
+            beside(program);
+            thread::sleep(Duration::from_millis(5));
         }
     });
 }
 
+/// Stops the process for a moment, and lets it run for a moment.
+fn stop_and_continue(program: &Program) {
+    program.signal("STOP");
+    thread::sleep(Duration::from_millis(100));
+    program.signal("CONT");
+    thread::sleep(Duration::from_millis(150));
+}
+
 /// Report 4fe19f: an attempt that had failed was still open at its server while the next one was under way.
 #[test]
 fn a_failed_attempt_is_closed_before_the_next_one_is_sent() {
-    attempts_under_way(false, true);
+    attempts_under_way(Wishes::default(), |_| ());
 }
 
 /// The same where attempts may not be cancelled.
 #[test]
 fn a_failed_attempt_is_closed_before_the_next_one_is_sent_without_cancelling() {
-    attempts_under_way(false, false);
+    attempts_under_way(Wishes { cancelling: false, ..Wishes::default() }, |_| ());
 }
 
 /// Where second copies are allowed, failed attempts must not make it three.
 #[test]
 fn no_third_attempt_is_under_way_where_two_are_allowed() {
-    attempts_under_way(true, true);
+    attempts_under_way(Wishes { hedging: true, ..Wishes::default() }, |_| ());
 }
 
 /// The same where attempts may not be cancelled.
 #[test]
 fn no_third_attempt_is_under_way_where_two_are_allowed_without_cancelling() {
-    attempts_under_way(true, false);
+    attempts_under_way(Wishes { hedging: true, cancelling: false, ..Wishes::default() }, |_| ());
+}
+
+/// Interrupted and short system calls, and closes that report errors, leave no failed attempt open.
+#[test]
+fn a_failed_attempt_is_closed_although_system_calls_fail() {
+    let failing = ["recv_eintr", "send_eintr", "recv_short", "send_short", "epoll_eintr", "close_fail"];
+    let shim = failing.into_iter().fold(Shim::default(), |shim, knob| shim.with(knob, 0.2));
+    let environment = shim.environment(shim::shared(Path::new(env!("CARGO_TARGET_TMPDIR"))));
+    attempts_under_way(Wishes { environment, ..Wishes::default() }, |_| ());
+}
+
+/// A process that is stopped and continued leaves no failed attempt open.
+#[test]
+fn a_failed_attempt_is_closed_although_the_process_is_stopped() {
+    attempts_under_way(Wishes::default(), stop_and_continue);
 }
 
 /// The events at the management address show each attempt of a repeated request: its server, its end and its connection.
@@ -265,7 +297,7 @@
         until("a request is sent again and shown", || {
             (0..100).for_each(|_| drop(program.ask()));
             let id = spoilt_id(spoilt, 1);
-            ask_all(&program, &[(id.clone(), false)]);
+            ask_all(&program, &[(id.clone(), false)], |_| ());
             let (_, events) = program.call_for_text("GET", "/_events").unwrap_or_default();
             let shown: Vec<&str> =
                 events.lines().filter(|line| line.contains(&id[id.len() - 16..])).collect();
--- a/crates/testkit/shim/faults.c
+++ b/crates/testkit/shim/faults.c
@@ -19,7 +19,7 @@
 #include <unistd.h>
 
 static double recv_eintr, send_eintr, recv_short, send_short, accept_fail, socket_fail, connect_fail, epoll_eintr,
-    unix_eintr, file_fail, wall_offset, step_at, wall_until, from_s, until_s = 1e9;
+    close_fail, unix_eintr, file_fail, wall_offset, step_at, wall_until, from_s, until_s = 1e9;
 static _Atomic uint64_t state = 88172645463325252ull;
 static double began;
 
@@ -46,6 +46,7 @@
     recv_short = knob(text, "recv_short", 0), send_short = knob(text, "send_short", 0);
     accept_fail = knob(text, "accept_fail", 0), socket_fail = knob(text, "socket_fail", 0);
     connect_fail = knob(text, "connect_fail", 0), epoll_eintr = knob(text, "epoll_eintr", 0);
+    close_fail = knob(text, "close_fail", 0);
     unix_eintr = knob(text, "unix_eintr", 0), file_fail = knob(text, "file_fail", 0);
     wall_offset = knob(text, "wall_offset", 0), step_at = knob(text, "step_at", 0);
     wall_until = knob(text, "wall_until", 1e9);
@@ -183,6 +184,15 @@
                                                                          : real(fd, address, length);
 }
 
+/* close(2): whatever it returns but EBADF, Linux has released the descriptor. */
+int close(int fd) {
+    REAL(int, close, int);
+    static const int codes[] = {EINTR, EIO, ENOSPC, EDQUOT};
+    int fails = close_fail > 0 && family(fd) == AF_INET && hit(close_fail);
+    int closed = real(fd);
+    return fails && !closed ? one_of(codes, 4) : closed;
+}
+
 int epoll_wait(int fd, struct epoll_event *events, int count, int timeout) {
     REAL(int, epoll_wait, int, struct epoll_event *, int, int);
     return hit(epoll_eintr) ? fail(EINTR) : real(fd, events, count, timeout);
--- a/crates/testkit/src/soak/mod.rs
+++ b/crates/testkit/src/soak/mod.rs
@@ -151,7 +151,7 @@
             let shim = often.into_iter().fold(shim, |shim, knob| shim.with(knob, 0.01));
             let shim =
                 ["recv_short", "send_short", "epoll_eintr"].into_iter().fold(shim, |s, k| s.with(k, 0.05));
-            shim.with("unix_eintr", 0.02).with("from", from).with("until", until)
+            shim.with("unix_eintr", 0.02).with("close_fail", 0.05).with("from", from).with("until", until)
         }
         Kind::Disk => shim.with("file_fail", 1.0).with("from", from).with("until", until),
         Kind::WallClock => {
