--- a/crates/node/tests/second_copies.rs
+++ b/crates/node/tests/second_copies.rs
@@ -264,6 +264,52 @@
     attempts_under_way(Wishes { hedging: true, cancelling: false, ..Wishes::default() }, |_| ());
 }
 
+/// Requests of each kind whose first answers are spoilt.
+const SPOILT_REQUESTS: usize = 8;
+
+/// Sends requests one after the other until so many have been forwarded; how many of these were served.
+fn served_with_spoilt_answers(spoilt: Spoilt, keyed: bool) -> usize {
+    const HEALTHY_REQUESTS: usize = 60;
+    let attempts = Attempts::default();
+    let servers: Vec<_> = (0..4).map(|_| spoiling_server(&attempts)).collect();
+    let names: Vec<_> = (0..4).map(|k| format!("s{k}")).collect();
+    let entries: Vec<_> = names.iter().zip(&servers).map(|(name, s)| host(name, s.address)).collect();
+    let program = Program::start(&Discovery::start(&entries));
+    let (mut forwarded, mut served) = (0, 0);
+    until("the requests are forwarded", || {
+        (0..HEALTHY_REQUESTS).for_each(|_| drop(program.ask()));
+        let id = spoilt_id(spoilt, 1);
+        let answer = program.raw(request(&id, keyed).as_bytes());
+        // A busy node may refuse a request that it has not sent anywhere.
+        forwarded += usize::from(attempts.begun(&id) > 0);
+        served += usize::from(answer.starts_with("HTTP/1.1 200"));
+        forwarded == SPOILT_REQUESTS
+    });
+    assert_eq!(attempts.over(1), [], "{spoilt:?}: attempts of a request at once");
+    served
+}
+
+/// A request whose first answer is spoilt is served by another server, once the failed attempt is closed.
+#[test]
+fn requests_whose_first_answer_is_spoilt_are_served() {
+    let kinds = [
+        Spoilt::HeadStalls,
+        Spoilt::BodyStalls,
+        Spoilt::TwoFramings,
+        Spoilt::TooLong,
+        Spoilt::ErrorBodyStalls,
+        Spoilt::RejectionBodyStalls,
+    ];
+    thread::scope(|scope| {
+        for (spoilt, keyed) in kinds.into_iter().flat_map(|spoilt| [(spoilt, false), (spoilt, true)]) {
+            scope.spawn(move || {
+                let served = served_with_spoilt_answers(spoilt, keyed);
+                assert_eq!(served, SPOILT_REQUESTS, "{spoilt:?}, {keyed}");
+            });
+        }
+    });
+}
+
 /// Interrupted and short system calls, and closes that report errors, leave no failed attempt open.
 #[test]
 fn a_failed_attempt_is_closed_although_system_calls_fail() {
