--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -12,25 +12,37 @@
 /// One way between a node and a server of another depot, the least that the site says.
 const ONE_WAY: Duration = Duration::from_micros(1_400);
 /// One answer in so many is followed by a second copy of itself.
-const COPY_EACH: u64 = 200;
+const COPY_EACH: u64 = 50;
+/// One request in so many is turned away at once: the queue is full.
+const TURNED_AWAY_EACH: u64 = 12;
 const CLIENTS: usize = 10;
-const RUN: Duration = Duration::from_secs(20);
+const RUN: Duration = Duration::from_secs(40);
 
 fn main() {
     let bed = Bed::new(ms(100_000));
     let copies = Arc::new(AtomicU64::new(0));
     let answered = Arc::new(AtomicU64::new(0));
+    let sent = Arc::new(AtomicU64::new(0));
+    // How often each `acknowledge` ran, over all servers.
+    let runs: Arc<Mutex<std::collections::BTreeMap<String, u64>>> = Arc::default();
     let servers: Vec<Server> = (0..3)
         .map(|k| {
             let (bed, copies, answered) = (bed.clone(), copies.clone(), answered.clone());
+            let (sent, runs) = (sent.clone(), runs.clone());
             Server::start(&format!("s-{k}"), move |request, conn| {
                 let id = request.header("x-request-id").to_owned();
+                if answered.fetch_add(1, Ordering::SeqCst) % TURNED_AWAY_EACH == 0 {
+                    return conn.write(&response("503 Service Unavailable", "X-Not-Processed: 1\r\n", "full")).is_ok();
+                }
+                if request.class() == "acknowledge" {
+                    *lock(&runs).entry(id.clone()).or_insert(0) += 1;
+                }
                 thread::sleep(ms(if request.class() == "acknowledge" { 100 } else { 25 }));
                 let answer = response("200 OK", "", &format!("answer to {id}"));
                 if conn.write(&answer).is_err() {
                     return false;
                 }
-                let n = answered.fetch_add(1, Ordering::SeqCst) + 1;
+                let n = sent.fetch_add(1, Ordering::SeqCst) + 1;
                 if bed.trouble && n % COPY_EACH == 0 {
                     // Some milliseconds late, and only where nothing else waits on the connection.
                     thread::sleep(ms(2 + n / COPY_EACH % 5));
@@ -108,8 +120,10 @@
     if lock(&counts).iter().filter(|(what, _)| what.ends_with(" 200")).map(|(_, n)| n).sum::<u64>() < 500 {
         bed.end(2, "too little was served to judge");
     }
-    match wrong {
-        0 => bed.end(0, "every client was served the answer to its own request"),
-        n => bed.end(1, &format!("{n} clients were served the answer to another request")),
+    let twice: Vec<String> = lock(&runs).iter().filter(|(_, n)| **n > 1).map(|(id, _)| id.clone()).collect();
+    twice.iter().for_each(|id| bed.log(&format!("acknowledge {id} ran more than once")));
+    match (wrong, twice.len()) {
+        (0, 0) => bed.end(0, "every client was served the answer to its own request, and no acknowledge ran twice"),
+        (n, m) => bed.end(1, &format!("{n} clients were served the answer to another request; {m} acknowledges ran twice")),
     }
 }
