--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,129 +1,124 @@
-//! A second copy of an answer that comes some milliseconds late, on a network with the delays of the pages.
+//! An upgrade that is taken back: the new process is told to end after its yes, while a server hangs.
 
 #[path = "../bed-2/bed.rs"]
 mod bed;
 
 use bed::*;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
-
-/// One way between a node and a server of another depot, the least that the site says.
-const ONE_WAY: Duration = Duration::from_micros(1_400);
-/// One answer in so many is followed by a second copy of itself.
-const COPY_EACH: u64 = 50;
-/// One request in so many is turned away at once: the queue is full.
-const TURNED_AWAY_EACH: u64 = 12;
-const CLIENTS: usize = 10;
-const RUN: Duration = Duration::from_secs(40);
+use std::time::Instant;
 
 fn main() {
     let bed = Bed::new(ms(100_000));
-    let copies = Arc::new(AtomicU64::new(0));
-    let answered = Arc::new(AtomicU64::new(0));
-    let sent = Arc::new(AtomicU64::new(0));
-    // How often each `acknowledge` ran, over all servers.
-    let runs: Arc<Mutex<std::collections::BTreeMap<String, u64>>> = Arc::default();
-    let servers: Vec<Server> = (0..3)
+    let hang = Arc::new(AtomicBool::new(false));
+    let servers: Vec<Server> = (0..4)
         .map(|k| {
-            let (bed, copies, answered) = (bed.clone(), copies.clone(), answered.clone());
-            let (sent, runs) = (sent.clone(), runs.clone());
+            let hang = hang.clone();
             Server::start(&format!("s-{k}"), move |request, conn| {
                 let id = request.header("x-request-id").to_owned();
-                if answered.fetch_add(1, Ordering::SeqCst) % TURNED_AWAY_EACH == 0 {
-                    return conn.write(&response("503 Service Unavailable", "X-Not-Processed: 1\r\n", "full")).is_ok();
-                }
-                if request.class() == "acknowledge" {
-                    *lock(&runs).entry(id.clone()).or_insert(0) += 1;
-                }
-                thread::sleep(ms(if request.class() == "acknowledge" { 100 } else { 25 }));
-                let answer = response("200 OK", "", &format!("answer to {id}"));
-                if conn.write(&answer).is_err() {
-                    return false;
-                }
-                let n = sent.fetch_add(1, Ordering::SeqCst) + 1;
-                if bed.trouble && n % COPY_EACH == 0 {
-                    // Some milliseconds late, and only where nothing else waits on the connection.
-                    thread::sleep(ms(2 + n / COPY_EACH % 5));
-                    if conn.quiet() {
-                        copies.fetch_add(1, Ordering::SeqCst);
-                        bed.log(&format!("s-{k}: second copy of the answer to {id}"));
-                        return conn.write(&answer).is_ok();
-                    }
+                thread::sleep(ms(if request.class() == "acknowledge" { 100 } else { 20 }));
+                while k < 2 && hang.load(Ordering::SeqCst) {
+                    thread::sleep(ms(5));
                 }
-                true
+                conn.write(&response("200 OK", "", &format!("answer to {id}"))).is_ok()
             })
         })
         .collect();
-    let relays: Vec<Relay> = servers.iter().map(|s| Relay::start(s.address, ONE_WAY)).collect();
-    let hosts = servers.iter().zip(&relays).map(|(s, r)| Host::of(&s.name, r.address)).collect();
-    let discovery = Discovery::start(hosts);
+    let discovery = Discovery::start(servers.iter().map(|s| Host::of(&s.name, s.address)).collect());
     let listen = free_address();
     let path = bed.file("config.json", &config("n0", listen, discovery.address, &Settings::default()));
-    let variables = [
-        ("GW_CONFIG", path.display().to_string()),
-        ("TMPDIR", bed.subfolder("tmp").display().to_string()),
-    ];
-    let _node = bed.program("n0", "", &variables);
-    bed.until("the node is up", ms(20_000), || status(listen, "GET", "/up") == 200);
-    let wrong: Arc<Mutex<Vec<String>>> = Arc::default();
-    let counts: Arc<Mutex<std::collections::BTreeMap<String, u64>>> = Arc::default();
-    let end = Instant::now() + RUN;
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|client| {
-            let (bed, wrong, counts) = (bed.clone(), wrong.clone(), counts.clone());
+    let shared = bed.subfolder("tmp").display().to_string();
+    let management = [free_address(), free_address()];
+    let start = |name: &str, at: usize| {
+        let variables = [
+            ("GW_CONFIG", path.display().to_string()),
+            ("TMPDIR", shared.clone()),
+            ("GW_MANAGEMENT", management[at].to_string()),
+        ];
+        bed.program(name, "", &variables)
+    };
+    let _old = start("old", 0);
+    bed.until("the old process takes clients", ms(20_000), || status(management[0], "GET", "/_ready") == 200);
+    // A light load, and the record of what became of each request.
+    let stop = Arc::new(AtomicBool::new(false));
+    let lost: Arc<Mutex<Vec<String>>> = Arc::default();
+    let served = Arc::new(Mutex::new(0u64));
+    let ask = {
+        let (bed, lost, served) = (bed.clone(), lost.clone(), served.clone());
+        move |class: &'static str| {
+            let (bed, lost, served) = (bed.clone(), lost.clone(), served.clone());
             thread::spawn(move || {
-                let mut conn: Option<Conn> = None;
-                let mut n = client;
-                while Instant::now() < end {
-                    let id = fresh_id();
-                    n += 1;
-                    let (method, class, timeout) = match n % 4 {
-                        0 => ("POST", "acknowledge", ACKNOWLEDGE_MS),
-                        _ => ("GET", "status", STATUS_MS),
-                    };
-                    let mut open = match conn.take() {
-                        Some(open) => open,
-                        None => match Conn::connect(listen, ms(1000)) {
-                            Ok(open) => open,
-                            Err(_) => continue,
-                        },
-                    };
-                    let _ = open.stream.set_read_timeout(Some(ms(timeout + 500)));
-                    let sent = open.write(&request(method, &format!("/{class}/x"), &id, timeout));
-                    let answer = sent.and_then(|()| open.read());
-                    let said = match answer {
-                        Ok(answer) => {
-                            if answer.status() == 200 && answer.text() != format!("answer to {id}") {
-                                bed.log(&format!("client: {class} {id} was served `{}`", answer.text()));
-                                lock(&wrong).push(id.clone());
-                            }
-                            if answer.header("connection") != "close" {
-                                conn = Some(open);
-                            }
-                            answer.status().to_string()
+                let id = fresh_id();
+                let (method, timeout) = match class {
+                    "acknowledge" => ("POST", ACKNOWLEDGE_MS),
+                    _ => ("GET", STATUS_MS),
+                };
+                let Ok(mut conn) = Conn::connect(listen, ms(timeout)) else {
+                    return bed.log(&format!("client: {class} {id}: no connection"));
+                };
+                let sent_at = bed.now();
+                let _ = conn.stream.set_read_timeout(Some(ms(timeout + 500)));
+                let sent = conn.write(&request(method, &format!("/{class}/x"), &id, timeout));
+                let answer = sent.and_then(|()| conn.read());
+                let took = bed.now() - sent_at;
+                match answer {
+                    Ok(answer) if took <= (timeout + 500) as f64 => {
+                        *lock(&served) += u64::from(answer.status() == 200);
+                        if took > 300.0 || answer.status() != 200 {
+                            bed.log(&format!("client: {class} {id} sent at {sent_at:.0}: {} after {took:.0} ms", answer.status()));
                         }
-                        Err(error) => error.kind().to_string(),
-                    };
-                    *lock(&counts).entry(format!("{class} {said}")).or_insert(0) += 1;
+                    }
+                    other => {
+                        let what = other.map_or_else(|e| e.kind().to_string(), |a| a.status().to_string());
+                        bed.log(&format!("client: {class} {id} sent at {sent_at:.0}: LOST ({what} after {took:.0} ms)"));
+                        lock(&lost).push(id);
+                    }
                 }
-            })
+            });
+        }
+    };
+    let loading = {
+        let stop = stop.clone();
+        thread::spawn(move || {
+            let mut n = 0u64;
+            while !stop.load(Ordering::SeqCst) {
+                n += 1;
+                ask(if n % 4 == 0 { "acknowledge" } else { "status" });
+                thread::sleep(ms(8));
+            }
         })
-        .collect();
-    clients.into_iter().for_each(|c| drop(c.join()));
-    bed.log(&format!("answers by servers: {}", answered.load(Ordering::SeqCst)));
-    bed.log(&format!("second copies: {}", copies.load(Ordering::SeqCst)));
-    lock(&counts).iter().for_each(|(what, n)| bed.log(&format!("clients: {what}: {n}")));
-    bed.log_output("n0");
-    let wrong = lock(&wrong).len();
-    if lock(&counts).iter().filter(|(what, _)| what.ends_with(" 200")).map(|(_, n)| n).sum::<u64>() < 500 {
+    };
+    thread::sleep(ms(3000));
+    let new = start("new", 1);
+    bed.until("the new process says yes", ms(6_000), || status(management[1], "GET", "/_ready") == 200);
+    bed.log("the new process has said yes");
+    thread::sleep(ms(1500));
+    if bed.trouble {
+        bed.log("s-0 and s-1 hang");
+        hang.store(true, Ordering::SeqCst);
+        thread::sleep(ms(150));
+        bed.signal(&new, SIGTERM);
+        let ended = Instant::now();
+        bed.until("the new process ends", ms(8_000), || bed.ended(&new));
+        bed.log(&format!("the new process ended after {} ms", ended.elapsed().as_millis()));
+        bed.until("the old process takes clients again", ms(5_000), || status(management[0], "GET", "/_ready") == 200);
+        bed.log("the old process takes clients");
+        hang.store(false, Ordering::SeqCst);
+    }
+    thread::sleep(ms(3000));
+    stop.store(true, Ordering::SeqCst);
+    let _ = loading.join();
+    thread::sleep(ms(3200));
+    bed.log(&format!("served: {}", *lock(&served)));
+    bed.log_output("old");
+    bed.log_output("new");
+    let lost = lock(&lost).len();
+    if *lock(&served) < 100 {
         bed.end(2, "too little was served to judge");
     }
-    let twice: Vec<String> = lock(&runs).iter().filter(|(_, n)| **n > 1).map(|(id, _)| id.clone()).collect();
-    twice.iter().for_each(|id| bed.log(&format!("acknowledge {id} ran more than once")));
-    match (wrong, twice.len()) {
-        (0, 0) => bed.end(0, "every client was served the answer to its own request, and no acknowledge ran twice"),
-        (n, m) => bed.end(1, &format!("{n} clients were served the answer to another request; {m} acknowledges ran twice")),
+    match lost {
+        0 => bed.end(0, "every request had its final answer in time"),
+        n => bed.end(1, &format!("{n} requests had no final answer by half a second after their time")),
     }
 }
