Ids of open requests are claimed in one table by all processes of a node

Cause: each process kept ids of its own (core::ids) and nobody owned them for the node.

The fix: a file of fixed size in the folder that the processes share is the one owner. A claim locks the id's bucket, so that of two processes one is first; nothing is asked of a process that may be stopped or killed. A claim that cannot be recorded beside another process is refused, which is harmless.

Also: ids are kept for the longest deadline plus 1 s, not for the client's own; and the ids of a full table are no longer dropped for new ones. The unit test the_oldest_ids_are_dropped_when_full asked for the latter, which let a copy of an open request pass; no_id_is_forgotten_when_the_table_is_full takes its place and asks that each claimed id stays in use. The table takes a descriptor: OWN_DESCRIPTORS is 21. Events duplicate_id and id_unrecorded are counted.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -4,8 +4,11 @@
 use std::rc::Rc;
 
 /// Descriptors that belong to neither a client nor a server: standard streams, the listeners and one client waiting for
-/// a slot at each, the poller, discovery, and the link to the other process of the node during a takeover.
-const OWN_DESCRIPTORS: usize = 20;
+/// a slot at each, the poller, discovery, the table of request ids, and the link to the other process of the node during a
+/// takeover.
+const OWN_DESCRIPTORS: usize = 21;
+/// Descriptors that clients and servers share however low the limit is: without some of them nothing can be served.
+const MIN_SHARED_DESCRIPTORS: usize = 7;
 /// Descriptors reserved for connections to the management address, if there is one.
 pub const MANAGEMENT_SOCKETS: usize = 16;
 /// Fraction of the shared descriptors that clients may always hold: a third for clients with a request in flight, and
@@ -145,7 +148,7 @@
 
 /// Descriptors that clients and servers share.
 fn shared_descriptors(descriptors: usize, own: usize) -> usize {
-    descriptors.saturating_sub(own).max(8)
+    descriptors.saturating_sub(own).max(MIN_SHARED_DESCRIPTORS)
 }
 
 /// Number of overflow slots ([`Budget::acquire_overflow`]) among the shared descriptors. Connections to servers never
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -3,6 +3,7 @@
 use crate::events::Label;
 use crate::gateway::Attempt;
 use crate::peer::PeerState;
+use crate::request_ids::RequestIdClaim;
 use laurelroute_policy::interface::{Nanos, Request};
 use std::cell::Cell;
 use std::rc::Rc;
@@ -15,7 +16,7 @@
 
 /// A client's request as its front has parsed it, in the decision module's terms. The gateway fills in the module's own
 /// number for it, `request.id`.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Debug)]
 pub struct Call {
     /// Class, tenant, route key, hints and the client's deadline.
     pub request: Request,
@@ -23,6 +24,8 @@
     pub give_up_at: Nanos,
     /// The client's request id, for incident analysis.
     pub label: Label,
+    /// The claim to that id, if the request has one.
+    pub id_claim: Option<RequestIdClaim>,
 }
 
 /// One request in the form of its protocol, and the slot for its response. The gateway calls the first two methods
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -39,6 +39,10 @@
     Violation,
     /// The decision module refused a request; the client may retry it.
     Refused,
+    /// A request was rejected because its id is in use.
+    DuplicateId,
+    /// A request was refused because its id could not be recorded.
+    IdUnrecorded,
     /// A request was refused because a resource limit was reached.
     RefusedNoRoom,
     /// A request failed.
@@ -60,7 +64,7 @@
 }
 
 /// All kinds, in the order of the enum, with the names that operators see.
-const NAMES: [(Kind, &str); 19] = [
+const NAMES: [(Kind, &str); 21] = [
     (Kind::AttemptBegun, "attempt_begun"),
     (Kind::AttemptRepeated, "attempt_repeated"),
     (Kind::AttemptFailed, "attempt_failed"),
@@ -71,6 +75,8 @@
     (Kind::DeniedOver, "denied_over"),
     (Kind::Violation, "violation"),
     (Kind::Refused, "refused"),
+    (Kind::DuplicateId, "duplicate_id"),
+    (Kind::IdUnrecorded, "id_unrecorded"),
     (Kind::RefusedNoRoom, "refused_no_room"),
     (Kind::Failed, "failed"),
     (Kind::FailedLate, "failed_late"),
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -9,9 +9,9 @@
 use crate::dispatch::{Locality, PriorAttempt};
 use crate::events::{self, AttemptDetails, Kind, Label};
 use crate::fleet::Fleet;
-use crate::ids::Ids;
 use crate::name_index::NameIndex;
 use crate::process::ProcessState;
+use crate::request_ids::{ClaimError, RequestIdClaim};
 use laurelroute_policy::interface::{
     Action, AttemptOutcome, Endpoint, Event, LearnedState, Nanos, NodePlan, Request, RequestId,
     ServerObservation, Settings, SettingsError,
@@ -114,6 +114,7 @@
 struct RequestState {
     exchange: Rc<dyn Exchange>,
     label: Label,
+    id_claim: Option<RequestIdClaim>,
     arrived_at: Nanos,
     request: Request,
     give_up_at: Nanos,
@@ -150,7 +151,6 @@
     armed: Nanos,
     lingering: LingeringAttempts,
     next_id: RequestId,
-    ids: Ids,
     /// The shift of traffic from one pool of servers to another, if the operator's file configures one.
     shift: Option<Box<ShiftController>>,
 }
@@ -238,7 +238,6 @@
             armed: Nanos::MAX,
             lingering: LingeringAttempts::default(),
             next_id: 0,
-            ids: Ids::default(),
             shift: None,
         };
         Ok(Rc::new(Gateway {
@@ -328,11 +327,27 @@
         self.fleet(|f| f.sweep(oldest));
     }
 
-    /// Reserves a client's request id, given as a hash, for a request with this deadline; returns false if it is in
-    /// use.
-    pub fn claim_request_id(&self, id: u64, give_up_at: Nanos) -> bool {
-        let until = give_up_at.saturating_add(LINGER_TIME);
-        self.state.borrow_mut().ids.claim(self.clock.now(), id, until)
+    /// Claims a client's request id, given as a hash, for a request with this deadline.
+    pub fn claim_request_id(
+        &self,
+        id: u64,
+        give_up_at: Nanos,
+        label: Label,
+    ) -> Result<RequestIdClaim, ClaimError> {
+        let until = give_up_at.max(self.attempts_over_by());
+        self.process.request_ids.claim(self.clock, id, until).inspect_err(|error| {
+            let kind = match error {
+                ClaimError::InUse => Kind::DuplicateId,
+                ClaimError::Unrecorded => Kind::IdUnrecorded,
+            };
+            events::record(self.clock.now(), kind, label);
+        })
+    }
+
+    /// When no attempt that is sent now can still be running, whatever deadline its client has given.
+    fn attempts_over_by(&self) -> Nanos {
+        let longest = self.config.settings.longest_client_timeout();
+        self.clock.now().saturating_add(longest).saturating_add(LINGER_TIME)
     }
 
     /// Submits a request; its exchange receives the final response. Dropping the returned value before that reports
@@ -352,6 +367,7 @@
             RequestState {
                 exchange,
                 label: call.label,
+                id_claim: call.id_claim,
                 arrived_at: self.clock.now(),
                 request,
                 give_up_at,
@@ -486,6 +502,9 @@
             if let Some(shift) = &mut state.shift {
                 shift.attempt_sent(&entry.request, server, entry.attempts.len());
             }
+            if let Some(claim) = &entry.id_claim {
+                claim.keep_until(self.attempts_over_by());
+            }
             let (give_up_at, send_by) = (entry.give_up_at, self.send_by(entry));
             let attempt = Attempt {
                 gateway: self.clone(),
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -4,6 +4,7 @@
 //! A process without services has a single gateway and hardly uses this.
 
 use crate::gateway::Gateway;
+use crate::request_ids::RequestIds;
 use crate::running::RunningTime;
 use laurelroute_policy::interface::{Nanos, Settings};
 use std::cell::{Cell, OnceCell, RefCell};
@@ -18,6 +19,8 @@
     pub draining: Cell<bool>,
     /// The deadline of the shutdown, once it is known.
     pub ends_at: Cell<Option<Nanos>>,
+    /// The ids of clients' requests.
+    pub request_ids: Rc<RequestIds>,
     /// Time for which the process has been running.
     pub(crate) running: RunningTime,
     gateways: RefCell<Vec<Weak<Gateway>>>,
--- a/crates/core/tests/services.rs
+++ b/crates/core/tests/services.rs
@@ -198,7 +198,8 @@
         let ended = Rc::new(Cell::new(None));
         let give_up_at = shop.clock.now() + 5_000 * MS;
         let request = laurelroute_policy::interface::Request::new(0, give_up_at);
-        let call = laurelroute_core::call::Call { request, give_up_at, label: Default::default() };
+        let call =
+            laurelroute_core::call::Call { request, give_up_at, label: Default::default(), id_claim: None };
         let _claim = shop.submit(call, Rc::new(Stuck(ended.clone())));
         assert!(ended.get().is_none());
         let started = tokio::time::Instant::now();
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -20,6 +20,7 @@
 use laurelroute_core::gateway::{route_key, Gateway};
 use laurelroute_core::idle::IdleTracker;
 use laurelroute_core::peer::PEER_CHECK_INTERVAL;
+use laurelroute_core::request_ids::ClaimError;
 use laurelroute_core::route::{self, RouteError, ServiceRoute, WaiterCount};
 use laurelroute_policy::interface::{self, Idempotency, Nanos};
 use std::cell::{Cell, RefCell};
@@ -371,8 +372,8 @@
     AmbiguousLength,
     #[error("a request needs one X-Request-ID")]
     InvalidId,
-    #[error("a request with this id has been taken already")]
-    DuplicateId,
+    #[error("{0}")]
+    Id(#[from] ClaimError),
     #[error("X-Timeout-Ms is not a number of milliseconds")]
     InvalidTimeout,
     #[error("the class needs one Idempotency-Key")]
@@ -394,11 +395,12 @@
         let status = match self {
             RequestError::UnknownClass | RequestError::Route(RouteError::Unknown) => StatusCode::NOT_FOUND,
             RequestError::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
-            RequestError::DuplicateId => StatusCode::CONFLICT,
+            RequestError::Id(ClaimError::InUse) => StatusCode::CONFLICT,
             RequestError::Body(IntakeError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
             RequestError::Body(IntakeError::TooSlow) => StatusCode::REQUEST_TIMEOUT,
             // These reject a valid request that has not been sent to any server.
             RequestError::Overloaded
+            | RequestError::Id(ClaimError::Unrecorded)
             | RequestError::Body(IntakeError::BufferLimit)
             | RequestError::Route(_) => return overloaded_response(Nanos::MAX, gateway),
             _ => StatusCode::BAD_REQUEST,
@@ -496,9 +498,7 @@
     client.request_submitted();
     let now = gateway.clock.now();
     let give_up_at = now + head.client_timeout + if complete { 0 } else { UPLOAD_TIMEOUT };
-    if !gateway.claim_request_id(head.id, give_up_at) {
-        return Err(RequestError::DuplicateId);
-    }
+    let id_claim = gateway.claim_request_id(head.id, give_up_at, head.label)?;
     let service_gateway = match &routed {
         None => gateway.clone(),
         Some(routed) => {
@@ -516,7 +516,8 @@
     let (body, upload) = intake.into_message(complete);
     let client_timeout_ms = upload.is_some().then_some(head.client_timeout / 1_000_000);
     let (exchange, mut response) = http_exchange(parts, body, client_timeout_ms, &client.socket);
-    let pending = service_gateway.submit(Call { request, give_up_at, label: head.label }, Rc::new(exchange));
+    let call = Call { request, give_up_at, label: head.label, id_claim: Some(id_claim) };
+    let pending = service_gateway.submit(call, Rc::new(exchange));
     let outcome = match upload {
         None => pending.response(&mut response).await,
         Some(upload) => {
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -8,11 +8,13 @@
 use crate::management::ManagementServer;
 use crate::signals::Signal;
 use crate::site::{Site, SiteError};
+use crate::upgrade::link::runtime_path;
 use crate::upgrade::predecessor::PredecessorReply;
 use crate::upgrade::takeover::{AcceptFn, ClientListener, Takeover};
 use crate::{plan, source};
 use laurelroute_core::accept::{accept, EvictClient, SlotDemand};
 use laurelroute_core::gateway::Gateway;
+use laurelroute_core::request_ids::table::IdTable;
 use laurelroute_core::running;
 use laurelroute_handover::message::SocketKind;
 use laurelroute_http::front::{Clients, SWEEP_INTERVAL};
@@ -25,6 +27,8 @@
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
 
+/// The kind of the file that holds the node's request ids ([`runtime_path`]).
+const REQUEST_IDS: &str = "request-ids";
 /// Listen backlog: connections that the kernel queues while the process is busy. The kernel caps it at its own limit.
 pub(crate) const LISTEN_BACKLOG: u32 = 4096;
 /// Without a list from discovery, a node starts to serve with its configuration's list this long after its start.
@@ -125,6 +129,16 @@
     Ok((config, site))
 }
 
+/// Shares the ids of clients' requests with the other processes of the node that listens on this address.
+fn share_request_ids(gateway: &Gateway, listen: SocketAddr) {
+    // Without a directory for such files, no other process takes over from this one either.
+    let Some(path) = runtime_path(listen, REQUEST_IDS) else { return };
+    match IdTable::open(&path, gateway.clock) {
+        Ok(table) => gateway.process.request_ids.share(table),
+        Err(error) => tracing::warn!("request ids are not shared with other processes of the node: {error}"),
+    }
+}
+
 /// Opens a listening socket on the address.
 pub(crate) fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
     bind(address)?.listen(LISTEN_BACKLOG).map_err(|error| StartError::Listen { address, error })
@@ -166,6 +180,7 @@
     }
     let discovery = watch::Sender::new(config.discovery);
     let management = config.management.map(listen).transpose()?;
+    share_request_ids(&gateway, config.listen);
     let ledger = BanLedger::for_listener(config.listen);
     let mut predecessor = PredecessorReply::request(config.listen).await;
     // Read after the claim: bans made in between are in the file or are sent to this process.
--- a/crates/node/src/upgrade/takeover.rs
+++ b/crates/node/src/upgrade/takeover.rs
@@ -176,6 +176,7 @@
                 // Keeps both processes within the limit even before the old process has reported what it holds.
                 let held = link.peer_pid().and_then(open_descriptors);
                 gateway.set_descriptor_limit(share::new_beside_silent(self.descriptor_limit, held));
+                gateway.process.request_ids.set_accompanied(true);
                 gateway.wait_ready().await;
                 self.listen_on_bound(bound);
                 self.gate.send_replace(AcceptState::Accepting);
@@ -202,7 +203,7 @@
         let idle_queue = offer.idle_queue();
         let link = Rc::new(link);
         self.apply_effects(gateway, &link, effects);
-        self.links.borrow_mut().push(link.clone());
+        self.add_link(gateway, &link);
         spawn_local(self.clone().follow_predecessor(gateway.clone(), link.clone(), idle_queue, new_role));
         gateway.wait_ready().await;
         // After the list has arrived: learned state is applied only to listed servers.
@@ -233,6 +234,7 @@
             Err(error) => {
                 tracing::info!("takeover: {error}: this process now has the node's full descriptor limit");
                 gateway.set_descriptor_limit(self.descriptor_limit);
+                gateway.process.request_ids.set_accompanied(!self.links.borrow().is_empty());
             }
         }
     }
@@ -277,7 +279,7 @@
             }
         }
         self.apply_effects(&gateway, &link, new_role.peer_lost());
-        self.drop_link(&link);
+        self.drop_link(&gateway, &link);
         let Some(idle_queue) = idle_queue else { return };
         while let Ok((client, connections)) = idle_queue.receive().await {
             self.take_clients(connections, client.used());
@@ -304,10 +306,10 @@
     async fn await_successor(&self, gateway: &Rc<Gateway>, listener: UnixListener) {
         let accepted = listener.accept().await.and_then(|(stream, _)| Link::new(stream.into_std()?.into()));
         let Ok(link) = accepted.map(Rc::new) else { return tokio::time::sleep(TICK_INTERVAL).await };
-        self.links.borrow_mut().push(link.clone());
+        self.add_link(gateway, &link);
         let error = self.follow_successor(gateway, &link).await;
         tracing::info!("takeover: {error}");
-        self.drop_link(&link);
+        self.drop_link(gateway, &link);
         if !gateway.is_draining() {
             let effects = self.old_role.borrow_mut().peer_lost();
             self.apply_effects(gateway, &link, effects);
@@ -500,9 +502,17 @@
         }
     }
 
+    /// Adds a link to another process of the node.
+    fn add_link(&self, gateway: &Gateway, link: &Rc<Link>) {
+        self.links.borrow_mut().push(link.clone());
+        gateway.process.request_ids.set_accompanied(true);
+    }
+
     /// Forgets a link that has ended.
-    fn drop_link(&self, link: &Rc<Link>) {
-        self.links.borrow_mut().retain(|l| !Rc::ptr_eq(l, link));
+    fn drop_link(&self, gateway: &Gateway, link: &Rc<Link>) {
+        let mut links = self.links.borrow_mut();
+        links.retain(|l| !Rc::ptr_eq(l, link));
+        gateway.process.request_ids.set_accompanied(!links.is_empty());
         // No acknowledgement can arrive any more.
         self.pending_acks.borrow_mut().clear();
         self.ack_received.notify_waiters();
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -15,6 +15,7 @@
 use laurelroute_core::gateway::{route_key, Gateway, PendingRequest};
 use laurelroute_core::idle::IdleTracker;
 use laurelroute_core::peer;
+use laurelroute_core::request_ids::ClaimError;
 use laurelroute_core::running::{self, timeout};
 use laurelroute_policy::interface::{Nanos, Request};
 use std::cell::{Cell, RefCell};
@@ -222,9 +223,8 @@
             return Err(Fault::NoRoom);
         }
         let id = facts.request_id.as_deref().map(laurelroute_core::stable_hash);
-        if id.is_some_and(|id| !gateway.claim_request_id(id, give_up_at)) {
-            return Err(Fault::IdTaken);
-        }
+        let label = facts.request_id.as_deref().map(Label::of).unwrap_or_default();
+        let id_claim = id.map(|id| gateway.claim_request_id(id, give_up_at, label)).transpose()?;
         let request = Request {
             class: method.class,
             tenant: gateway.config.tenant_index(facts.tenant.as_deref()),
@@ -234,8 +234,8 @@
         let (reply, answer) = ResponseSlot::new();
         let held = (Rc::downgrade(client), lease);
         let exchange = ThriftExchange::new(message, method.clone(), self.settings.boxes, reply, held);
-        let label = facts.request_id.as_deref().map(Label::of).unwrap_or_default();
-        Ok((gateway.submit(Call { request, give_up_at, label }, Rc::new(exchange)), answer))
+        let call = Call { request, give_up_at, label, id_claim };
+        Ok((gateway.submit(call, Rc::new(exchange)), answer))
     }
 
     /// The final answer in the form of its call; `None` where none is owed.
@@ -321,8 +321,8 @@
     Method,
     #[error("{0}")]
     Fact(#[from] BadFact),
-    #[error("a request with this id has been taken already")]
-    IdTaken,
+    #[error("{0}")]
+    Id(#[from] ClaimError),
     #[error("no room")]
     NoRoom,
 }
@@ -332,15 +332,15 @@
         match self {
             Fault::NoCall => app::INVALID_MESSAGE_TYPE,
             Fault::Method => app::UNKNOWN_METHOD,
-            Fault::Fact(_) | Fault::IdTaken => app::PROTOCOL_ERROR,
-            // The only one that is a refusal: the call is sound, and it has not gone anywhere.
-            Fault::NoRoom => app::LOAD_SHEDDING,
+            Fault::Fact(_) | Fault::Id(ClaimError::InUse) => app::PROTOCOL_ERROR,
+            // These are refusals: the call is sound, and it has not gone anywhere.
+            Fault::NoRoom | Fault::Id(ClaimError::Unrecorded) => app::LOAD_SHEDDING,
         }
     }
 
     fn text(self, gateway: &Gateway) -> String {
         match self {
-            Fault::NoRoom => advice(gateway, Nanos::MAX),
+            Fault::NoRoom | Fault::Id(ClaimError::Unrecorded) => advice(gateway, Nanos::MAX),
             other => other.to_string(),
         }
     }
