A slow reader is cut off only when it takes nothing, on every wire and direction

Cause: a standstill of our own writes for 3 s was taken for one of the client. The kernel accepts megabytes at once and wakes the writer when a third of its send buffer is free, some 10 s later at this pace. Evidence: the client's kernel acknowledges every 0.9 s at most (25 s on loopback, the queue's length read every 50 ms), and the same holds for a server that reads a long request slowly and on Thrift, where a whole answer had to be written within 3 s.

The fix: each connection limits what the kernel holds unsent (TCP_NOTSENT_LOWAT), so that a write that goes through shows that the peer took data, and a standstill counts only while a write finds no room. Kernels of slow readers open their windows in steps, 7.7 s apart at 16 kB/s: 10 s are allowed, 3 s as before where other clients need the slot.

--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -10,9 +10,28 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+/// The most data that the kernel holds for a peer beyond what the peer's receive window takes, in bytes. With a larger
+/// queue, a write that goes through says little of the peer: the kernel accepts megabytes at once, and nothing more before
+/// a third of them is gone. It also bounds the memory that a slow reader takes up.
+const MAX_UNSENT_BYTES: u32 = 128 * 1024;
+/// How long a client may take nothing of its response. The kernel of a client that reads slowly accepts data in steps of
+/// up to a sixteenth of its receive buffer, with seconds between them.
+const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+/// The same where other clients need the slot.
+const WRITE_STALL_TIMEOUT_CROWDED: Duration = Duration::from_secs(3);
+
+/// How long a client may take nothing of its response before its connection is closed.
+pub fn write_stall_timeout(crowded: bool) -> Duration {
+    match crowded {
+        true => WRITE_STALL_TIMEOUT_CROWDED,
+        false => WRITE_STALL_TIMEOUT,
+    }
+}
+
 /// An open descriptor and its slots, in the order in which they are released.
 struct Open {
     stream: TcpStream,
@@ -23,6 +42,8 @@
 pub struct Connection {
     open: RefCell<Option<Open>>,
     request_sent: Cell<bool>,
+    /// The last write found no room: the peer takes nothing.
+    write_blocked: Cell<bool>,
 }
 
 impl std::fmt::Debug for Connection {
@@ -36,8 +57,13 @@
     pub fn new(stream: TcpStream, slots: impl Any) -> Rc<Connection> {
         // Messages are written in full: waiting to fill a segment would only delay them.
         let _ = stream.set_nodelay(true);
+        let _ = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
         let open = Open { stream, _slots: Box::new(slots) };
-        Rc::new(Connection { open: RefCell::new(Some(open)), request_sent: Cell::new(false) })
+        Rc::new(Connection {
+            open: RefCell::new(Some(open)),
+            request_sent: Cell::new(false),
+            write_blocked: Cell::new(false),
+        })
     }
 
     /// Closes the connection now: the peer is notified before this returns. Later reads and writes fail.
@@ -108,7 +134,15 @@
 
     /// Writes as much as the connection accepts, or waits until it accepts some ([`retry_io::poll_write`]).
     pub fn poll_write(&self, cx: &mut Context<'_>, slices: &[io::IoSlice<'_>]) -> Poll<io::Result<usize>> {
-        self.with_stream(|stream| retry_io::poll_write(stream, cx, slices)).unwrap_or_else(closed_error)
+        let written = self.with_stream(|stream| retry_io::poll_write(stream, cx, slices));
+        let written = written.unwrap_or_else(closed_error);
+        self.write_blocked.set(written.is_pending());
+        written
+    }
+
+    /// Whether there is data to write and the peer takes none of it now.
+    pub fn write_blocked(&self) -> bool {
+        self.write_blocked.get()
     }
 
     /// Ends the sending direction.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,18 +2,20 @@
 
 use crate::socket::Socket;
 use laurelroute_core::budget::{OverflowSlot, Slot};
+use laurelroute_core::connection::write_stall_timeout;
 use laurelroute_core::events::Kind;
 use laurelroute_core::idle::IdleTracker;
 use laurelroute_policy::interface::Nanos;
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 /// No client may hold a descriptor indefinitely, whether it is silent, slow or malicious. A connection without a
 /// request is closed after `IDLE_TIMEOUT`, and sooner when more than half of the client slots are taken
 /// ([`Client::sweep`]), one with an incomplete head after `HEAD_TIMEOUT` more, however slowly that arrives; a body has
-/// limits of its own (`intake.rs`), and a response may make no progress for `WRITE_STALL_TIMEOUT`. Clients may take 2 s
+/// limits of its own (`intake.rs`), and a client has to take something of its response within [`write_stall_timeout`]. Clients may take 2 s
 /// for a head and send a body at 64 kB/s; slower connections would take up slots at the expense of honest clients.
 const IDLE_TIMEOUT: Nanos = 2_000_000_000;
 /// A connection that has not yet sent anything is closed after this when more than half of the client slots are taken.
@@ -22,8 +24,6 @@
 const HEAD_TIMEOUT: Nanos = 2_500_000_000;
 /// The first head of a connection has to be complete within this time from the connection's opening.
 const FIRST_HEAD_TIMEOUT: Nanos = 2_750_000_000;
-/// A connection is closed when its response has made no progress for this long.
-const WRITE_STALL_TIMEOUT: Nanos = 3_000_000_000;
 /// A connection that has stalled within a head for this long may be closed to make room for others. Honest slow clients
 /// go on writing; those that pause for longer are harmed, but only where no other slot is left.
 const EVICTABLE_HEAD_STALL: Nanos = 700_000_000;
@@ -210,17 +210,7 @@
         match self.stage() {
             Stage::Idle if self.socket.data_received.get() => return self.sweep_head(now),
             Stage::Idle => return self.sweep_idle(now, crowded),
-            Stage::WritingResponse if self.socket.progressed.replace(false) => {
-                self.last_progress_at.set(now);
-                // The connection is not idle before the kernel has all of the response.
-                self.idle_tracker.response_sent(now);
-            }
-            Stage::WritingResponse
-                if now.saturating_sub(self.last_progress_at.get()) >= WRITE_STALL_TIMEOUT =>
-            {
-                self.request_close(CloseMode::Immediately);
-                return Some(Kind::ClosedStuck);
-            }
+            Stage::WritingResponse => return self.sweep_response(now, crowded),
             // Nothing more is read while the client has sent data beyond the pending request, so its close is noticed
             // only here.
             Stage::AwaitingResponse if self.socket.peer_closed() => {
@@ -232,6 +222,23 @@
         None
     }
 
+    /// Closes the connection if the client has taken nothing of its response for too long. While there is nothing to
+    /// write, the server is waited for, which has limits of its own.
+    fn sweep_response(&self, now: Nanos, crowded: bool) -> Option<Kind> {
+        if self.socket.progressed.replace(false) || !self.socket.write_blocked() {
+            self.last_progress_at.set(now);
+            // The connection is not idle before the kernel has all of the response.
+            self.idle_tracker.response_sent(now);
+            return None;
+        }
+        let stalled = Duration::from_nanos(now.saturating_sub(self.last_progress_at.get()));
+        if stalled < write_stall_timeout(crowded) {
+            return None;
+        }
+        self.request_close(CloseMode::Immediately);
+        Some(Kind::ClosedStuck)
+    }
+
     /// Closes the connection if it has been idle for too long.
     fn sweep_idle(&self, now: Nanos, crowded: bool) -> Option<Kind> {
         self.idle_tracker.record_check();
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -270,6 +270,11 @@
         }
     }
 
+    /// Whether there is data to write and the peer takes none of it now.
+    pub fn write_blocked(&self) -> bool {
+        self.connection.write_blocked()
+    }
+
     /// Whether the kernel has the last byte of the request: from then on it may have run.
     pub fn request_sent(&self) -> bool {
         self.connection.request_sent()
--- /dev/null
+++ b/crates/node/tests/slow_peers.rs
@@ -0,0 +1,114 @@
+//! Slow peers: a transfer goes on as long as the peer takes or gives something, however much the kernel holds for it.
+
+mod common;
+use common::*;
+use laurelroute_testkit::discovery::Discovery;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longer than the kernel's buffers on both sides together hold.
+const LONG: usize = 12 << 20;
+/// Bytes a second that a slow peer reads, without a pause.
+const SLOW_RATE: usize = 128_000;
+/// How long it reads slowly. A peer that takes nothing for so long is given up.
+const SLOW_TIME: Duration = Duration::from_secs(9);
+
+fn start_node(
+    script: impl Fn(&Seen, &mut TcpStream) -> bool + Send + Sync + 'static,
+) -> (FakeServer, Program, Discovery) {
+    let server = FakeServer::start(script);
+    let discovery = Discovery::start(&[host("s1", server.address)]);
+    let program = Program::start(&discovery);
+    until("the list has arrived", || !program.ask().starts_with("HTTP/1.1 503"));
+    (server, program, discovery)
+}
+
+/// Reads slowly for a while; returns the number of bytes read.
+fn read_slowly(stream: &mut TcpStream) -> usize {
+    let (begun, mut count) = (Instant::now(), 0);
+    let mut buffer = vec![0; SLOW_RATE / 20];
+    while begun.elapsed() < SLOW_TIME {
+        let read = stream.read(&mut buffer).unwrap_or(0);
+        assert!(read > 0, "cut off after {count} bytes and {:?}", begun.elapsed());
+        count += read;
+        let due = Duration::from_secs_f64(count as f64 / SLOW_RATE as f64);
+        thread::sleep(due.saturating_sub(begun.elapsed()));
+    }
+    count
+}
+
+/// Reads the rest of `length` bytes; returns the number of bytes read in all.
+fn read_rest(stream: &mut TcpStream, length: usize, mut count: usize) -> usize {
+    let mut buffer = vec![0; 1 << 16];
+    while count < length {
+        match stream.read(&mut buffer) {
+            Ok(read) if read > 0 => count += read,
+            _ => break,
+        }
+    }
+    count
+}
+
+/// Guards against a client that reads slowly and without a pause being taken for one that does not read: the kernel
+/// lets a write through only after a third of its megabytes have gone.
+#[test]
+fn a_client_that_reads_slowly_receives_all_of_a_long_answer() {
+    let (_server, program, _discovery) = start_node(|_, stream| {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
+        stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&vec![b'x'; LONG])).is_ok()
+    });
+    let mut client = program.connect();
+    client.write_all(safe_request(&fresh_id()).as_bytes()).unwrap();
+    let count = read_slowly(&mut client);
+    let total = read_rest(&mut client, LONG, count);
+    assert!(total >= LONG, "{total} of {LONG} bytes");
+}
+
+/// Guards against the same with a server that reads a long request slowly.
+#[test]
+fn a_server_that_reads_slowly_receives_all_of_a_long_request() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let mut head = vec![0; 4096];
+                let first = stream.read(&mut head).unwrap_or(0);
+                if head.starts_with(b"GET") {
+                    let _ = stream.write_all(&reply("200 OK", "fine"));
+                    return;
+                }
+                let count = first + read_slowly(&mut stream);
+                read_rest(&mut stream, LONG, count);
+                let _ = stream.write_all(&reply("200 OK", "fine"));
+            });
+        }
+    });
+    let discovery = Discovery::start(&[host("s1", address)]);
+    let program = Program::start(&discovery);
+    until("the list has arrived", || program.ask().starts_with("HTTP/1.1 200"));
+    let mut client = program.connect();
+    let request =
+        unsafe_request(&fresh_id(), "").replace("Content-Length: 0", &format!("Content-Length: {LONG}"));
+    client.write_all(request.as_bytes()).unwrap();
+    client.write_all(&vec![b'x'; LONG]).unwrap();
+    client.set_read_timeout(Some(SLOW_TIME + PATIENCE)).unwrap();
+    let answer = read_message(&mut client).expect("an answer");
+    assert!(answer.head.starts_with("HTTP/1.1 200"), "{}", answer.head);
+}
+
+/// A client that takes nothing at all does not hold its connection for long.
+#[test]
+fn a_client_that_reads_nothing_is_cut_off() {
+    let (_server, program, _discovery) = start_node(|_, stream| {
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
+        stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&vec![b'x'; LONG])).is_ok()
+    });
+    let mut client = program.connect();
+    client.write_all(safe_request(&fresh_id()).as_bytes()).unwrap();
+    thread::sleep(Duration::from_secs(12));
+    let total = read_rest(&mut client, LONG, 0);
+    assert!(total < LONG, "all of the answer was there");
+}
--- a/crates/node/tests/thrift.rs
+++ b/crates/node/tests/thrift.rs
@@ -306,13 +306,21 @@
 fn node_with_scripted_server(
     form: &str,
     script: Arc<Script>,
+) -> (Program, Arc<Mutex<Vec<Message>>>, Discovery) {
+    node_wishing(form, script, Wishes::default())
+}
+
+fn node_wishing(
+    form: &str,
+    script: Arc<Script>,
+    wishes: Wishes,
 ) -> (Program, Arc<Mutex<Vec<Message>>>, Discovery) {
     let form = Form::named(form).unwrap();
     let (address, seen) = start_scripted_server(script);
     let other = StandIn::start("http", form, Arc::<Plan>::default());
     let entry = Entry { name: "box".into(), thrift: Some(address), ..Entry::of(&other) };
     let discovery = Discovery::start(&[entry]);
-    let program = Program::start(Path::new(PROGRAM), discovery.address, form, Wishes::default());
+    let program = Program::start(Path::new(PROGRAM), discovery.address, form, wishes);
     until("the list has arrived", || {
         program.ask(Wire::Http, &Ask::new(Class::Read)).is_some_and(|a| a.served())
     });
@@ -320,6 +328,10 @@
 }
 
 fn reply(call: &Message, name: &str, field: i16) -> Vec<u8> {
+    reply_with(call, name, field, b"declared")
+}
+
+fn reply_with(call: &Message, name: &str, field: i16, text: &[u8]) -> Vec<u8> {
     let mut out = Vec::new();
     let protocol = call.form.protocol;
     Head { name: name.into(), kind: Kind::Reply, seqid: call.head.seqid }.write(protocol, &mut out);
@@ -329,7 +341,7 @@
         Token::Field { id: field, kind: Type::Struct },
         Token::StructBegin,
         Token::Field { id: 1, kind: Type::Binary },
-        Token::Binary(b"declared"),
+        Token::Binary(text),
         Token::StructEnd,
         Token::StructEnd,
     ] {
@@ -462,3 +474,27 @@
     until("both servers serve HTTP", || bed.boxes.iter().zip(&before).all(|(b, n)| b.came().len() > n + 5));
     assert!(load.finish().lost.is_empty());
 }
+
+/// Guards against a client that reads a long answer slowly and without a pause being cut off while it reads.
+#[test]
+fn a_client_that_reads_slowly_receives_all_of_a_long_answer() {
+    const LENGTH: usize = 5_000_000;
+    const RATE: usize = 256_000;
+    let long = vec![b'x'; LENGTH];
+    let script = move |call: &Message| reply_with(call, call.head.method(), 0, &long);
+    let wishes = Wishes { thrift: "max_message = 6000000".to_owned(), ..Wishes::default() };
+    let (program, _, _discovery) = node_wishing("framed-binary", Arc::new(script), wishes);
+    let mut client = TcpStream::connect(program.address(Wire::thrift("framed-binary"))).unwrap();
+    client.set_read_timeout(Some(PATIENCE)).unwrap();
+    client.write_all(&Ask::new(Class::Read).bytes(Wire::thrift("framed-binary"), 1)).unwrap();
+    let (begun, mut count) = (std::time::Instant::now(), 0);
+    let mut buffer = vec![0; RATE / 20];
+    while count < LENGTH {
+        let read = client.read(&mut buffer).unwrap_or(0);
+        assert!(read > 0, "cut off after {count} bytes and {:?}", begun.elapsed());
+        count += read;
+        let due = Duration::from_secs_f64(count as f64 / RATE as f64);
+        let slow = begun.elapsed() < Duration::from_secs(8);
+        thread::sleep(due.saturating_sub(begun.elapsed()).min(if slow { due } else { Duration::ZERO }));
+    }
+}
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -10,13 +10,13 @@
 use crate::upstream::{read, write, Boxes, Served, ThriftExchange, READ};
 use laurelroute_core::accept::{ConnectionHandler, SlotDemand};
 use laurelroute_core::call::{Call, FinalResponse, LocalReply, ResponseSlot};
-use laurelroute_core::connection::{Connection, ConnectionIo};
+use laurelroute_core::connection::{write_stall_timeout, Connection, ConnectionIo};
 use laurelroute_core::events::Label;
 use laurelroute_core::gateway::{route_key, Gateway, PendingRequest};
 use laurelroute_core::idle::IdleTracker;
 use laurelroute_core::peer;
 use laurelroute_core::request_ids::ClaimError;
-use laurelroute_core::running::{self, timeout};
+use laurelroute_core::running;
 use laurelroute_policy::interface::{Nanos, Request};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -27,8 +27,6 @@
 
 /// A message has to be there whole this long after its first byte, however it trickles in.
 const MESSAGE: Duration = Duration::from_secs(2);
-/// An answer may stand still for this long before its client counts as gone.
-const STUCK: Duration = Duration::from_secs(3);
 /// Where a new client has waited so long for a place, any connection may make room.
 const ANY_AFTER: Duration = Duration::from_millis(20);
 /// Oneway calls of all clients under way at once that hold up nobody; further ones hold up their own connection.
@@ -140,6 +138,10 @@
         last.inspect(|client| client.last_answer.set(true)).is_some()
     }
 
+    fn is_crowded(&self) -> bool {
+        self.gateway.budget.is_crowded(self.gateway.budget.clients())
+    }
+
     /// To be called now and then: sees which connections rest.
     pub fn sweep(&self) {
         self.open.borrow().values().filter(|c| c.idle.get()).for_each(|c| c.rest.record_check());
@@ -397,7 +399,8 @@
             biased;
             out = next_answer(front, &mut owed), if !owed.is_empty() => {
                 if let Some(out) = out {
-                    if !matches!(timeout(STUCK, write(&mut stream, &out)).await, Ok(Ok(()))) {
+                    let stall_timeout = || write_stall_timeout(front.is_crowded());
+                    if write(&mut stream, &out, stall_timeout).await.is_err() {
                         return;
                     }
                 }
--- a/crates/thrift/src/upstream.rs
+++ b/crates/thrift/src/upstream.rs
@@ -32,6 +32,9 @@
 /// An answer that has begun and stands still for this long is none, as on HTTP.
 const STALL: Duration = Duration::from_millis(250);
 
+/// A wait that is bounded elsewhere.
+const NO_TIMEOUT: Duration = Duration::from_secs(3600);
+
 /// How the boxes speak.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Boxes {
@@ -149,12 +152,18 @@
     stream.read_buf(decoder.buffer()).await
 }
 
-/// Writes both parts whole.
-pub(crate) async fn write(stream: &mut ConnectionIo, out: &Encoded) -> io::Result<()> {
+/// Writes both parts whole, as long as the peer takes something within each `stall_timeout`.
+pub(crate) async fn write(
+    stream: &mut ConnectionIo,
+    out: &Encoded,
+    stall_timeout: impl Fn() -> Duration,
+) -> io::Result<()> {
     let (mut prefix, mut payload) = (&out.prefix[..], &out.payload[..]);
     while !(prefix.is_empty() && payload.is_empty()) {
         let slices = [io::IoSlice::new(prefix), io::IoSlice::new(payload)];
-        let mut n = stream.write_vectored(&slices[usize::from(prefix.is_empty())..]).await?;
+        let writing = stream.write_vectored(&slices[usize::from(prefix.is_empty())..]);
+        let written = running::timeout(stall_timeout(), writing).await;
+        let mut n = written.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         if n == 0 {
             return Err(io::ErrorKind::WriteZero.into());
         }
@@ -181,7 +190,8 @@
         let link: &mut Link = &mut line.connection;
         // What was walked through when it came can be encoded; were it otherwise, it would never have run.
         let out = call.encode(attempt.remaining_ms()).ok_or(AttemptOutcome::NotSent)?;
-        let written = write(&mut link.stream, &out).await;
+        // The gateway's deadline bounds it.
+        let written = write(&mut link.stream, &out, || NO_TIMEOUT).await;
         drop(out);
         match written {
             Ok(()) => link.stream.0.set_request_sent(true),
