One amount of memory bounds connections, heads and bodies together

Cause: bodies had a limit and descriptors had one, but nothing limited their sum, and much was not counted: parsed heads (over 100 bytes a field, for each attempt, and kept for each connection to a server), read buffers that small chunks keep allocated, streams, Thrift messages in part and answers until they are written.

The fix: connections count at their worst against the same memory as leases for heads, bodies and streams; heads are kept as bare bytes, bodies are copied into blocks, the beginning of a streamed body is freed once sent, and room for a whole body is reserved before it is read, or it is streamed. Long leases leave room to short ones.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -1,4 +1,7 @@
-//! Resource limits of the process: file descriptors and the memory that request and response bodies may take.
+//! Resource limits of the process: file descriptors, and the memory that connections, requests and responses may take.
+//!
+//! Connections and what is leased for heads and bodies share one amount of memory, so that neither a crowd of connections
+//! nor many large requests, nor both at once, exceed the limit.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -23,11 +26,19 @@
 /// One overflow slot per this many regular client slots, and at least one ([`Budget::acquire_overflow`]): for clients
 /// whose connection is closed with the response.
 const CLIENTS_PER_OVERFLOW_SLOT: usize = 16;
-/// Fraction of the memory limit that bodies may fill; connection buffers and heap fragmentation need the rest.
-const BODY_FRACTION: f64 = 0.35;
-/// Bytes of overhead per chunk of a body: without them a body of one-byte chunks would take far more memory than
-/// counted.
-const CHUNK_OVERHEAD: usize = 64;
+/// Memory of a process without connections.
+const PROCESS_BYTES: usize = 8 * 1024 * 1024;
+/// Memory of a connection to a client or a server, with an incomplete head in its read buffer.
+const CONNECTION_BYTES: usize = 32 * 1024;
+/// Fraction of the memory for connections and leases that may be leased for heads and bodies, if connections leave as
+/// much.
+const MAX_LEASE_FRACTION: f64 = 0.5;
+/// Fraction of it that connections always leave for leases.
+const MIN_LEASE_FRACTION: f64 = 0.2;
+/// A lease of up to this many bytes may take all that may be leased; a longer one leaves [`SMALL_LEASE_FRACTION`] of that
+/// to those, so that long bodies never keep short requests from being served.
+const SMALL_LEASE_BYTES: usize = 32 * 1024;
+const SMALL_LEASE_FRACTION: f64 = 0.15;
 
 /// Counts descriptors and body bytes in use against the configured limits.
 #[derive(Debug)]
@@ -36,36 +47,55 @@
     shared: Cell<usize>,
     /// The same as long as no other process of the node runs beside this one.
     full_shared: usize,
-    max_body_bytes: usize,
+    /// The descriptors that the limit allows to the node.
+    full_descriptors: usize,
+    /// The node's memory for connections and leases, in bytes.
+    full_memory: usize,
+    /// This process's part of that.
+    memory: Cell<usize>,
     own: usize,
     clients: Cell<usize>,
     /// The clients that hold an overflow slot; `clients` includes them.
     overflow: Cell<usize>,
     servers: Cell<usize>,
-    body_bytes: Cell<usize>,
+    leased_bytes: Cell<usize>,
 }
 
 impl Budget {
-    /// Splits `descriptors` and `memory_mb` MiB among clients, servers and bodies; `reserved` of the descriptors are
-    /// for neither clients nor servers.
+    /// Splits `descriptors` and `memory_mb` MiB among clients, servers, heads and bodies; `reserved` of the descriptors
+    /// are for neither clients nor servers.
     pub fn new(descriptors: usize, memory_mb: u64, reserved: usize) -> Rc<Self> {
         let own = OWN_DESCRIPTORS + reserved;
-        let shared = shared_descriptors(descriptors, own);
+        let memory = (memory_mb as usize * 1024 * 1024).saturating_sub(PROCESS_BYTES);
+        let shared = shared_descriptors(descriptors, own, memory);
         Rc::new(Budget {
             shared: Cell::new(shared),
             full_shared: shared,
-            max_body_bytes: (memory_mb as f64 * BODY_FRACTION) as usize * 1024 * 1024,
+            full_descriptors: descriptors,
+            full_memory: memory,
+            memory: Cell::new(memory),
             own,
             clients: Cell::new(0),
             overflow: Cell::new(0),
             servers: Cell::new(0),
-            body_bytes: Cell::new(0),
+            leased_bytes: Cell::new(0),
         })
     }
 
-    /// Changes the number of descriptors that the process may hold. A surplus disappears as descriptors are released.
+    /// Changes the number of descriptors that the process may hold, and its part of the memory with it. A surplus
+    /// disappears as descriptors are released.
     pub fn resize(&self, descriptors: usize) {
-        self.shared.set(shared_descriptors(descriptors, self.own));
+        let part = descriptors as f64 / self.full_descriptors.max(1) as f64;
+        self.memory.set((self.full_memory as f64 * part.min(1.0)) as usize);
+        self.shared.set(shared_descriptors(descriptors, self.own, self.memory.get()));
+    }
+
+    /// Bytes that may be leased: what connections leave, within the fraction for leases.
+    fn max_leased_bytes(&self) -> usize {
+        let memory = self.memory.get();
+        let connections = (self.clients.get() + self.servers.get()) * CONNECTION_BYTES;
+        let left = memory.saturating_sub(connections);
+        left.clamp(fraction_of(memory, MIN_LEASE_FRACTION), fraction_of(memory, MAX_LEASE_FRACTION))
     }
 
     /// Slots for clients: their own fraction, or more if servers do not need it.
@@ -140,15 +170,20 @@
         (self.servers.get() < self.server_slots()).then(|| Slot::take(self, |b| &b.servers))
     }
 
-    /// An empty lease for the bytes of one body; [`BodyLease::grow`] adds to it.
+    /// An empty lease for the bytes of one head or body; [`BodyLease::grow`] adds to it.
     pub fn body_lease(self: &Rc<Self>) -> BodyLease {
         BodyLease { budget: self.clone(), bytes: 0 }
     }
 }
 
-/// Descriptors that clients and servers share.
-fn shared_descriptors(descriptors: usize, own: usize) -> usize {
-    descriptors.saturating_sub(own).max(MIN_SHARED_DESCRIPTORS)
+/// Descriptors that clients and servers share: no more than there is memory for their connections.
+fn shared_descriptors(descriptors: usize, own: usize, memory: usize) -> usize {
+    let connections = fraction_of(memory, 1.0 - MIN_LEASE_FRACTION) / CONNECTION_BYTES;
+    descriptors.saturating_sub(own).min(connections).max(MIN_SHARED_DESCRIPTORS)
+}
+
+fn fraction_of(bytes: usize, fraction: f64) -> usize {
+    (bytes as f64 * fraction) as usize
 }
 
 /// Number of overflow slots ([`Budget::acquire_overflow`]) among the shared descriptors. Connections to servers never
@@ -192,7 +227,7 @@
     _overflow: Slot,
 }
 
-/// The bytes that one body accounts for, released when dropped.
+/// The bytes that one head or body accounts for, released when dropped.
 #[derive(Debug)]
 pub struct BodyLease {
     budget: Rc<Budget>,
@@ -200,21 +235,41 @@
 }
 
 impl BodyLease {
-    /// Accounts for one more chunk; returns false if the budget has no room for it.
+    /// Accounts for more bytes; returns false if the budget has no room for them.
     pub fn grow(&mut self, bytes: usize) -> bool {
-        let cost = bytes + CHUNK_OVERHEAD;
-        let sum = self.budget.body_bytes.get() + cost;
-        if sum > self.budget.max_body_bytes {
+        let sum = self.budget.leased_bytes.get() + bytes;
+        let max = self.budget.max_leased_bytes();
+        let reserved = match self.bytes + bytes > SMALL_LEASE_BYTES {
+            true => fraction_of(max, SMALL_LEASE_FRACTION),
+            false => 0,
+        };
+        if sum + reserved > max {
             return false;
         }
-        self.budget.body_bytes.set(sum);
-        self.bytes += cost;
+        self.budget.leased_bytes.set(sum);
+        self.bytes += bytes;
+        true
+    }
+
+    /// Accounts for this many bytes in all; returns false, with no change, if the budget has no room for them.
+    pub fn resize(&mut self, bytes: usize) -> bool {
+        if bytes > self.bytes {
+            return self.grow(bytes - self.bytes);
+        }
+        self.shrink_to(bytes);
         true
     }
+
+    /// Gives back all but this many bytes.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let surplus = self.bytes.saturating_sub(bytes);
+        self.budget.leased_bytes.set(self.budget.leased_bytes.get() - surplus);
+        self.bytes -= surplus;
+    }
 }
 
 impl Drop for BodyLease {
     fn drop(&mut self) {
-        self.budget.body_bytes.set(self.budget.body_bytes.get() - self.bytes);
+        self.budget.leased_bytes.set(self.budget.leased_bytes.get() - self.bytes);
     }
 }
--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -18,13 +18,17 @@
 /// queue, a write that goes through says little of the peer: the kernel accepts megabytes at once, and nothing more before
 /// a third of them is gone. It also bounds the memory that a slow reader takes up.
 const MAX_UNSENT_BYTES: u32 = 128 * 1024;
-/// How long a client may take nothing of its response. The kernel of a client that reads slowly accepts data in steps of
-/// up to a sixteenth of its receive buffer, with seconds between them.
+/// What the kernel is asked to hold for a connection that is not read. By itself it would hold many megabytes, of a server
+/// whose answer is long as of a client that sends more than it may.
+const MAX_UNREAD_BYTES: usize = 256 * 1024;
+/// How long a peer may take nothing of what is written to it. The kernel of a peer that reads slowly accepts data in steps
+/// of up to a sixteenth of its receive buffer, with seconds between them.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
-/// The same where other clients need the slot.
+/// The same for a client where others need its slot.
 const WRITE_STALL_TIMEOUT_CROWDED: Duration = Duration::from_secs(3);
 
-/// How long a client may take nothing of its response before its connection is closed.
+/// How long a peer may take nothing of what is written to it before it counts as gone; `crowded` where other clients need
+/// the slot.
 pub fn write_stall_timeout(crowded: bool) -> Duration {
     match crowded {
         true => WRITE_STALL_TIMEOUT_CROWDED,
@@ -57,7 +61,10 @@
     pub fn new(stream: TcpStream, slots: impl Any) -> Rc<Connection> {
         // Messages are written in full: waiting to fill a segment would only delay them.
         let _ = stream.set_nodelay(true);
-        let _ = socket2::SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+        // Without these, the connection works all the same.
+        let socket = socket2::SockRef::from(&stream);
+        let _ = socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+        let _ = socket.set_recv_buffer_size(MAX_UNREAD_BYTES);
         let open = Open { stream, _slots: Box::new(slots) };
         Rc::new(Connection {
             open: RefCell::new(Some(open)),
--- a/crates/core/src/payload.rs
+++ b/crates/core/src/payload.rs
@@ -1,51 +1,88 @@
 //! Buffered message bodies.
 
 use crate::budget::BodyLease;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
-/// Chunks below this size are copied out of their read buffer and merged: otherwise a body that arrives a few bytes at
-/// a time would take far more memory than its length.
-const SMALL_CHUNK_BYTES: usize = 4096;
+/// Bodies are kept in blocks of this size.
+const BLOCK_BYTES: usize = 16 * 1024;
+/// The beginning of a body that the lease of its request's head accounts for, so that a short response finds room whenever
+/// its request did.
+pub const PREPAID_BYTES: u64 = 4 * 1024;
+/// What a streamed body takes beyond its buffered part: a chunk on its way, what is queued for the connection that it is
+/// written to, and the read buffer of the connection that it comes from.
+const STREAM_BYTES: usize = 64 * 1024;
 
-/// A complete body in the chunks in which it arrived, so that it can be sent again without a copy.
+/// A body, or the beginning of a streamed one, which can be sent again without a copy.
 #[derive(Debug)]
 pub struct BufferedBody {
-    chunks: Vec<Bytes>,
-    /// The last small chunks, merged.
-    tail: BytesMut,
+    blocks: Vec<Bytes>,
+    /// The last block, while it is being filled.
+    tail: Vec<u8>,
     len: u64,
+    /// The length that the lease accounts for.
+    covered: u64,
     lease: BodyLease,
 }
 
 impl BufferedBody {
-    /// An empty body; chunks pushed to it count against the lease's budget.
+    /// An empty body; what is pushed to it counts against the lease's budget.
     pub fn new(lease: BodyLease) -> Self {
-        BufferedBody { chunks: Vec::new(), tail: BytesMut::new(), len: 0, lease }
+        BufferedBody { blocks: Vec::new(), tail: Vec::new(), len: 0, covered: PREPAID_BYTES, lease }
     }
 
-    /// Appends a chunk; returns false, with nothing added, if the budget has no room for it.
-    pub fn push(&mut self, chunk: Bytes) -> bool {
-        let fits = chunk.is_empty() || self.lease.grow(chunk.len());
-        if fits && !chunk.is_empty() {
-            self.len += chunk.len() as u64;
-            // A small slice of a read buffer would keep the whole buffer allocated for as long as the body lives.
-            if chunk.len() < SMALL_CHUNK_BYTES {
-                crate::io_counters::record_copy(chunk.len());
-                self.tail.extend_from_slice(&chunk);
-            }
-            if !self.tail.is_empty()
-                && (chunk.len() >= SMALL_CHUNK_BYTES || self.tail.len() >= SMALL_CHUNK_BYTES)
-            {
-                self.chunks.push(self.tail.split().freeze());
-            }
-            if chunk.len() >= SMALL_CHUNK_BYTES {
-                self.chunks.push(chunk);
+    /// Reserves room for a body of this length; returns false if the budget has none.
+    pub fn reserve(&mut self, length: u64) -> bool {
+        let missing = length.saturating_sub(self.covered);
+        let reserved = missing == 0 || self.lease.grow(missing as usize);
+        if reserved {
+            self.covered += missing;
+        }
+        reserved
+    }
+
+    /// Appends a chunk; returns false, with nothing added, if the budget has no room for it. The chunk is copied: it is a
+    /// slice of a read buffer of any size, which it would keep allocated.
+    pub fn push(&mut self, mut chunk: &[u8]) -> bool {
+        if chunk.is_empty() {
+            return true;
+        }
+        if !self.reserve(self.len + chunk.len() as u64) {
+            return false;
+        }
+        crate::io_counters::record_copy(chunk.len());
+        self.len += chunk.len() as u64;
+        while !chunk.is_empty() {
+            let room = BLOCK_BYTES - self.tail.len();
+            let (part, rest) = chunk.split_at(room.min(chunk.len()));
+            self.tail.extend_from_slice(part);
+            chunk = rest;
+            if self.tail.len() == BLOCK_BYTES {
+                self.seal();
             }
         }
-        fits
+        true
+    }
+
+    /// Ends the last block. To be called once nothing more is pushed.
+    pub fn seal(&mut self) {
+        if !self.tail.is_empty() {
+            self.tail.shrink_to_fit();
+            self.blocks.push(std::mem::take(&mut self.tail).into());
+        }
+    }
+
+    /// Accounts for what it takes to stream the rest of the body; returns false if the budget has no room for it.
+    pub fn reserve_stream(&mut self) -> bool {
+        self.lease.grow(STREAM_BYTES)
+    }
+
+    /// Frees the blocks of a streamed body, of which only the rest is still needed.
+    pub fn release_blocks(&mut self) {
+        self.blocks = Vec::new();
+        self.lease.shrink_to(STREAM_BYTES);
     }
 
-    /// Length in bytes.
+    /// Length in bytes of all that was pushed.
     pub fn len(&self) -> u64 {
         self.len
     }
@@ -55,11 +92,8 @@
         self.len == 0
     }
 
-    /// The chunk with this index; `None` after the last.
+    /// The block with this index; `None` after the last.
     pub fn get(&self, index: usize) -> Option<Bytes> {
-        let tail = || {
-            (index == self.chunks.len() && !self.tail.is_empty()).then(|| Bytes::copy_from_slice(&self.tail))
-        };
-        self.chunks.get(index).cloned().or_else(tail)
+        self.blocks.get(index).cloned()
     }
 }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -3,6 +3,7 @@
 use crate::socket::Socket;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use laurelroute_core::io_counters::record_copy;
 use laurelroute_core::payload::BufferedBody;
 use std::cell::RefCell;
 use std::io;
@@ -17,6 +18,18 @@
 /// The longest body that is accepted.
 pub const MAX_BODY_BYTES: u64 = 33 * 1024 * 1024;
 
+/// A shorter chunk is copied before it is passed on: it would keep a read buffer of twice its size allocated.
+const MIN_SHARED_CHUNK_BYTES: usize = 8 * 1024;
+
+/// A chunk of a streamed body as it is passed on, which keeps no more than twice its size allocated.
+pub fn stream_chunk(data: Bytes) -> BodyChunk {
+    if data.len() >= MIN_SHARED_CHUNK_BYTES {
+        return BodyChunk::Data(data);
+    }
+    record_copy(data.len());
+    BodyChunk::Data(Bytes::copy_from_slice(&data))
+}
+
 /// An item of a streamed body, behind the buffered part.
 #[derive(Debug)]
 pub enum BodyChunk {
@@ -39,7 +52,7 @@
 /// takes.
 #[derive(Debug)]
 pub struct Message {
-    buffered: BufferedBody,
+    buffered: RefCell<BufferedBody>,
     remainder: RefCell<Option<BodyRemainder>>,
     /// The total length, where it is known.
     length: Option<u64>,
@@ -48,14 +61,32 @@
 
 impl Message {
     /// A fully buffered body.
-    pub fn buffered(buffered: BufferedBody) -> Rc<Message> {
+    pub fn buffered(mut buffered: BufferedBody) -> Rc<Message> {
+        buffered.seal();
         let length = Some(buffered.len());
+        let buffered = RefCell::new(buffered);
         Rc::new(Message { buffered, remainder: RefCell::default(), length, streamed: false })
     }
 
     /// A streamed body: its buffered part, its remainder and its total length, where that is known.
-    pub fn streamed(buffered: BufferedBody, remainder: BodyRemainder, length: Option<u64>) -> Rc<Message> {
-        Rc::new(Message { buffered, remainder: RefCell::new(Some(remainder)), length, streamed: true })
+    pub fn streamed(
+        mut buffered: BufferedBody,
+        remainder: BodyRemainder,
+        length: Option<u64>,
+    ) -> Rc<Message> {
+        buffered.seal();
+        let (buffered, remainder) = (RefCell::new(buffered), RefCell::new(Some(remainder)));
+        Rc::new(Message { buffered, remainder, length, streamed: true })
+    }
+
+    /// Takes the remainder of a streamed body: from here on the body cannot be sent again, and its buffered part is
+    /// freed.
+    fn take_remainder(&self) -> Option<BodyRemainder> {
+        let remainder = self.remainder.take();
+        if remainder.is_some() {
+            self.buffered.borrow_mut().release_blocks();
+        }
+        remainder
     }
 
     /// The total length, where it is known.
@@ -103,7 +134,8 @@
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<io::Result<Frame<Bytes>>>> {
         let this = &mut *self;
-        if let Some(piece) = this.message.buffered.get(this.next_piece) {
+        let piece = this.message.buffered.borrow().get(this.next_piece);
+        if let Some(piece) = piece {
             this.next_piece += 1;
             this.count_sent(&piece);
             return Poll::Ready(Some(Ok(Frame::data(piece))));
@@ -112,7 +144,7 @@
             return this.finish();
         }
         if this.remainder.is_none() {
-            this.remainder = this.message.remainder.take();
+            this.remainder = this.message.take_remainder();
         }
         let Some(remainder) = &mut this.remainder else {
             return Poll::Ready(Some(Err(io::Error::other(
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::body::{Message, MessageBody, ResponseBody};
 use crate::client::{Client, ClientSlot, CloseMode};
+use crate::headers::CompactHeaders;
 use crate::intake::{BodyIntake, IntakeError};
 use crate::service::{NameError, Routing};
 use crate::socket::{Socket, SocketIo};
@@ -10,6 +11,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
@@ -29,7 +31,7 @@
 use std::io;
 use std::os::fd::BorrowedFd;
 use std::pin::{pin, Pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
@@ -479,6 +481,8 @@
         None => None,
     };
     let safe = gateway.config.settings.classes[head.class].idempotency == Idempotency::Safe;
+    let request = policy_request(gateway, &head, &parts.headers);
+    let outbound = OutboundHead::new(gateway, parts, body.size_hint().exact())?;
     let mut intake = BodyIntake::new(&gateway.budget, body)?;
     let complete = intake.buffer().await?;
     if safe && !intake.buffered.is_empty() {
@@ -512,10 +516,11 @@
             service_gateway
         }
     };
-    let request = policy_request(gateway, &head, &parts.headers, give_up_at);
-    let (body, upload) = intake.into_message(complete);
+    let (body, upload) = intake.into_message(complete)?;
     let client_timeout_ms = upload.is_some().then_some(head.client_timeout / 1_000_000);
-    let (exchange, mut response) = http_exchange(parts, body, client_timeout_ms, &client.socket);
+    let (reply, mut response) = ResponseSlot::new();
+    let exchange = outbound.exchange((body, client_timeout_ms), reply, Rc::downgrade(&client.socket));
+    let request = interface::Request { deadline: give_up_at, ..request };
     let call = Call { request, give_up_at, label: head.label, id_claim: Some(id_claim) };
     let pending = service_gateway.submit(call, Rc::new(exchange));
     let outcome = match upload {
@@ -554,12 +559,7 @@
 }
 
 /// The request in the policy's terms.
-fn policy_request(
-    gateway: &Gateway,
-    head: &RequestHead,
-    headers: &HeaderMap,
-    give_up_at: Nanos,
-) -> interface::Request {
+fn policy_request(gateway: &Gateway, head: &RequestHead, headers: &HeaderMap) -> interface::Request {
     let tenant = headers.get("x-tenant-id").map(HeaderValue::as_bytes);
     let cost = headers.get("x-cost").and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
     interface::Request {
@@ -571,31 +571,41 @@
         is_write: headers
             .get("x-attrs")
             .is_some_and(|v| v.to_str().unwrap_or_default().split(',').any(|a| a.trim() == "write=1")),
-        ..interface::Request::new(0, give_up_at)
+        ..interface::Request::new(0, 0)
     }
 }
 
-/// The request as it is sent to servers.
-fn http_exchange(
-    parts: Parts,
-    body: Rc<Message>,
-    client_timeout_ms: Option<u64>,
-    client: &Rc<Socket>,
-) -> (HttpExchange, oneshot::Receiver<FinalResponse<UpstreamResponse>>) {
-    let mut headers = parts.headers;
-    upstream::strip_hop_by_hop(&mut headers);
-    headers.remove(header::EXPECT);
-    if let Some(length) = body.length().filter(|l| *l > 0 && !headers.contains_key(header::CONTENT_LENGTH)) {
-        headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
-    }
-    let uri = match parts.uri.path_and_query() {
-        Some(path) if parts.uri.scheme().is_some() => Uri::from(path.clone()),
-        _ => parts.uri,
-    };
-    let (reply, response) = ResponseSlot::new();
-    let client = Rc::downgrade(client);
-    let exchange = HttpExchange::new((parts.method, uri, headers), (body, client_timeout_ms), reply, client);
-    (exchange, response)
+/// The head of a request as it is sent to servers. It refers to nothing of the client's connection.
+struct OutboundHead {
+    method: Method,
+    uri: Uri,
+    headers: CompactHeaders,
+}
+
+impl OutboundHead {
+    /// `length` is the length of the body, where it is known.
+    fn new(gateway: &Gateway, parts: Parts, length: Option<u64>) -> Result<OutboundHead, RequestError> {
+        let mut headers = parts.headers;
+        upstream::strip_hop_by_hop(&mut headers);
+        headers.remove(header::EXPECT);
+        if let Some(length) = length.filter(|l| *l > 0 && !headers.contains_key(header::CONTENT_LENGTH)) {
+            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
+        }
+        let path = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+        // Of an absolute target, only the path is passed on. The text is copied: it is a part of the read buffer.
+        let uri = Uri::from_maybe_shared(Bytes::copy_from_slice(path.as_bytes())).unwrap_or_default();
+        let headers = CompactHeaders::new(&headers, gateway.budget.body_lease());
+        Ok(OutboundHead { method: parts.method, uri, headers: headers.ok_or(RequestError::Overloaded)? })
+    }
+
+    fn exchange(
+        self,
+        body: (Rc<Message>, Option<u64>),
+        reply: ResponseSlot<UpstreamResponse>,
+        client: Weak<Socket>,
+    ) -> HttpExchange {
+        HttpExchange::new((self.method, self.uri, self.headers), body, reply, client)
+    }
 }
 
 fn overloaded_response(retry_after: Nanos, gateway: &Gateway) -> Response<ResponseBody> {
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -1,6 +1,6 @@
 //! Request bodies as they are received: buffered up to a limit, and streamed from there on.
 
-use crate::body::{remainder_channel, BodyChunk, Message, MAX_BODY_BYTES};
+use crate::body::{remainder_channel, stream_chunk, BodyChunk, Message, MAX_BODY_BYTES};
 use crate::pace::{PaceLimits, PaceTracker};
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -70,6 +70,8 @@
 pub struct BodyIntake {
     source: BodySource,
     length: Option<u64>,
+    /// The body is too long to be buffered, or there is no room for it: it is streamed from its first byte.
+    streamed: bool,
     /// The part received so far.
     pub buffered: BufferedBody,
 }
@@ -81,20 +83,21 @@
             return Err(IntakeError::TooLarge);
         }
         let length = body.size_hint().exact();
-        Ok(BodyIntake {
-            source: BodySource { body, pace: BODY_PACE.start() },
-            length,
-            buffered: BufferedBody::new(budget.body_lease()),
-        })
+        let mut buffered = BufferedBody::new(budget.body_lease());
+        // Room for all of the body is reserved at once: many bodies that each found room for a part would fail halfway.
+        let streamed =
+            length.is_some_and(|length| length > MAX_BUFFERED_REQUEST_BYTES || !buffered.reserve(length));
+        let source = BodySource { body, pace: BODY_PACE.start() };
+        Ok(BodyIntake { source, length, streamed, buffered })
     }
 
     /// Buffers the body; returns false where it is too long for that and its remainder is to be streamed.
     pub async fn buffer(&mut self) -> Result<bool, IntakeError> {
-        if self.length.is_some_and(|length| length > MAX_BUFFERED_REQUEST_BYTES) {
+        if self.streamed {
             return Ok(false);
         }
         while let Some(data) = self.source.next().await? {
-            if !self.buffered.push(data) {
+            if !self.buffered.push(&data) {
                 return Err(IntakeError::BufferLimit);
             }
             if self.buffered.len() > MAX_BUFFERED_REQUEST_BYTES {
@@ -105,13 +108,16 @@
     }
 
     /// The message, and the upload of its remainder where the body is not complete.
-    pub fn into_message(self, complete: bool) -> (Rc<Message>, Option<BodyUpload>) {
+    pub fn into_message(mut self, complete: bool) -> Result<(Rc<Message>, Option<BodyUpload>), IntakeError> {
         if complete {
-            return (Message::buffered(self.buffered), None);
+            return Ok((Message::buffered(self.buffered), None));
+        }
+        if !self.buffered.reserve_stream() {
+            return Err(IntakeError::BufferLimit);
         }
         let (sender, remainder) = remainder_channel();
         let upload = BodyUpload { source: self.source, received: self.buffered.len(), sender: Some(sender) };
-        (Message::streamed(self.buffered, remainder, self.length), Some(upload))
+        Ok((Message::streamed(self.buffered, remainder, self.length), Some(upload)))
     }
 }
 
@@ -132,7 +138,7 @@
             if self.received > MAX_BODY_BYTES {
                 return Err(IntakeError::TooLarge);
             }
-            self.forward(BodyChunk::Data(data)).await;
+            self.forward(stream_chunk(data)).await;
         }
         self.forward(BodyChunk::End).await;
         Ok(())
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod body;
 mod client;
 pub mod front;
+pub mod headers;
 pub mod intake;
 pub mod pace;
 pub mod service;
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -1,8 +1,10 @@
 //! The upstream side: one attempt over one connection, and its outcome.
 
 use crate::body::{
-    remainder_channel, BodyChunk, Message, MessageBody, MAX_BODY_BYTES, MAX_BUFFERED_RESPONSE_BYTES,
+    remainder_channel, stream_chunk, BodyChunk, Message, MessageBody, MAX_BODY_BYTES,
+    MAX_BUFFERED_RESPONSE_BYTES,
 };
+use crate::headers::CompactHeaders;
 use crate::socket::{Socket, SocketIo};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -67,8 +69,8 @@
     method: Method,
     /// Path and query, unchanged.
     uri: Uri,
-    /// The end-to-end headers.
-    headers: HeaderMap,
+    /// The end-to-end headers, until no further attempt can follow.
+    headers: RefCell<Option<CompactHeaders>>,
     /// The body, until no further attempt can follow; only one attempt can take the remainder of a streamed one.
     body: RefCell<Option<Rc<Message>>>,
     /// The client's timeout in milliseconds, where it does not run yet because the body is still being received.
@@ -82,15 +84,20 @@
 impl HttpExchange {
     /// A request with the parts of its head, its body and the client's connection.
     pub fn new(
-        (method, uri, headers): (Method, Uri, HeaderMap),
+        (method, uri, headers): (Method, Uri, CompactHeaders),
         (body, client_timeout_ms): (Rc<Message>, Option<u64>),
         reply: ResponseSlot<UpstreamResponse>,
         client: Weak<Socket>,
     ) -> Self {
-        let body = RefCell::new(Some(body));
+        let (body, headers) = (RefCell::new(Some(body)), RefCell::new(Some(headers)));
         HttpExchange { method, uri, headers, body, client_timeout_ms, reply, client }
     }
 
+    /// Whether a connection may be kept after it has carried the request.
+    fn allows_reuse(&self) -> bool {
+        self.headers.borrow().as_ref().is_none_or(CompactHeaders::allows_reuse)
+    }
+
     /// The body, if it can be sent from its first byte.
     fn available_body(&self) -> Option<Rc<Message>> {
         self.body.borrow().clone().filter(|body| body.is_available())
@@ -117,6 +124,7 @@
 
     fn release_request(&self) {
         self.body.take();
+        self.headers.take();
     }
 }
 
@@ -195,11 +203,12 @@
             connection.socket.clone(),
         ));
         let socket = connection.socket.clone();
+        let reusable = message.allows_reuse();
         return match read_head(connection, response).await {
             Ok(response) => {
                 let received = receive_response(message, attempt, connection, response).await?;
                 // Nothing of the attempt is left at its server when its outcome is reported.
-                match received.complete && connection.is_ready_for_reuse().await {
+                match received.complete && reusable && connection.is_ready_for_reuse().await {
                     true => source.release(attempt_connection),
                     false => drop(attempt_connection),
                 }
@@ -243,7 +252,7 @@
     let mut request = Request::new(MessageBody::new(body, Some(socket)));
     *request.method_mut() = message.method.clone();
     *request.uri_mut() = message.uri.clone();
-    let mut headers = message.headers.clone();
+    let mut headers = message.headers.borrow().as_ref().map(CompactHeaders::to_map).unwrap_or_default();
     headers.insert(TIMEOUT_MS, HeaderValue::from(remaining_ms));
     *request.headers_mut() = headers;
     request
@@ -334,7 +343,10 @@
             let response = UpstreamResponse { headers, body: Message::buffered(buffered) };
             Ok(ReceivedResponse { complete: true, result: ResponseResult::Success(response) })
         }
-        BodyRead::Partial(buffered, body) => {
+        BodyRead::Partial(mut buffered, body) => {
+            if !buffered.reserve_stream() {
+                return Err(AttemptOutcome::Reset);
+            }
             // Where no client waits for it, its remainder is not worth reading.
             let complete = attempt.succeed() && {
                 let (sender, remainder) = remainder_channel();
@@ -396,7 +408,7 @@
     let started = Instant::now();
     while let Some(frame) = running::timeout(BODY_STALL_TIMEOUT, connection.drive(body.frame())).await? {
         let Ok(data) = frame?.into_data() else { continue };
-        if !buffered.push(data) {
+        if !buffered.push(&data) {
             return Err(ResponseError::BufferLimit);
         }
         // A body that ends with its connection is buffered: whether it is complete is known only then.
@@ -429,7 +441,7 @@
             Some(Err(_)) => return false,
         };
         received += data.len() as u64;
-        if received > MAX_BODY_BYTES || client.send(BodyChunk::Data(data)).await.is_err() {
+        if received > MAX_BODY_BYTES || client.send(stream_chunk(data)).await.is_err() {
             return false;
         }
     }
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -24,6 +24,8 @@
 pub struct Wishes {
     /// Descriptors that the node may hold.
     pub sockets: usize,
+    /// The node's memory limit in MiB.
+    pub memory_mb: u64,
     /// Cold servers start at this share of their capacity, and are warm after so many milliseconds.
     pub cold: (f64, u64),
     /// Attempts of one request at most.
@@ -77,6 +79,7 @@
     fn default() -> Self {
         Wishes {
             sockets: 256,
+            memory_mb: 48,
             cold: (0.3, 5_000),
             max_attempts: 3,
             conn_idle_ms: 10_000,
@@ -365,7 +368,7 @@
     };
     let config = serde_json::json!({
         "name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 48, "sockets": wishes.sockets},
+        "limits": {"cores": 1.0, "memory_mb": wishes.memory_mb, "sockets": wishes.sockets},
         "settings": {
             "classes": [class("read", "pure"), class("write", "side_effect"), class("keyed", "token")],
             "tenants": [], "zone": 0, "zones": ["a"], "skus": ["m"], "ordinal": wishes.ordinal.0, "groupSize": wishes.ordinal.1,
--- a/crates/thrift/src/codec/decoder.rs
+++ b/crates/thrift/src/codec/decoder.rs
@@ -67,6 +67,11 @@
         &mut self.buffer
     }
 
+    /// Bytes that are allocated for what has come.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// A part of a message is held.
     pub fn partial(&self) -> bool {
         !self.buffer.is_empty()
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -9,6 +9,7 @@
 use crate::table::{BadFact, Table};
 use crate::upstream::{read, write, Boxes, Served, ThriftExchange, READ};
 use laurelroute_core::accept::{ConnectionHandler, SlotDemand};
+use laurelroute_core::budget::BodyLease;
 use laurelroute_core::call::{Call, FinalResponse, LocalReply, ResponseSlot};
 use laurelroute_core::connection::{write_stall_timeout, Connection, ConnectionIo};
 use laurelroute_core::events::Label;
@@ -76,6 +77,12 @@
     }
 }
 
+/// An answer as it is written, and the memory that it takes if it is a server's.
+struct Outgoing {
+    encoded: Encoded,
+    _lease: Option<BodyLease>,
+}
+
 /// An answer that is owed, in the order of the calls.
 enum Owed {
     Ready(Encoded),
@@ -241,15 +248,17 @@
     }
 
     /// The final answer in the form of its call; `None` where none is owed.
-    fn encode(&self, call: &Waiting, verdict: FinalResponse<Served>) -> Option<Encoded> {
+    fn encode(&self, call: &Waiting, verdict: FinalResponse<Served>) -> Option<Outgoing> {
         if call.head.kind == Kind::Oneway {
             tell_lost(&call.head, &verdict);
             return None;
         }
         let exception =
             |code, text: &str| app::encode(call.form, &call.head, call.header.as_ref(), code, text);
-        Some(match verdict {
-            FinalResponse::Upstream(Served { message: Some(message), .. }) => {
+        let mut answer_lease = None;
+        let encoded = match verdict {
+            FinalResponse::Upstream(Served { message: Some(message), lease }) => {
+                answer_lease = Some(lease);
                 let header = call.header.as_ref().map(|h| Header { pairs: pairs(&message), ..h.clone() });
                 match message.encode(call.form, header.as_ref()) {
                     Ok(out) => out,
@@ -266,7 +275,8 @@
             FinalResponse::Local(LocalReply::Failed { late: false }) => {
                 exception(app::INTERNAL_ERROR, "failed")
             }
-        })
+        };
+        Some(Outgoing { encoded, _lease: answer_lease })
     }
 }
 
@@ -364,12 +374,15 @@
     let mut stream = ConnectionIo(connection);
     let mut decoder = Decoder::new(settings.accept, settings.limits);
     let mut owed: VecDeque<Owed> = VecDeque::new();
+    // What a message takes that has come in part.
+    let mut partial_lease = gateway.budget.body_lease();
     let (mut reading, mut first) = (true, true);
     // Since when the message that is under way is awaited, in running time.
     let mut begun: Option<Nanos> = None;
     loop {
         while reading && owed.len() < settings.pipeline {
             let Some(item) = decoder.take_item() else { break };
+            partial_lease.shrink_to(decoder.held_bytes().saturating_sub(READ));
             reading = !matches!(&item, Item::Malformed(m) if !m.in_step);
             let left = stream.0.peer_closed_after_read(std::mem::take(&mut first)).await;
             client.rest.request_started();
@@ -400,7 +413,7 @@
             out = next_answer(front, &mut owed), if !owed.is_empty() => {
                 if let Some(out) = out {
                     let stall_timeout = || write_stall_timeout(front.is_crowded());
-                    if write(&mut stream, &out, stall_timeout).await.is_err() {
+                    if write(&mut stream, &out.encoded, stall_timeout).await.is_err() {
                         return;
                     }
                 }
@@ -415,6 +428,10 @@
                 if !matches!(n, Ok(n) if n > 0) {
                     return;
                 }
+                // Without room for the rest of a message, none of it has gone anywhere.
+                if !partial_lease.resize(decoder.held_bytes().saturating_sub(READ)) {
+                    return;
+                }
             }
             _ = client.close.notified(), if owed.is_empty() && !partial => {
                 // What has come in the meantime is still read, and answered.
@@ -438,7 +455,7 @@
 }
 
 /// Waits for the answer that is owed first, and takes it off the queue.
-async fn next_answer(front: &Front, owed: &mut VecDeque<Owed>) -> Option<Encoded> {
+async fn next_answer(front: &Front, owed: &mut VecDeque<Owed>) -> Option<Outgoing> {
     if let Owed::Waiting(call) = owed.front_mut()? {
         let verdict = call.verdict().await;
         let out = front.encode(call, verdict);
@@ -446,7 +463,7 @@
         return out;
     }
     match owed.pop_front()? {
-        Owed::Ready(out) => Some(out),
+        Owed::Ready(encoded) => Some(Outgoing { encoded, _lease: None }),
         Owed::Waiting(_) => None,
     }
 }
--- a/crates/thrift/src/upstream.rs
+++ b/crates/thrift/src/upstream.rs
@@ -46,12 +46,13 @@
     pub limits: Limits,
 }
 
-/// A box's answer, and the memory that it takes; no message where none is owed.
+/// A box's answer; no message where none is owed.
 #[derive(Debug)]
 pub struct Served {
     /// The answer.
     pub message: Option<Message>,
-    _lease: BodyLease,
+    /// The memory that it takes.
+    pub lease: BodyLease,
 }
 
 /// A client's call as every attempt sends it, and the place of its answer.
@@ -98,7 +99,7 @@
     }
 
     fn put(&self, message: Option<Message>, lease: BodyLease) {
-        self.reply.send(FinalResponse::Upstream(Served { message, _lease: lease }));
+        self.reply.send(FinalResponse::Upstream(Served { message, lease }));
     }
 }
 
@@ -238,15 +239,15 @@
     attempt: &Attempt,
     link: &mut Link,
 ) -> Result<Response, AttemptOutcome> {
-    let message = whole(link).await.ok_or(AttemptOutcome::Reset)?;
+    let mut lease = attempt.gateway().budget.body_lease();
+    let message = whole(link, &mut lease).await.ok_or(AttemptOutcome::Reset)?;
     // Another call's answer, or a call: what else may come on this connection nobody knows.
     if !call.head.answered_by(&message.head) {
         return Err(AttemptOutcome::Reset);
     }
     match message.head.kind {
         Kind::Reply => {
-            let mut lease = attempt.gateway().budget.body_lease();
-            if !lease.grow(message.bytes().len().max(READ)) {
+            if !lease.resize(message.bytes().len().max(READ)) {
                 return Err(AttemptOutcome::Reset);
             }
             Ok(Response::Success(Some(message), lease))
@@ -261,8 +262,8 @@
 }
 
 /// A whole message, waited for as long as it may take; once it has begun it has to come to its end. `None` where it
-/// is unsound, stands still, or where the connection ends.
-async fn whole(link: &mut Link) -> Option<Message> {
+/// is unsound, stands still or finds no room, or where the connection ends. The lease accounts for the part that has come.
+async fn whole(link: &mut Link, lease: &mut BodyLease) -> Option<Message> {
     loop {
         match link.decoder.take_item() {
             Some(Item::Message(message)) => return Some(message),
@@ -272,7 +273,8 @@
         let begun = link.decoder.partial();
         let reading = read(&mut link.stream, &mut link.decoder);
         let n = if begun { running::timeout(STALL, reading).await.ok()? } else { reading.await };
-        if n.ok()? == 0 {
+        let has_room = lease.resize(link.decoder.held_bytes().saturating_sub(READ));
+        if n.ok()? == 0 || !has_room {
             return None;
         }
     }
