A long answer is not cut off because its server pauses

Cause: a response was begun to its client only by a chunk that came after 100 ms or beyond 64 KiB, so that a pause in its beginning counted as a broken answer (BODY_STALL_TIMEOUT).

The fix: a response that is long, or may be, is begun to its client after 100 ms whether or not more has come; a pause may then take 2.5 s. A response of unknown length that stands still within 16 KiB is given up as before if its request may be sent again: it is more likely broken.

Red before, with the program of: slow_peers::a_long_answer_of_a_server_that_pauses_is_not_cut_off.

--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -50,8 +50,11 @@
 const FAILED_BODY_TIMEOUT: Duration = Duration::from_millis(50);
 /// A streamed response is given longer: once it has begun to its client, no other can replace it.
 const STREAM_STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// A response of unknown length that is not complete after this time is streamed to its client.
-const STREAM_UNKNOWN_LENGTH_AFTER: Duration = Duration::from_millis(100);
+/// A response that is or may be long, and that is not complete after this time, is streamed to its client.
+const STREAM_AFTER: Duration = Duration::from_millis(100);
+/// A response of unknown length that has come to a standstill after fewer bytes is more likely broken than long: it is
+/// not begun to its client as long as another server may replace it.
+const MIN_STREAMED_STALL_BYTES: u64 = 16 * 1024;
 
 /// A server's response, ready to be forwarded.
 #[derive(Debug)]
@@ -329,12 +332,12 @@
     let buffered = BufferedBody::new(attempt.gateway().budget.body_lease());
     let (head, body) = response.into_parts();
     if let Some(outcome) = failed_status(&head) {
-        let discard = read_body(connection, body, &head.headers, buffered);
+        let discard = read_body(connection, body, &head.headers, buffered, false);
         let read = running::timeout(FAILED_BODY_TIMEOUT, discard).await;
         let complete = matches!(read, Ok(Ok(BodyRead::Complete(_))));
         return Ok(ReceivedResponse { complete, result: ResponseResult::Failure(outcome) });
     }
-    let body_read = read_body(connection, body, &head.headers, buffered).await;
+    let body_read = read_body(connection, body, &head.headers, buffered, !attempt.is_repeatable()).await;
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -394,32 +397,50 @@
 
 /// Reads a response's body, in full unless it is long. As nothing is sent before its end has arrived, a broken response
 /// is never begun to a client and can still be replaced by another server's. This guards against all invalid lengths:
-/// both framings, a length that exceeds the data or the limit.
+/// both framings, a length that exceeds the data or the limit. A response that is long, or may be, is not given up for
+/// a pause of its server; `last_attempt` says that no other response can replace it.
 async fn read_body(
     connection: &mut UpstreamConnection,
     mut body: Incoming,
     headers: &HeaderMap,
     mut buffered: BufferedBody,
+    last_attempt: bool,
 ) -> Result<BodyRead, ResponseError> {
     let framing = Framing::of(headers).ok_or(ResponseError::AmbiguousFraming)?;
     if body.size_hint().lower() > MAX_BODY_BYTES {
         return Err(ResponseError::TooLong);
     }
     let started = Instant::now();
-    while let Some(frame) = running::timeout(BODY_STALL_TIMEOUT, connection.drive(body.frame())).await? {
+    loop {
+        let known_length = buffered.len() + body.size_hint().lower();
+        let streams_when_stalled = match framing {
+            Framing::Length => known_length > MAX_BUFFERED_RESPONSE_BYTES,
+            Framing::Chunked | Framing::Close => {
+                buffered.is_empty() || buffered.len() >= MIN_STREAMED_STALL_BYTES || last_attempt
+            }
+        };
+        let wait_limit = match streams_when_stalled {
+            true => STREAM_AFTER.saturating_sub(started.elapsed()),
+            false => BODY_STALL_TIMEOUT,
+        };
+        let frame = match running::timeout(wait_limit, connection.drive(body.frame())).await {
+            Ok(frame) => frame,
+            Err(_) if streams_when_stalled => return Ok(BodyRead::Partial(buffered, body)),
+            Err(stalled) => return Err(stalled.into()),
+        };
+        let Some(frame) = frame else { return Ok(BodyRead::Complete(buffered)) };
         let Ok(data) = frame?.into_data() else { continue };
         if !buffered.push(&data) {
             return Err(ResponseError::BufferLimit);
         }
-        // A body that ends with its connection is buffered: whether it is complete is known only then.
-        let overdue = framing == Framing::Chunked && started.elapsed() > STREAM_UNKNOWN_LENGTH_AFTER;
+        // A body that ends with its connection is buffered while it arrives: whether it is complete is known only then.
+        let overdue = framing == Framing::Chunked && started.elapsed() > STREAM_AFTER;
         if buffered.len() + body.size_hint().lower() > MAX_BUFFERED_RESPONSE_BYTES
             || (overdue && !body.is_end_stream())
         {
             return Ok(BodyRead::Partial(buffered, body));
         }
     }
-    Ok(BodyRead::Complete(buffered))
 }
 
 /// Forwards the remainder of a streamed response as it arrives, no faster than its client reads it; true where it came
--- a/crates/node/tests/slow_peers.rs
+++ b/crates/node/tests/slow_peers.rs
@@ -112,3 +112,104 @@
     let total = read_rest(&mut client, LONG, 0);
     assert!(total < LONG, "all of the answer was there");
 }
+
+/// How a server frames a long answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AnswerFraming {
+    Length,
+    Chunked,
+    Close,
+}
+
+/// A server that writes a long answer in lumps, with a pause behind its head and between any two of them.
+fn write_in_lumps(framing: AnswerFraming, late_body: bool, stream: &mut TcpStream) -> bool {
+    const PAUSE: Duration = Duration::from_millis(1_000);
+    const LUMP: usize = 40_000;
+    const LUMPS: usize = 4;
+    let head = match framing {
+        AnswerFraming::Length => format!("Content-Length: {}\r\n\r\n", LUMP * LUMPS),
+        AnswerFraming::Chunked => "Transfer-Encoding: chunked\r\n\r\n".to_owned(),
+        AnswerFraming::Close => "Connection: close\r\n\r\n".to_owned(),
+    };
+    let mut alive = stream.write_all(format!("HTTP/1.1 200 OK\r\n{head}").as_bytes()).is_ok();
+    for k in 0..LUMPS {
+        if k > 0 || late_body {
+            thread::sleep(PAUSE);
+        }
+        let lump = vec![b'x'; LUMP];
+        let framed = match framing {
+            AnswerFraming::Chunked => [format!("{LUMP:x}\r\n").as_bytes(), &lump, b"\r\n"].concat(),
+            AnswerFraming::Length | AnswerFraming::Close => lump,
+        };
+        alive = alive && stream.write_all(&framed).is_ok();
+    }
+    if framing == AnswerFraming::Chunked {
+        alive = alive && stream.write_all(b"0\r\n\r\n").is_ok();
+    }
+    alive && framing != AnswerFraming::Close
+}
+
+/// Asks for a long answer, whose beginning has to come in time, until the request is not refused.
+fn ask_for_lumps(program: &Program, safe: bool, length: usize) -> Result<(), String> {
+    const TIMEOUT_MS: u64 = 1_400;
+    let end = Instant::now() + PATIENCE;
+    loop {
+        let request = if safe { safe_request(&fresh_id()) } else { unsafe_request(&fresh_id(), "x") };
+        let request = request.replace(" HTTP", "/lumps HTTP").replace(": 4000", &format!(": {TIMEOUT_MS}"));
+        let mut client = program.connect();
+        client.write_all(request.as_bytes()).unwrap();
+        client.set_read_timeout(Some(Duration::from_millis(TIMEOUT_MS))).unwrap();
+        client.peek(&mut [0]).map_err(|_| "nothing in time".to_owned())?;
+        client.set_read_timeout(Some(PATIENCE)).unwrap();
+        match read_long_answer(&mut client, length) {
+            Err(answer) if answer.contains("http/1.1 503") && Instant::now() < end => {}
+            answer => return answer,
+        }
+    }
+}
+
+/// Guards against a long answer being cut off because its server pauses, behind the head or within the beginning.
+#[test]
+fn a_long_answer_of_a_server_that_pauses_is_not_cut_off() {
+    const LENGTH: usize = 160_000;
+    let cases = [AnswerFraming::Length, AnswerFraming::Chunked, AnswerFraming::Close]
+        .into_iter()
+        .flat_map(|framing| [(framing, false), (framing, true)]);
+    thread::scope(|scope| {
+        for (framing, late_body) in cases {
+            scope.spawn(move || {
+                let (server, program, _discovery) =
+                    start_node(move |seen, stream| match seen.head.contains("/lumps") {
+                        true => write_in_lumps(framing, late_body, stream),
+                        false => stream.write_all(&reply("200 OK", "fine")).is_ok(),
+                    });
+                let before = server.requests();
+                for safe in [true, false] {
+                    let answer = ask_for_lumps(&program, safe, LENGTH);
+                    assert!(answer.is_ok(), "{framing:?}, late body: {late_body}, safe: {safe}: {answer:?}");
+                }
+                assert_eq!(server.requests() - before, 2, "{framing:?} {late_body}: sent again");
+            });
+        }
+    });
+}
+
+/// Reads an answer of more than this length in any framing; an error is what came instead.
+fn read_long_answer(stream: &mut TcpStream, length: usize) -> Result<(), String> {
+    let (mut bytes, mut buffer) = (Vec::new(), vec![0; 1 << 16]);
+    let head = |bytes: &[u8]| String::from_utf8_lossy(&bytes[..bytes.len().min(300)]).to_lowercase();
+    let whole = |bytes: &[u8]| {
+        bytes.len() > length && (!head(bytes).contains("chunked") || bytes.ends_with(b"0\r\n\r\n"))
+    };
+    while !whole(&bytes) {
+        match stream.read(&mut buffer) {
+            Ok(read) if read > 0 => bytes.extend_from_slice(&buffer[..read]),
+            _ => return Err(format!("{} bytes: {}", bytes.len(), head(&bytes))),
+        }
+        // A refusal is short, and its connection stays open.
+        if head(&bytes).starts_with("http/1.1 503") && bytes.ends_with(b"busy\n") {
+            return Err(head(&bytes));
+        }
+    }
+    Ok(())
+}
