The final answer is in time where a server reads a long request slowly

While a server takes nothing, nothing is read, and the client has long handed all of it to the kernels.

The fix: the upload knows since when the last byte may have been sent: the last time that the client had sent no more, or that more was missing than kernels hold. A deadline has one timer, which starts the next if the deadline was moved.

--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -23,6 +23,11 @@
         self.epoch + self.start.elapsed().as_nanos() as Nanos
     }
 
+    /// The time on this clock at an instant, which must not be before the clock's start.
+    pub fn at(&self, instant: Instant) -> Nanos {
+        self.epoch + instant.saturating_duration_since(self.start).as_nanos() as Nanos
+    }
+
     /// The current wall clock time, in nanoseconds since the Unix epoch.
     pub fn wall(&self) -> Nanos {
         SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_nanos() as Nanos
--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -38,7 +38,7 @@
 pub use attempt::Attempt;
 use carrier::Carrier;
 use lingering::{LingeringAttempts, LINGER_TIME};
-pub use pending_request::PendingRequest;
+pub use pending_request::{PendingRequest, RequestDeadline};
 pub use servers::ServerControlError;
 use timers::Timer;
 
@@ -118,6 +118,8 @@
     arrived_at: Nanos,
     request: Request,
     give_up_at: Nanos,
+    /// When the next deadline timer runs, which may be before the deadline if that was moved.
+    deadline_timer_at: Nanos,
     /// Whether the client still waits for its final response.
     awaiting_response: bool,
     attempts: Vec<SentAttempt>,
@@ -269,7 +271,7 @@
             if let Some(entry) = state.in_flight.get_mut(&id) {
                 entry.give_up_at = at;
             }
-            self.start_timer(&mut state, at, Timer::Deadline(id));
+            self.start_deadline_timer(&mut state, id);
         }
     }
 
@@ -371,11 +373,12 @@
                 arrived_at: self.clock.now(),
                 request,
                 give_up_at,
+                deadline_timer_at: Nanos::MAX,
                 awaiting_response: true,
                 attempts: Vec::new(),
             },
         );
-        self.start_timer(&mut state, give_up_at, Timer::Deadline(id));
+        self.start_deadline_timer(&mut state, id);
         self.handle(&mut state, Event::Request(request));
         PendingRequest { gateway: self.clone(), id }
     }
--- a/crates/core/src/gateway/ending.rs
+++ b/crates/core/src/gateway/ending.rs
@@ -36,10 +36,12 @@
 
     /// Handles the deadline of a request: all its attempts in flight have timed out.
     pub(super) fn deadline(self: &Rc<Self>, state: &mut State, request: RequestId) {
-        // The deadline was moved if the last byte of the request arrived late.
-        let Some(entry) = state.in_flight.get(&request).filter(|l| l.give_up_at <= self.clock.now()) else {
-            return;
-        };
+        let Some(entry) = state.in_flight.get_mut(&request) else { return };
+        if entry.give_up_at > self.clock.now() {
+            // It was moved: the last byte of the request arrived late.
+            entry.deadline_timer_at = Nanos::MAX;
+            return self.start_deadline_timer(state, request);
+        }
         for number in 0..entry.attempts.len() as u8 {
             self.conclude(state, AttemptId { request, number }, AttemptOutcome::TimedOut);
         }
--- a/crates/core/src/gateway/pending_request.rs
+++ b/crates/core/src/gateway/pending_request.rs
@@ -1,6 +1,6 @@
 //! A request that is waiting for its final response, as held by the front.
 
-use super::{Gateway, Timer};
+use super::Gateway;
 use crate::call::{FinalResponse, LocalReply};
 use laurelroute_policy::interface::{Nanos, RequestId};
 use std::rc::Rc;
@@ -19,17 +19,35 @@
     }
 }
 
-impl PendingRequest {
-    /// Records that the last byte of the request has just arrived: its deadline and the time of an attempt in flight
-    /// count from now.
-    pub fn body_received(&self, give_up_at: Nanos) {
+/// The deadline of a request whose body is still being received.
+pub struct RequestDeadline {
+    gateway: Rc<Gateway>,
+    id: RequestId,
+}
+
+impl RequestDeadline {
+    /// Changes the deadline.
+    pub fn set(&self, give_up_at: Nanos) {
         let mut state = self.gateway.state.borrow_mut();
         let Some(entry) = state.in_flight.get_mut(&self.id) else { return };
         let give_up_at = give_up_at.min(self.gateway.ends_at());
         entry.give_up_at = give_up_at;
+        self.gateway.start_deadline_timer(&mut state, self.id);
+    }
+}
+
+impl PendingRequest {
+    /// The deadline, for whoever receives the body.
+    pub fn deadline(&self) -> RequestDeadline {
+        RequestDeadline { gateway: self.gateway.clone(), id: self.id }
+    }
+
+    /// Records that the last byte of the request has just been read: the time of an attempt in flight counts from now.
+    pub fn body_received(&self) {
+        let mut state = self.gateway.state.borrow_mut();
+        let Some(entry) = state.in_flight.get_mut(&self.id) else { return };
         let now = self.gateway.clock.now();
         entry.attempts.iter_mut().filter(|a| a.open).for_each(|a| a.sent_at = now);
-        self.gateway.start_timer(&mut state, give_up_at, Timer::Deadline(self.id));
     }
 
     /// Waits for the final response.
--- a/crates/core/src/gateway/timers.rs
+++ b/crates/core/src/gateway/timers.rs
@@ -72,6 +72,16 @@
         self.wake_timers_by(state, at);
     }
 
+    /// Starts a timer for the deadline of a request, unless one runs earlier: that one starts the next.
+    pub(super) fn start_deadline_timer(&self, state: &mut State, request: RequestId) {
+        let Some(entry) = state.in_flight.get_mut(&request) else { return };
+        let at = entry.give_up_at;
+        if at < entry.deadline_timer_at {
+            entry.deadline_timer_at = at;
+            self.start_timer(state, at, Timer::Deadline(request));
+        }
+    }
+
     /// Has the timer task run at this time at the latest.
     pub(super) fn wake_timers_by(&self, state: &mut State, at: Nanos) {
         if at < state.armed {
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -3,7 +3,7 @@
 use crate::body::{Message, MessageBody, ResponseBody};
 use crate::client::{Client, ClientSlot, CloseMode};
 use crate::headers::CompactHeaders;
-use crate::intake::{BodyIntake, IntakeError};
+use crate::intake::{BodyIntake, IntakeError, LastByte};
 use crate::service::{NameError, Routing};
 use crate::socket::{Socket, SocketIo};
 use crate::upstream::{self, HttpExchange, UpstreamResponse, TIMEOUT_MS};
@@ -529,12 +529,17 @@
             // The upload goes on by itself: a body that is answered early is still read to its end, as closing the
             // connection with unread data would lose the response.
             let (done, mut uploaded) = oneshot::channel();
-            tokio::task::spawn_local(async move { done.send(upload.run().await) });
+            let (clock, deadline) = (gateway.clock, pending.deadline());
+            let report = move |last_byte| match last_byte {
+                LastByte::Outstanding => deadline.set(clock.now() + UPLOAD_TIMEOUT),
+                LastByte::PossibleSince(since) => deadline.set(clock.at(since) + head.client_timeout),
+            };
+            tokio::task::spawn_local(async move { done.send(upload.run(report).await) });
             tokio::select! {
                 outcome = pending.response(&mut response) => outcome,
                 end = &mut uploaded => {
                     end.unwrap_or(Err(IntakeError::Incomplete))?;
-                    pending.body_received(gateway.clock.now() + head.client_timeout);
+                    pending.body_received();
                     pending.response(&mut response).await
                 }
             }
--- a/crates/http/src/intake.rs
+++ b/crates/http/src/intake.rs
@@ -6,8 +6,12 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use laurelroute_core::budget::Budget;
+use laurelroute_core::connection::write_stall_timeout;
 use laurelroute_core::payload::BufferedBody;
 use laurelroute_core::running::timeout;
+use std::cell::Cell;
+use std::future::{poll_fn, Future};
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
@@ -22,8 +26,9 @@
 /// A body up to this size is buffered in full before anything is sent, so that its server is chosen as late as possible
 /// and another one can retry it. Longer ones are streamed.
 const MAX_BUFFERED_REQUEST_BYTES: u64 = 512 * 1024;
-/// How long a server may accept nothing of a streamed body.
-const UPSTREAM_STALL_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// The most that the kernels of both sides hold of a body that is not read here. Of a body with a longer remainder, the
+/// client cannot have sent the last byte.
+const MAX_IN_TRANSIT_BYTES: u64 = 5 * 1024 * 1024;
 
 /// Why a body is not accepted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -46,30 +51,72 @@
 struct BodySource {
     body: Incoming,
     pace: PaceTracker,
+    /// The total length, where it is known.
+    length: Option<u64>,
+    received: u64,
+    /// The client had not sent the last byte before this time. While a server is slow to take the body, the rest of it
+    /// may long have arrived in the kernel.
+    incomplete_until: Instant,
 }
 
 impl BodySource {
-    /// The next chunk; `None` at the end.
-    async fn next(&mut self) -> Result<Option<Bytes>, IntakeError> {
+    /// Whether so much of the body is missing that its last byte cannot be in the kernel yet.
+    fn last_byte_is_elsewhere(&self) -> bool {
+        self.length.is_some_and(|length| length.saturating_sub(self.received) > MAX_IN_TRANSIT_BYTES)
+    }
+
+    /// The next chunk; `None` at the end. `on_wait` is called when the client has sent no more yet.
+    async fn next(&mut self, on_wait: impl Fn()) -> Result<Option<Bytes>, IntakeError> {
         loop {
             let (started, timeout_after) = (Instant::now(), self.pace.next_timeout());
-            let frame = timeout(timeout_after, self.body.frame()).await;
+            let has_waited = Cell::new(false);
+            let note_wait = || {
+                has_waited.set(true);
+                on_wait();
+            };
+            let frame = timeout(timeout_after, noting_wait(self.body.frame(), note_wait)).await;
+            if has_waited.get() || self.last_byte_is_elsewhere() {
+                self.incomplete_until = Instant::now();
+            }
             let Some(frame) = frame.map_err(|_| IntakeError::TooSlow)? else { return Ok(None) };
             if let Ok(data) = frame.map_err(|_| IntakeError::Incomplete)?.into_data() {
                 // A longer wait means that this process was held up, and when the data arrived is unknown.
                 let waited =
                     Some(started.elapsed()).filter(|waited| *waited <= timeout_after).unwrap_or_default();
                 self.pace.received(data.len(), waited);
+                self.received += data.len() as u64;
                 return Ok(Some(data));
             }
         }
     }
 }
 
+/// Polls a future, and calls `on_wait` whenever it is not ready.
+async fn noting_wait<F: Future>(future: F, on_wait: impl Fn()) -> F::Output {
+    let mut future = pin!(future);
+    poll_fn(|context| {
+        let polled = future.as_mut().poll(context);
+        if polled.is_pending() {
+            on_wait();
+        }
+        polled
+    })
+    .await
+}
+
+/// What is known of the time at which a client sends the last byte of its request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LastByte {
+    /// It has not been sent yet.
+    Outstanding,
+    /// It may have been sent at this time at the earliest. More than that is not known while a server is slow to take the
+    /// body, as nothing is read from the client meanwhile.
+    PossibleSince(Instant),
+}
+
 /// A request body being received.
 pub struct BodyIntake {
     source: BodySource,
-    length: Option<u64>,
     /// The body is too long to be buffered, or there is no room for it: it is streamed from its first byte.
     streamed: bool,
     /// The part received so far.
@@ -87,8 +134,9 @@
         // Room for all of the body is reserved at once: many bodies that each found room for a part would fail halfway.
         let streamed =
             length.is_some_and(|length| length > MAX_BUFFERED_REQUEST_BYTES || !buffered.reserve(length));
-        let source = BodySource { body, pace: BODY_PACE.start() };
-        Ok(BodyIntake { source, length, streamed, buffered })
+        let pace = BODY_PACE.start();
+        let source = BodySource { body, pace, length, received: 0, incomplete_until: Instant::now() };
+        Ok(BodyIntake { source, streamed, buffered })
     }
 
     /// Buffers the body; returns false where it is too long for that and its remainder is to be streamed.
@@ -96,7 +144,7 @@
         if self.streamed {
             return Ok(false);
         }
-        while let Some(data) = self.source.next().await? {
+        while let Some(data) = self.source.next(|| ()).await? {
             if !self.buffered.push(&data) {
                 return Err(IntakeError::BufferLimit);
             }
@@ -116,39 +164,56 @@
             return Err(IntakeError::BufferLimit);
         }
         let (sender, remainder) = remainder_channel();
-        let upload = BodyUpload { source: self.source, received: self.buffered.len(), sender: Some(sender) };
-        Ok((Message::streamed(self.buffered, remainder, self.length), Some(upload)))
+        let length = self.source.length;
+        let upload = BodyUpload { source: self.source, sender: Some(sender) };
+        Ok((Message::streamed(self.buffered, remainder, length), Some(upload)))
     }
 }
 
 /// The remainder of a streamed body on its way to the attempt that takes it.
 pub struct BodyUpload {
     source: BodySource,
-    received: u64,
     /// `None` once the receiver has gone or has stalled.
     sender: Option<mpsc::Sender<BodyChunk>>,
 }
 
 impl BodyUpload {
     /// Forwards the remainder until the client's last byte has arrived. Data that no attempt accepts any more is still
-    /// read: closing the connection with unread data would reset it and lose an early response.
-    pub async fn run(mut self) -> Result<(), IntakeError> {
-        while let Some(data) = self.source.next().await? {
-            self.received += data.len() as u64;
-            if self.received > MAX_BODY_BYTES {
+    /// read: closing the connection with unread data would reset it and lose an early response. `report` is called when
+    /// what is known of the last byte has changed.
+    pub async fn run(mut self, report: impl Fn(LastByte)) -> Result<(), IntakeError> {
+        let reported_possible = Cell::new(false);
+        loop {
+            let report_outstanding = || {
+                if reported_possible.take() {
+                    report(LastByte::Outstanding);
+                }
+            };
+            let Some(data) = self.source.next(report_outstanding).await? else { break };
+            if self.source.received > MAX_BODY_BYTES {
                 return Err(IntakeError::TooLarge);
             }
-            self.forward(stream_chunk(data)).await;
+            let possible_since =
+                (!self.source.last_byte_is_elsewhere()).then_some(self.source.incomplete_until);
+            let report_possible = || {
+                if let Some(since) = possible_since {
+                    reported_possible.set(true);
+                    report(LastByte::PossibleSince(since));
+                }
+            };
+            self.forward(stream_chunk(data), report_possible).await;
         }
-        self.forward(BodyChunk::End).await;
+        report(LastByte::PossibleSince(self.source.incomplete_until));
+        self.forward(BodyChunk::End, || ()).await;
         Ok(())
     }
 
-    async fn forward(&mut self, chunk: BodyChunk) {
-        if let Some(sender) = &self.sender {
-            if !matches!(timeout(UPSTREAM_STALL_TIMEOUT, sender.send(chunk)).await, Ok(Ok(()))) {
-                self.sender = None;
-            }
+    /// Passes a chunk to the attempt; `on_wait` is called when the server is slow to take what came before.
+    async fn forward(&mut self, chunk: BodyChunk, on_wait: impl Fn()) {
+        let Some(sender) = &self.sender else { return };
+        let sending = noting_wait(sender.send(chunk), on_wait);
+        if !matches!(timeout(write_stall_timeout(false), sending).await, Ok(Ok(()))) {
+            self.sender = None;
         }
     }
 }
--- a/crates/node/tests/slow_peers.rs
+++ b/crates/node/tests/slow_peers.rs
@@ -213,3 +213,70 @@
     }
     Ok(())
 }
+
+/// Guards against an answer that comes seconds after its time, where a server reads a long request slowly: the client
+/// has sent its last byte long before it is read.
+#[test]
+fn the_final_answer_is_in_time_though_a_server_reads_a_long_request_slowly() {
+    const TIMEOUT_MS: u64 = 1_400;
+    // More than the node and the kernels on the way to the server hold.
+    const LENGTH: usize = 6_000_000;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            // The server's kernel holds little for it.
+            let _ = socket2::SockRef::from(&stream).set_recv_buffer_size(16 * 1024);
+            thread::spawn(move || {
+                let mut head = vec![0; 4096];
+                let _ = stream.read(&mut head);
+                match head.starts_with(b"GET") {
+                    true => drop(stream.write_all(&reply("200 OK", "fine"))),
+                    false => thread::sleep(SLOW_TIME),
+                }
+            });
+        }
+    });
+    let discovery = Discovery::start(&[host("s1", address)]);
+    let program = Program::start(&discovery);
+    until("the list has arrived", || program.ask().starts_with("HTTP/1.1 200"));
+    for chunked in [false, true] {
+        let body = vec![b'x'; LENGTH];
+        let request = unsafe_request(&fresh_id(), "").replace(": 4000", &format!(": {TIMEOUT_MS}"));
+        let request = match chunked {
+            true => {
+                let head = request.replace("Content-Length: 0", "Transfer-Encoding: chunked");
+                [head.as_bytes(), format!("{LENGTH:x}\r\n").as_bytes(), &body, b"\r\n0\r\n\r\n"].concat()
+            }
+            false => {
+                let head = request.replace("Content-Length: 0", &format!("Content-Length: {LENGTH}"));
+                [head.as_bytes(), &body].concat()
+            }
+        };
+        let mut client = program.connect();
+        client.write_all(&request).unwrap();
+        let sent = Instant::now();
+        let answer = read_message(&mut client).expect("an answer");
+        assert!(answer.head.starts_with("HTTP/1.1 50"), "{}", answer.head);
+        let late = sent.elapsed().saturating_sub(Duration::from_millis(TIMEOUT_MS));
+        assert!(late <= Duration::from_millis(150), "chunked {chunked}: {late:?} late");
+    }
+}
+
+/// Guards against a client's pause within its request being counted against the time of the answer.
+#[test]
+fn a_client_that_pauses_within_a_long_request_is_served() {
+    let (_server, program, _discovery) =
+        start_node(|_, stream| stream.write_all(&reply("200 OK", "fine")).is_ok());
+    const LENGTH: usize = 800_000;
+    let request = unsafe_request(&fresh_id(), "").replace(": 4000", ": 500");
+    let head = request.replace("Content-Length: 0", &format!("Content-Length: {LENGTH}"));
+    let mut client = program.connect();
+    client.write_all(head.as_bytes()).unwrap();
+    for part in vec![b'x'; LENGTH].chunks(LENGTH / 4) {
+        thread::sleep(Duration::from_millis(900));
+        client.write_all(part).unwrap();
+    }
+    let answer = read_message(&mut client).expect("an answer");
+    assert!(answer.head.starts_with("HTTP/1.1 200"), "{}", answer.head);
+}
