A broken beginning of an answer of unknown length goes to no client

What stands still within 16 KiB, but behind some of it, is given up again for every class of request.

--- a/crates/core/src/gateway.rs
+++ b/crates/core/src/gateway.rs
@@ -13,7 +13,7 @@
 use crate::process::ProcessState;
 use crate::request_ids::{ClaimError, RequestIdClaim};
 use laurelroute_policy::interface::{
-    Action, AttemptOutcome, Endpoint, Event, Idempotency, LearnedState, Nanos, NodePlan, Request, RequestId,
+    Action, AttemptOutcome, Endpoint, Event, LearnedState, Nanos, NodePlan, Request, RequestId,
     ServerObservation, Settings, SettingsError,
 };
 use laurelroute_policy::Balancer;
@@ -519,7 +519,6 @@
                 exchange: entry.exchange.clone(),
                 arrived_at: entry.arrived_at,
                 label: entry.label,
-                repeatable: self.is_repeatable(&entry.request),
             };
             sent.task = Some(entry.exchange.clone().start_attempt(attempt));
         }
@@ -532,12 +531,6 @@
         }
     }
 
-    /// Whether a request may be sent again though it may have run.
-    fn is_repeatable(&self, request: &Request) -> bool {
-        let class = self.config.settings.classes.get(usize::from(request.class));
-        class.is_some_and(|class| class.idempotency != Idempotency::Unsafe)
-    }
-
     /// Sends the final response, unless one was sent; returns whether this did.
     fn reply(&self, state: &mut State, request: RequestId, end: LocalReply) -> bool {
         let Some(entry) = state.in_flight.get_mut(&request) else { return false };
--- a/crates/core/src/gateway/attempt.rs
+++ b/crates/core/src/gateway/attempt.rs
@@ -24,8 +24,6 @@
     /// When the request arrived.
     pub(super) arrived_at: Nanos,
     pub(super) label: Label,
-    /// The request may be sent again if this attempt fails after its server may have run it.
-    pub(super) repeatable: bool,
 }
 
 impl Attempt {
@@ -39,11 +37,6 @@
         self.server
     }
 
-    /// Whether the request may be sent again if this attempt fails after its server may have run it.
-    pub fn is_repeatable(&self) -> bool {
-        self.repeatable
-    }
-
     /// Time left until the client's deadline in milliseconds, rounded up and at least 1.
     pub fn remaining_ms(&self) -> u64 {
         self.give_up_at.saturating_sub(self.gateway.clock.now()).div_ceil(1_000_000).max(1)
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -52,8 +52,8 @@
 const STREAM_STALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// A response that is or may be long, and that is not complete after this time, is streamed to its client.
 const STREAM_AFTER: Duration = Duration::from_millis(100);
-/// A response of unknown length that has come to a standstill after fewer bytes is more likely broken than long: it is
-/// not begun to its client as long as another server may replace it.
+/// A response of unknown length that has come to a standstill after fewer bytes is more likely broken than long: none of
+/// it goes to its client.
 const MIN_STREAMED_STALL_BYTES: u64 = 16 * 1024;
 
 /// A server's response, ready to be forwarded.
@@ -332,12 +332,12 @@
     let buffered = BufferedBody::new(attempt.gateway().budget.body_lease());
     let (head, body) = response.into_parts();
     if let Some(outcome) = failed_status(&head) {
-        let discard = read_body(connection, body, &head.headers, buffered, false);
+        let discard = read_body(connection, body, &head.headers, buffered);
         let read = running::timeout(FAILED_BODY_TIMEOUT, discard).await;
         let complete = matches!(read, Ok(Ok(BodyRead::Complete(_))));
         return Ok(ReceivedResponse { complete, result: ResponseResult::Failure(outcome) });
     }
-    let body_read = read_body(connection, body, &head.headers, buffered, !attempt.is_repeatable()).await;
+    let body_read = read_body(connection, body, &head.headers, buffered).await;
     let mut headers = head.headers;
     strip_hop_by_hop(&mut headers);
     headers.remove(header::CONTENT_LENGTH);
@@ -398,13 +398,12 @@
 /// Reads a response's body, in full unless it is long. As nothing is sent before its end has arrived, a broken response
 /// is never begun to a client and can still be replaced by another server's. This guards against all invalid lengths:
 /// both framings, a length that exceeds the data or the limit. A response that is long, or may be, is not given up for
-/// a pause of its server; `last_attempt` says that no other response can replace it.
+/// a pause of its server.
 async fn read_body(
     connection: &mut UpstreamConnection,
     mut body: Incoming,
     headers: &HeaderMap,
     mut buffered: BufferedBody,
-    last_attempt: bool,
 ) -> Result<BodyRead, ResponseError> {
     let framing = Framing::of(headers).ok_or(ResponseError::AmbiguousFraming)?;
     if body.size_hint().lower() > MAX_BODY_BYTES {
@@ -416,7 +415,7 @@
         let streams_when_stalled = match framing {
             Framing::Length => known_length > MAX_BUFFERED_RESPONSE_BYTES,
             Framing::Chunked | Framing::Close => {
-                buffered.is_empty() || buffered.len() >= MIN_STREAMED_STALL_BYTES || last_attempt
+                buffered.is_empty() || buffered.len() >= MIN_STREAMED_STALL_BYTES
             }
         };
         let wait_limit = match streams_when_stalled {
