Nothing is sent for a client whose close may be behind unread data

Cause: with the receive buffer full the close does not arrive, and unread data was taken for an open connection.

The fix: with 64 KiB or more unread behind a whole request its client counts as gone for every further attempt, and an HTTP request that is read in that state is rejected: clients send one request at a time.

--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -113,6 +113,20 @@
         self.with_stream(peer::peer_state).unwrap_or(PeerState::Closed)
     }
 
+    /// Whether so much is unread that a close of the peer may not have arrived.
+    pub fn may_hide_close(&self) -> bool {
+        self.with_stream(peer::may_hide_close).unwrap_or(true)
+    }
+
+    /// The state of a client whose request has been read to its end. A client counts as gone if it has sent so much behind
+    /// the request that its close could not arrive: a further attempt might be sent long after the close.
+    pub fn client_state_after_request(&self) -> PeerState {
+        match self.peer_state() {
+            PeerState::Unknown if self.may_hide_close() => PeerState::Closed,
+            state => state,
+        }
+    }
+
     /// Whether the peer has closed the connection behind a request that has just been read, the connection's first or a
     /// later one. The runtime reads a new connection before it has polled it at all, and an old one on the strength of
     /// an earlier event. On the first request of a connection, where the end of the stream may be behind unread data,
--- a/crates/core/src/peer.rs
+++ b/crates/core/src/peer.rs
@@ -41,6 +41,15 @@
     matches!(peek(stream), Err(e) if classify_error(&e) == ErrorClass::WouldBlock)
 }
 
+/// With so much unread, the peer's close may be behind data that the kernel has not accepted: it is then not known here.
+/// Clients send one request at a time, and hold back the next until they have the answer.
+const MAX_UNREAD_BYTES_BEFORE_CLOSE: u64 = 64 * 1024;
+
+/// Whether so much is unread that a close of the peer may not have arrived.
+pub(crate) fn may_hide_close(stream: &TcpStream) -> bool {
+    rustix::io::ioctl_fionread(stream).is_ok_and(|unread| unread >= MAX_UNREAD_BYTES_BEFORE_CLOSE)
+}
+
 /// State of the connection to a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerState {
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -94,6 +94,11 @@
         self.length
     }
 
+    /// Whether the body is received while it is sent.
+    pub fn is_streamed(&self) -> bool {
+        self.streamed
+    }
+
     /// Whether the body can be sent from its first byte: its remainder has not been taken.
     pub fn is_available(&self) -> bool {
         !self.streamed || self.remainder.borrow().is_some()
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -390,6 +390,8 @@
     Overloaded,
     #[error("nobody waits for the answer")]
     ClientGone,
+    #[error("too much was sent behind the request")]
+    TooMuchBehind,
 }
 
 impl RequestError {
@@ -499,6 +501,9 @@
     if client.socket.peer_closed_after_read(client.request_count() == 1).await {
         return Err(RequestError::ClientGone);
     }
+    if complete && client.socket.connection().may_hide_close() {
+        return Err(RequestError::TooMuchBehind);
+    }
     client.request_submitted();
     let now = gateway.clock.now();
     let give_up_at = now + head.client_timeout + if complete { 0 } else { UPLOAD_TIMEOUT };
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -3,7 +3,6 @@
 
 use crate::body::MAX_BODY_BYTES;
 use laurelroute_core::connection::Connection;
-use laurelroute_core::peer::PeerState;
 use std::any::Any;
 use std::cell::Cell;
 use std::io;
@@ -250,11 +249,6 @@
         self.connection.peer_closed_after_read(first).await
     }
 
-    /// The state of the peer, as the kernel has it now.
-    pub fn peer_state(&self) -> PeerState {
-        self.connection.peer_state()
-    }
-
     /// Called when a request with a body of this length is about to be written; [`Socket::body_finished`] ends a body
     /// of unknown length.
     pub fn expect_request(&self, body: Option<u64>) {
--- a/crates/http/src/upstream.rs
+++ b/crates/http/src/upstream.rs
@@ -122,7 +122,13 @@
     }
 
     fn client_state(&self) -> PeerState {
-        self.client.upgrade().map_or(PeerState::Closed, |client| client.peer_state())
+        let Some(client) = self.client.upgrade() else { return PeerState::Closed };
+        // What is unread of a client whose body is streamed may belong to that.
+        let streamed = self.body.borrow().as_ref().is_some_and(|body| body.is_streamed());
+        match streamed {
+            true => client.connection().peer_state(),
+            false => client.connection().client_state_after_request(),
+        }
     }
 
     fn release_request(&self) {
--- a/crates/node/tests/upgrade_ids.rs
+++ b/crates/node/tests/upgrade_ids.rs
@@ -1,7 +1,7 @@
 //! Request ids while two processes of a node run: an id that is open at one of them is in use for the other one too.
 
 use laurelroute_testkit::boxes::Act;
-use laurelroute_testkit::client::Client;
+use laurelroute_testkit::client::{Client, Leaving};
 use laurelroute_testkit::program::{Bed, Wishes};
 use laurelroute_testkit::until;
 use laurelroute_testkit::wire::{Answer, Ask, Class, Wire};
@@ -11,6 +11,8 @@
 /// How long a server works on the requests that are open.
 const WORK: Duration = Duration::from_millis(1_500);
 const REQUESTS: usize = 4;
+/// The longest time that an id stays in use: the longest deadline of a request and 1 s.
+const EARLIER_IDS_EXPIRE: Duration = Duration::from_millis(6_200);
 
 fn thrift() -> Wire {
     Wire::thrift("framed-binary")
@@ -98,6 +100,36 @@
     }
 }
 
+/// A client states a short deadline and leaves, and its id comes again while its request still runs.
+fn comes_again_after_its_client_has_left(wire: Wire) {
+    const DEADLINE_MS: u32 = 400;
+    let bed = bed(wire);
+    // The ids of earlier requests are no longer in use.
+    std::thread::sleep(EARLIER_IDS_EXPIRE);
+    bed.plan.next(&[Act::After(2 * WORK)]);
+    let ask = Ask::new(Class::Write).within(DEADLINE_MS);
+    let mut client = bed.node.connect(wire);
+    client.send(&ask);
+    until("a server has the request", || bed.arrivals(&ask.id) == 1);
+    client.leave(Leaving::Close);
+    std::thread::sleep(WORK);
+    let copy = bed.node.ask(wire, &Ask { deadline_ms: 4_000, ..ask.clone() });
+    assert!(matches!(copy, Some(Answer::Failed { .. })), "a copy is rejected: {copy:?}");
+    assert_eq!(bed.arrivals(&ask.id), 1, "{}", ask.id);
+}
+
+/// Guards against an id that is free again while the request of a client that has left still runs.
+#[test]
+fn an_id_stays_in_use_after_its_client_has_left_http() {
+    comes_again_after_its_client_has_left(Wire::Http);
+}
+
+/// The same over Thrift.
+#[test]
+fn an_id_stays_in_use_after_its_client_has_left_thrift() {
+    comes_again_after_its_client_has_left(thrift());
+}
+
 /// Guards against an upgrade in which the new process takes a copy of an open request for a new one.
 #[test]
 fn the_new_process_rejects_copies_of_requests_open_at_the_old_one_http() {
--- a/crates/thrift/src/upstream.rs
+++ b/crates/thrift/src/upstream.rs
@@ -121,7 +121,10 @@
         match self.oneway() {
             // Nobody waits for its answer, and it goes on whatever becomes of its connection.
             true => PeerState::Connected,
-            false => self.client.upgrade().map_or(PeerState::Closed, |client| client.peer_state()),
+            false => {
+                let state = |client: Rc<Connection>| client.client_state_after_request();
+                self.client.upgrade().map_or(PeerState::Closed, state)
+            }
         }
     }
 
