A flood of ever new ids keeps no other client from being served

The id of a request that no server can have run is released as it ends, and a full bucket gives up the id of a request that has ended for a new one: never that of an open one. The ends are recorded only while buckets are half full. A process with a table keeps no second record of its own, which could take some MB.

request_ids::no_id_of_an_open_request_is_forgotten_when_the_table_is_full takes the place of no_id_is_forgotten_when_the_table_is_full: it asks that no open id is forgotten and, newly, that 199,000 further requests are not refused; without a table no_id_is_forgotten_when_there_are_too_many keeps the former check.

--- a/crates/core/src/gateway/ending.rs
+++ b/crates/core/src/gateway/ending.rs
@@ -100,6 +100,13 @@
         let finished = |l: &RequestState| !l.awaiting_response && l.attempts.iter().all(|a| !a.open);
         if state.in_flight.get(&request).is_some_and(finished) {
             if let Some(entry) = state.in_flight.remove(&request) {
+                let may_have_run =
+                    |attempt: &SentAttempt| attempt.ending.is_none_or(|ending| !ending.never_ran());
+                if let Some(claim) =
+                    entry.id_claim.as_ref().filter(|_| !entry.attempts.iter().any(may_have_run))
+                {
+                    claim.release();
+                }
                 entry.exchange.release_request();
             }
         }
--- a/crates/core/src/request_ids.rs
+++ b/crates/core/src/request_ids.rs
@@ -50,31 +50,34 @@
 
     /// Claims an id, given as a hash, until a time on the node's clock.
     pub fn claim(self: &Rc<Self>, clock: Clock, id: u64, until: Nanos) -> Result<RequestIdClaim, ClaimError> {
-        self.local.borrow_mut().claim(clock.now(), id, until)?;
-        if let Err(error) = self.claim_in_table(clock, id, until) {
-            self.local.borrow_mut().remove(id);
-            return Err(error);
+        if self.local.borrow_mut().is_in_use(clock.now(), id) {
+            return Err(ClaimError::InUse);
+        }
+        match self.table.borrow().as_ref().map(|table| table.claim(clock, id, until)) {
+            Some(Ok(true)) => {}
+            Some(Ok(false)) => return Err(ClaimError::InUse),
+            // A process that runs alone needs no table, and is not to fail with its disk.
+            Some(Err(TableError::Io(_))) if !self.accompanied.get() => self.claim_locally(id, until)?,
+            Some(Err(_)) => return Err(ClaimError::Unrecorded),
+            None => self.claim_locally(id, until)?,
         }
         Ok(RequestIdClaim { ids: self.clone(), clock, id, until, kept_until: Cell::new(None) })
     }
 
-    fn claim_in_table(&self, clock: Clock, id: u64, until: Nanos) -> Result<(), ClaimError> {
-        let Some(table) = &*self.table.borrow() else { return Ok(()) };
-        match table.claim(clock, id, until) {
-            Ok(true) => Ok(()),
-            Ok(false) => Err(ClaimError::InUse),
-            // A process that runs alone has a record of its own, and is not to fail with its disk.
-            Err(TableError::Io(_)) if !self.accompanied.get() => Ok(()),
-            Err(_) => Err(ClaimError::Unrecorded),
-        }
+    fn claim_locally(&self, id: u64, until: Nanos) -> Result<(), ClaimError> {
+        self.local.borrow_mut().claim(id, until)
     }
 
-    /// Changes until when an id is in use; a time that has passed releases it.
-    fn set_expiry(&self, clock: Clock, id: u64, until: Nanos) {
-        self.local.borrow_mut().set_expiry(clock.now(), id, until);
-        if let Some(table) = &*self.table.borrow() {
+    /// Records that a request has ended, whose id was claimed until `claimed_until` and stays in use until `until`; a time
+    /// that has passed releases it.
+    fn end(&self, clock: Clock, id: u64, claimed_until: Nanos, until: Nanos) {
+        if until < claimed_until {
+            self.local.borrow_mut().set_expiry(clock.now(), id, until);
+        }
+        let table = self.table.borrow();
+        if let Some(table) = table.as_ref().filter(|table| until < claimed_until || table.is_crowded(clock)) {
             // An entry that cannot be changed expires later.
-            let _ = table.set_expiry(clock, id, until);
+            let _ = table.end(clock, id, until);
         }
     }
 }
@@ -96,14 +99,17 @@
     pub fn keep_until(&self, until: Nanos) {
         self.kept_until.set(Some(until.max(self.kept_until.get().unwrap_or(0))));
     }
+
+    /// Called when it is known that no server has run the request: the id is released as soon as the request has ended.
+    pub fn release(&self) {
+        self.kept_until.set(None);
+    }
 }
 
 impl Drop for RequestIdClaim {
     fn drop(&mut self) {
-        let until = self.kept_until.get().unwrap_or(0);
-        if until < self.until {
-            self.ids.set_expiry(self.clock, self.id, until);
-        }
+        let until = self.kept_until.get().unwrap_or(0).min(self.until);
+        self.ids.end(self.clock, self.id, self.until, until);
     }
 }
 
--- a/crates/core/src/request_ids/local.rs
+++ b/crates/core/src/request_ids/local.rs
@@ -1,4 +1,4 @@
-//! The ids that this process has claimed.
+//! The ids that this process has claimed without a table.
 
 use super::ClaimError;
 use laurelroute_policy::interface::Nanos;
@@ -15,12 +15,14 @@
 }
 
 impl LocalIds {
-    /// Claims an id until a time.
-    pub(super) fn claim(&mut self, now: Nanos, id: u64, until: Nanos) -> Result<(), ClaimError> {
+    /// Whether an id is in use.
+    pub(super) fn is_in_use(&mut self, now: Nanos, id: u64) -> bool {
         self.remove_expired(now);
-        if self.expiry.contains_key(&id) {
-            return Err(ClaimError::InUse);
-        }
+        self.expiry.contains_key(&id)
+    }
+
+    /// Claims an id that is not in use until a time.
+    pub(super) fn claim(&mut self, id: u64, until: Nanos) -> Result<(), ClaimError> {
         if self.expiry.len() >= MAX_IDS {
             return Err(ClaimError::Unrecorded);
         }
@@ -36,7 +38,7 @@
     }
 
     /// Releases an id; returns whether it was in use.
-    pub(super) fn remove(&mut self, id: u64) -> bool {
+    fn remove(&mut self, id: u64) -> bool {
         let Some(until) = self.expiry.remove(&id) else { return false };
         self.by_expiry.remove(&(until, id));
         true
--- a/crates/core/src/request_ids/table.rs
+++ b/crates/core/src/request_ids/table.rs
@@ -11,12 +11,14 @@
 use nix::fcntl::{fallocate, fcntl, FallocateFlags, FcntlArg};
 use nix::libc;
 use nix::time::{clock_gettime, ClockId};
+use std::cell::Cell;
 use std::fs::File;
 use std::io;
 use std::os::unix::fs::{FileExt, OpenOptionsExt};
 use std::path::Path;
 
-/// Bytes of an entry: the id and its expiry time, little-endian. An id of 0 marks a free entry.
+/// Bytes of an entry: the id and its expiry time, little-endian. An id of 0 marks a free entry. The lowest bit of the time
+/// is set once the request has ended.
 const ENTRY_BYTES: usize = 16;
 const BUCKET_ENTRIES: usize = 16;
 const BUCKET_BYTES: usize = ENTRY_BYTES * BUCKET_ENTRIES;
@@ -25,6 +27,8 @@
 /// The longest time that a claim may last. An entry that expires later is left over from before a restart of the
 /// machine, at which the monotonic clock starts again.
 const MAX_CLAIM_TIME: Nanos = 900_000_000_000;
+/// How long the ends of requests are recorded after a bucket was found half full. Only a full bucket needs to know them.
+const CROWDED_TIME: Nanos = 4_000_000_000;
 /// Attempts to lock a bucket. Other processes hold it for a few microseconds.
 const LOCK_ATTEMPTS: u32 = 100;
 
@@ -48,8 +52,13 @@
     file: File,
     /// What the node's clock is ahead of the system's monotonic clock, which all processes share.
     clock_offset: i64,
+    /// Until when the ends of requests are recorded.
+    crowded_until: Cell<Nanos>,
 }
 
+/// The bit of an expiry time that marks a request that has ended.
+const ENDED: Nanos = 1;
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Entry {
     id: u64,
@@ -74,6 +83,10 @@
     fn is_in_use(&self, now: Nanos) -> bool {
         self.id != 0 && self.expires_at > now && self.expires_at - now <= MAX_CLAIM_TIME
     }
+
+    fn has_ended(&self) -> bool {
+        self.expires_at & ENDED != 0
+    }
 }
 
 impl IdTable {
@@ -85,10 +98,11 @@
         let length = libc::off_t::try_from(TABLE_BYTES).map_err(io::Error::other)?;
         fallocate(&file, FallocateFlags::empty(), 0, length)?;
         let clock_offset = clock.now().wrapping_sub(monotonic_time()?) as i64;
-        Ok(IdTable { file, clock_offset })
+        Ok(IdTable { file, clock_offset, crowded_until: Cell::new(0) })
     }
 
-    /// Claims an id until a time on the node's clock; returns false if it is in use.
+    /// Claims an id until a time on the node's clock; returns false if it is in use. In a full bucket the claim takes the
+    /// place of a request that has ended: however many new ids come, none of an open request is forgotten.
     pub fn claim(&self, clock: Clock, id: u64, until: Nanos) -> Result<bool, TableError> {
         let (now, id) = (self.monotonic(clock.now()), stored_id(id));
         let expires_at = self.monotonic(until).min(now.saturating_add(MAX_CLAIM_TIME));
@@ -97,18 +111,32 @@
         if entries.iter().any(|entry| entry.id == id && entry.is_in_use(now)) {
             return Ok(false);
         }
-        let free = entries.iter().position(|entry| !entry.is_in_use(now)).ok_or(TableError::Full)?;
-        bucket.write(free, Entry { id, expires_at })?;
+        if entries.iter().filter(|entry| entry.is_in_use(now)).count() >= BUCKET_ENTRIES / 2 {
+            self.crowded_until.set(now + CROWDED_TIME);
+        }
+        let free = entries.iter().position(|entry| !entry.is_in_use(now));
+        let ended = || {
+            let ended = entries.iter().enumerate().filter(|(_, entry)| entry.has_ended());
+            ended.min_by_key(|(_, entry)| entry.expires_at).map(|(index, _)| index)
+        };
+        let index = free.or_else(ended).ok_or(TableError::Full)?;
+        bucket.write(index, Entry { id, expires_at: expires_at & !ENDED })?;
         Ok(true)
     }
 
-    /// Changes until when an id that this process has claimed is in use, to an earlier time on the node's clock.
-    pub fn set_expiry(&self, clock: Clock, id: u64, until: Nanos) -> Result<(), TableError> {
+    /// Whether the ends of requests have to be recorded.
+    pub fn is_crowded(&self, clock: Clock) -> bool {
+        self.monotonic(clock.now()) < self.crowded_until.get()
+    }
+
+    /// Records that the request of an id that this process has claimed has ended, and until when on the node's clock the
+    /// id stays in use; a time that has passed releases it.
+    pub fn end(&self, clock: Clock, id: u64, until: Nanos) -> Result<(), TableError> {
         let (now, id) = (self.monotonic(clock.now()), stored_id(id));
         let bucket = self.lock_bucket(id)?;
         let entries = bucket.read()?;
         if let Some(index) = entries.iter().position(|entry| entry.id == id && entry.is_in_use(now)) {
-            bucket.write(index, Entry { id, expires_at: self.monotonic(until) })?;
+            bucket.write(index, Entry { id, expires_at: self.monotonic(until) | ENDED })?;
         }
         Ok(())
     }
--- a/crates/core/tests/request_ids.rs
+++ b/crates/core/tests/request_ids.rs
@@ -31,7 +31,7 @@
     }
 }
 
-/// The result of a claim, and whether the id then stays in use.
+/// The result of a claim for a request that ends at once, and whether it was sent to a server.
 fn claim((ids, clock): &(Rc<RequestIds>, Clock), id: u64, hold: u64, sent: bool) -> Result<(), ClaimError> {
     let until = clock.now() + hold;
     ids.claim(*clock, id, until).map(|claim| {
@@ -69,22 +69,38 @@
     assert_eq!(claim(&file.process(), 7, HOLD_TIME, true), Err(ClaimError::InUse));
 }
 
-/// Ever new ids must not push out one that is in use.
+/// Ever new ids must not push out that of an open request, and must not keep others from being served.
 #[test]
-fn no_id_is_forgotten_when_the_table_is_full() {
+fn no_id_of_an_open_request_is_forgotten_when_the_table_is_full() {
     let file = TableFile::new("ids-full");
-    for shared in [false, true] {
-        let process = if shared { file.process() } else { (Rc::default(), Clock::start()) };
-        let mut claimed = Vec::new();
-        for id in (1..=100_000u64).map(|k| k.wrapping_mul(0x9e37_79b9_7f4a_7c15)) {
-            match claim(&process, id, HOLD_TIME, true) {
-                Ok(()) => claimed.push(id),
-                Err(error) => assert_eq!(error, ClaimError::Unrecorded),
-            }
-        }
-        assert!((20_000..=40_000).contains(&claimed.len()), "{} ids", claimed.len());
-        for id in claimed {
-            assert_eq!(claim(&process, id, HOLD_TIME, true), Err(ClaimError::InUse), "{id}");
+    let process = file.process();
+    let until = process.1.now() + HOLD_TIME;
+    let ids = |from: u64| (from..from + 500).map(|k| k.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    let open: Vec<_> = ids(1).map(|id| process.0.claim(process.1, id, until).expect("a claim")).collect();
+    let mut refused = 0;
+    for id in (1_000..200_000u64).map(|k| k.wrapping_mul(0x9e37_79b9_7f4a_7c15)) {
+        refused += usize::from(claim(&process, id, HOLD_TIME, true) != Ok(()));
+    }
+    assert_eq!(refused, 0);
+    for id in ids(1) {
+        assert_eq!(claim(&process, id, HOLD_TIME, true), Err(ClaimError::InUse), "{id}");
+    }
+    drop(open);
+}
+
+/// A process without a table refuses further ids once it has as many as it holds.
+#[test]
+fn no_id_is_forgotten_when_there_are_too_many() {
+    let process = (Rc::default(), Clock::start());
+    let mut claimed = Vec::new();
+    for id in (1..=100_000u64).map(|k| k.wrapping_mul(0x9e37_79b9_7f4a_7c15)) {
+        match claim(&process, id, HOLD_TIME, true) {
+            Ok(()) => claimed.push(id),
+            Err(error) => assert_eq!(error, ClaimError::Unrecorded),
         }
     }
+    assert!((20_000..=40_000).contains(&claimed.len()), "{} ids", claimed.len());
+    for id in claimed {
+        assert_eq!(claim(&process, id, HOLD_TIME, true), Err(ClaimError::InUse), "{id}");
+    }
 }
