--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -1,29 +1,26 @@
 //! The downstream side: client connections, their requests and the responses to them.
 
-use crate::body::{Message, MessageBody, ResponseBody};
+use crate::body::{MessageBody, ResponseBody};
 use crate::client::{Client, ClientSlot, CloseMode};
-use crate::headers::CompactHeaders;
 use crate::intake::{BodyIntake, IntakeError, LastByte};
-use crate::service::{NameError, Routing};
-use crate::socket::{Socket, SocketIo};
-use crate::upstream::{self, HttpExchange, UpstreamResponse, TIMEOUT_MS};
+use crate::local_response::{overloaded_response, text_response, with_connection_close};
+use crate::request::{parse_head, policy_request, OutboundHead, RequestError};
+use crate::service::Routing;
+use crate::socket::SocketIo;
+use crate::upstream::UpstreamResponse;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::http::request::Parts;
-use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use laurelroute_core::accept::{ConnectionHandler, SlotDemand};
 use laurelroute_core::call::{Call, FinalResponse, LocalReply, ResponseSlot};
-use laurelroute_core::events::{self, Kind, Label};
-use laurelroute_core::gateway::{route_key, Gateway};
+use laurelroute_core::events::{self, Kind};
+use laurelroute_core::gateway::Gateway;
 use laurelroute_core::idle::IdleTracker;
 use laurelroute_core::peer::PEER_CHECK_INTERVAL;
-use laurelroute_core::request_ids::ClaimError;
-use laurelroute_core::route::{self, RouteError, ServiceRoute, WaiterCount};
+use laurelroute_core::route::{self, ServiceRoute, WaiterCount};
 use laurelroute_policy::interface::{self, Idempotency, Nanos};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -31,19 +28,14 @@
 use std::io;
 use std::os::fd::BorrowedFd;
 use std::pin::{pin, Pin};
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, Notify};
 
-const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
-
 /// The read buffer of a client connection and the longest head; it bounds the memory of 1,000 connections.
 const READ_BUFFER_BYTES: usize = 16 * 1024;
-/// The longest request id, in bytes.
-const MAX_REQUEST_ID_BYTES: usize = 128;
 /// How often connections are checked for timeouts.
 pub const SWEEP_INTERVAL: Duration = PEER_CHECK_INTERVAL;
 /// How long a streamed request body may take until its last byte.
@@ -361,107 +353,6 @@
     Ok(response.map(|body| GuardedBody { body, _guard: guard }))
 }
 
-/// Why a request is rejected. It is answered at once and its connection is closed: clients that send such requests have
-/// no claim to a slot. None of them has gone to a server, which would reject it or close the connection, and look
-/// faulty for that.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-enum RequestError {
-    #[error("no such class of requests")]
-    UnknownClass,
-    #[error("the class has another method")]
-    WrongMethod,
-    #[error("the length of the body is not clear")]
-    AmbiguousLength,
-    #[error("a request needs one X-Request-ID")]
-    InvalidId,
-    #[error("{0}")]
-    Id(#[from] ClaimError),
-    #[error("X-Timeout-Ms is not a number of milliseconds")]
-    InvalidTimeout,
-    #[error("the class needs one Idempotency-Key")]
-    MissingIdempotencyKey,
-    #[error("{0}")]
-    Body(#[from] IntakeError),
-    #[error("{0}")]
-    Service(#[from] NameError),
-    #[error("{0}")]
-    Route(#[from] RouteError),
-    #[error("no room")]
-    Overloaded,
-    #[error("nobody waits for the answer")]
-    ClientGone,
-    #[error("too much was sent behind the request")]
-    TooMuchBehind,
-}
-
-impl RequestError {
-    fn response(self, gateway: &Gateway) -> Response<ResponseBody> {
-        let status = match self {
-            RequestError::UnknownClass | RequestError::Route(RouteError::Unknown) => StatusCode::NOT_FOUND,
-            RequestError::WrongMethod => StatusCode::METHOD_NOT_ALLOWED,
-            RequestError::Id(ClaimError::InUse) => StatusCode::CONFLICT,
-            RequestError::Body(IntakeError::TooLarge) => StatusCode::PAYLOAD_TOO_LARGE,
-            RequestError::Body(IntakeError::TooSlow) => StatusCode::REQUEST_TIMEOUT,
-            // These reject a valid request that has not been sent to any server.
-            RequestError::Overloaded
-            | RequestError::Id(ClaimError::Unrecorded)
-            | RequestError::Body(IntakeError::BufferLimit)
-            | RequestError::Route(_) => return overloaded_response(Nanos::MAX, gateway),
-            _ => StatusCode::BAD_REQUEST,
-        };
-        text_response(status, Bytes::from(format!("{self}\n")))
-    }
-}
-
-/// The contents of a valid head.
-struct RequestHead {
-    class: usize,
-    id: u64,
-    label: Label,
-    /// How long the client waits.
-    client_timeout: Nanos,
-}
-
-/// The value of a header that the request has exactly once.
-fn single_value(headers: &HeaderMap, name: HeaderName) -> Option<&[u8]> {
-    let mut values = headers.get_all(name).iter();
-    values.next().filter(|_| values.next().is_none()).map(HeaderValue::as_bytes)
-}
-
-fn parse_u64(text: &[u8]) -> Option<u64> {
-    let digits = text.trim_ascii();
-    let valid = !digits.is_empty() && digits.iter().all(u8::is_ascii_digit);
-    std::str::from_utf8(digits).ok().filter(|_| valid)?.parse().ok()
-}
-
-/// Parses a head. Everything that PROTOCOL requires of a request is checked here, before any memory is held for it.
-fn parse_head(gateway: &Gateway, client: &Client, head: &Parts) -> Result<RequestHead, RequestError> {
-    if client.socket.has_ambiguous_framing(client.request_count()) {
-        return Err(RequestError::AmbiguousLength);
-    }
-    let name = head.uri.path().split('/').nth(1).unwrap_or_default();
-    let class = gateway.config.classes.iter().position(|c| c == name).ok_or(RequestError::UnknownClass)?;
-    let settings = &gateway.config.settings.classes[class];
-    let method = if settings.idempotency == Idempotency::Safe { Method::GET } else { Method::POST };
-    if head.method != method {
-        return Err(RequestError::WrongMethod);
-    }
-    if settings.idempotency == Idempotency::Keyed
-        && single_value(&head.headers, IDEMPOTENCY_KEY).is_none_or(<[u8]>::is_empty)
-    {
-        return Err(RequestError::MissingIdempotencyKey);
-    }
-    let id = single_value(&head.headers, REQUEST_ID).filter(|id| id.iter().all(u8::is_ascii_graphic));
-    let id = id.filter(|id| (1..=MAX_REQUEST_ID_BYTES).contains(&id.len())).ok_or(RequestError::InvalidId)?;
-    let client_timeout = single_value(&head.headers, TIMEOUT_MS)
-        .and_then(parse_u64)
-        .filter(|ms| *ms > 0)
-        .ok_or(RequestError::InvalidTimeout)?;
-    // No client waits longer than its class allows: a longer timeout would only hold memory.
-    let client_timeout = client_timeout.saturating_mul(1_000_000).min(settings.client_timeout);
-    Ok(RequestHead { class, id: laurelroute_core::stable_hash(id), label: Label::of(id), client_timeout })
-}
-
 async fn handle_request(
     clients: &Rc<Clients>,
     client: &Client,
@@ -567,76 +458,3 @@
         }
     })
 }
-
-/// The request in the policy's terms.
-fn policy_request(gateway: &Gateway, head: &RequestHead, headers: &HeaderMap) -> interface::Request {
-    let tenant = headers.get("x-tenant-id").map(HeaderValue::as_bytes);
-    let cost = headers.get("x-cost").and_then(|v| v.to_str().ok()?.trim().parse::<f64>().ok());
-    interface::Request {
-        class: head.class as u8,
-        tenant: gateway.config.tenant_index(tenant),
-        key: headers.get("x-route-key").map_or(0, |k| route_key(k.as_bytes())),
-        work_hint: cost.filter(|us| us.is_finite() && *us > 0.0).map(|us| (us * 1000.0) as Nanos),
-        is_retry: headers.get("x-retried").is_some_and(|v| v == "1"),
-        is_write: headers
-            .get("x-attrs")
-            .is_some_and(|v| v.to_str().unwrap_or_default().split(',').any(|a| a.trim() == "write=1")),
-        ..interface::Request::new(0, 0)
-    }
-}
-
-/// The head of a request as it is sent to servers. It refers to nothing of the client's connection.
-struct OutboundHead {
-    method: Method,
-    uri: Uri,
-    headers: CompactHeaders,
-}
-
-impl OutboundHead {
-    /// `length` is the length of the body, where it is known.
-    fn new(gateway: &Gateway, parts: Parts, length: Option<u64>) -> Result<OutboundHead, RequestError> {
-        let mut headers = parts.headers;
-        upstream::strip_hop_by_hop(&mut headers);
-        headers.remove(header::EXPECT);
-        if let Some(length) = length.filter(|l| *l > 0 && !headers.contains_key(header::CONTENT_LENGTH)) {
-            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
-        }
-        let path = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
-        // Of an absolute target, only the path is passed on. The text is copied: it is a part of the read buffer.
-        let uri = Uri::from_maybe_shared(Bytes::copy_from_slice(path.as_bytes())).unwrap_or_default();
-        let headers = CompactHeaders::new(&headers, gateway.budget.body_lease());
-        Ok(OutboundHead { method: parts.method, uri, headers: headers.ok_or(RequestError::Overloaded)? })
-    }
-
-    fn exchange(
-        self,
-        body: (Rc<Message>, Option<u64>),
-        reply: ResponseSlot<UpstreamResponse>,
-        client: Weak<Socket>,
-    ) -> HttpExchange {
-        HttpExchange::new((self.method, self.uri, self.headers), body, reply, client)
-    }
-}
-
-fn overloaded_response(retry_after: Nanos, gateway: &Gateway) -> Response<ResponseBody> {
-    let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, Bytes::from_static(b"busy\n"));
-    let retry_after_seconds = gateway
-        .config
-        .retry_after_seconds(retry_after)
-        .and_then(|s| HeaderValue::try_from(format!("{s:.3}")).ok());
-    if let Some(value) = retry_after_seconds {
-        response.headers_mut().insert(header::RETRY_AFTER, value);
-    }
-    response
-}
-
-fn text_response(status: StatusCode, text: Bytes) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::Local(Some(text).filter(|t| !t.is_empty())));
-    *response.status_mut() = status;
-    response
-}
-
-fn with_connection_close<B>(mut response: Response<B>) -> Response<B> {
-    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
-    response
-}
