The stand-in counts connections by what the kernel says of their other ends

The node closes one connection and opens the next; the stand-in counted the new one before the thread of the old one had run to see its end.

--- a/crates/testkit/src/boxes.rs
+++ b/crates/testkit/src/boxes.rs
@@ -1,6 +1,6 @@
 //! Stand-in web boxes: each listens on HTTP and on Thrift, acts by a plan, and records what came and what ran.
 
-use crate::attempts::{AttemptRecord, Attempts, Overlap};
+use crate::attempts::{peer_closed, AttemptRecord, Attempts, Overlap};
 use crate::lock;
 use crate::wire::{Conn, Say, Seen, Wire};
 use crate::PATIENCE;
@@ -128,12 +128,24 @@
     plan: Arc<Plan>,
     usual: Mutex<Act>,
     connections: AtomicUsize,
-    open: AtomicUsize,
+    /// The connections that are being served, by number.
+    open: Mutex<HashMap<usize, TcpStream>>,
     most_open: AtomicUsize,
     gone: AtomicBool,
 }
 
 impl Shared {
+    /// Counts a new connection with those whose other end is open. The kernel is asked: the thread that serves a
+    /// connection may learn of its end only after the next one was accepted.
+    fn connection_opened(&self, number: usize, stream: &TcpStream) {
+        let mut open = lock(&self.open);
+        if let Ok(stream) = stream.try_clone() {
+            open.insert(number, stream);
+        }
+        let count = open.values().filter(|stream| !peer_closed(stream)).count();
+        self.most_open.fetch_max(count, Ordering::SeqCst);
+    }
+
     fn new(plan: Arc<Plan>) -> Arc<Shared> {
         Arc::new(Shared {
             came: Mutex::default(),
@@ -141,7 +153,7 @@
             plan,
             usual: Mutex::new(Act::Say(Say::Served)),
             connections: AtomicUsize::new(0),
-            open: AtomicUsize::new(0),
+            open: Mutex::default(),
             most_open: AtomicUsize::new(0),
             gone: AtomicBool::new(false),
         })
@@ -316,12 +328,12 @@
                 continue;
             }
             let number = shared.connections.fetch_add(1, Ordering::SeqCst);
-            let open = shared.open.fetch_add(1, Ordering::SeqCst) + 1;
-            shared.most_open.fetch_max(open, Ordering::SeqCst);
+            shared.connection_opened(number, &stream);
             thread::spawn(move || {
                 let mut conn = Conn::new(stream, form);
                 while serve(&shared, &mut conn, number) {}
-                shared.open.fetch_sub(1, Ordering::SeqCst);
+                // Ahead of the connection's own end, which closes it.
+                lock(&shared.open).remove(&number);
             });
         }
     });
