--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -184,6 +184,17 @@
     }
 }
 
+/// Starts a server with a script and a node that has it as its only one.
+pub fn node_with_server(
+    script: impl Fn(&Seen, &mut TcpStream) -> bool + Send + Sync + 'static,
+) -> (FakeServer, Program, Discovery) {
+    let server = FakeServer::start(script);
+    let discovery = Discovery::start(&[host("s1", server.address)]);
+    let program = Program::start(&discovery);
+    until("the list has arrived", || !program.ask().starts_with("HTTP/1.1 503"));
+    (server, program, discovery)
+}
+
 /// A request of the class that may be retried.
 pub fn safe_request(id: &str) -> String {
     format!("GET /read HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {id}\r\nX-Timeout-Ms: 4000\r\n\r\n")
--- a/crates/node/tests/long.rs
+++ b/crates/node/tests/long.rs
@@ -5,22 +5,12 @@
 use laurelroute_testkit::discovery::Discovery;
 use laurelroute_testkit::process::{memory_kb, Memory};
 use std::io::{Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::Shutdown;
 use std::thread;
 use std::time::{Duration, Instant};
 
 const MB: usize = 1_000_000;
 
-fn one_server(
-    script: impl Fn(&Seen, &mut TcpStream) -> bool + Send + Sync + 'static,
-) -> (FakeServer, Program, Discovery) {
-    let server = FakeServer::start(script);
-    let discovery = Discovery::start(&[host("s1", server.address)]);
-    let program = Program::start(&discovery);
-    until("the list has arrived", || !program.ask().starts_with("HTTP/1.1 503"));
-    (server, program, discovery)
-}
-
 /// Bytes that depend on their position.
 fn pattern(length: usize) -> Vec<u8> {
     (0..length).map(|k| (k % 251) as u8).collect()
@@ -57,7 +47,7 @@
 #[test]
 fn a_long_answer_is_streamed() {
     for chunked in [false, true] {
-        let (_server, program, _discovery) = one_server(move |_, stream| {
+        let (_server, program, _discovery) = node_with_server(move |_, stream| {
             let body = pattern(3 * MB);
             let (first, rest) = body.split_at(100_000);
             let framed = |piece: &[u8]| match chunked {
@@ -89,7 +79,7 @@
 /// A long answer that its server cuts off is visibly incomplete for the client.
 #[test]
 fn a_long_answer_that_is_cut_off_is_visibly_incomplete() {
-    let (_server, program, _discovery) = one_server(|_, stream| {
+    let (_server, program, _discovery) = node_with_server(|_, stream| {
         let _ = stream.write_all(&answer_head(MB)).and_then(|()| stream.write_all(&pattern(MB / 2)));
         false
     });
@@ -103,7 +93,7 @@
 #[test]
 fn a_long_body_is_forwarded_once() {
     let (server, program, _discovery) =
-        one_server(|_, stream| stream.write_all(&reply("200 OK", "fine")).is_ok());
+        node_with_server(|_, stream| stream.write_all(&reply("200 OK", "fine")).is_ok());
     for (length, chunked) in [(70_000, false), (70_000, true), (4 * MB, false), (4 * MB, true), (0, true)] {
         let (id, request) = upload(length, chunked);
         let mut stream = program.connect();
@@ -150,7 +140,7 @@
 #[test]
 fn slow_clients_are_served() {
     let (_server, program, _discovery) =
-        one_server(|_, stream| stream.write_all(&reply("200 OK", "fine")).is_ok());
+        node_with_server(|_, stream| stream.write_all(&reply("200 OK", "fine")).is_ok());
     let mut stream = program.connect();
     let request = safe_request(&fresh_id());
     for piece in request.as_bytes().chunks(request.len() / 18) {
@@ -172,7 +162,7 @@
 #[test]
 fn a_body_that_stops_is_answered_with_408() {
     let (server, program, _discovery) =
-        one_server(|_, stream| stream.write_all(&reply("200 OK", "fine")).is_ok());
+        node_with_server(|_, stream| stream.write_all(&reply("200 OK", "fine")).is_ok());
     for length in [1_000, 2 * MB] {
         let (id, request) = upload(length, false);
         let mut stream = program.connect();
--- a/crates/node/tests/slow_peers.rs
+++ b/crates/node/tests/slow_peers.rs
@@ -15,14 +15,10 @@
 /// How long it reads slowly. A peer that takes nothing for so long is given up.
 const SLOW_TIME: Duration = Duration::from_secs(9);
 
-fn start_node(
-    script: impl Fn(&Seen, &mut TcpStream) -> bool + Send + Sync + 'static,
-) -> (FakeServer, Program, Discovery) {
-    let server = FakeServer::start(script);
-    let discovery = Discovery::start(&[host("s1", server.address)]);
-    let program = Program::start(&discovery);
-    until("the list has arrived", || !program.ask().starts_with("HTTP/1.1 503"));
-    (server, program, discovery)
+/// Writes an answer of [`LONG`] bytes at full pace.
+fn write_long_answer(stream: &mut TcpStream) -> bool {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
+    stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&vec![b'x'; LONG])).is_ok()
 }
 
 /// Reads slowly for a while; returns the number of bytes read.
@@ -55,10 +51,7 @@
 /// lets a write through only after a third of its megabytes have gone.
 #[test]
 fn a_client_that_reads_slowly_receives_all_of_a_long_answer() {
-    let (_server, program, _discovery) = start_node(|_, stream| {
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
-        stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&vec![b'x'; LONG])).is_ok()
-    });
+    let (_server, program, _discovery) = node_with_server(|_, stream| write_long_answer(stream));
     let mut client = program.connect();
     client.write_all(safe_request(&fresh_id()).as_bytes()).unwrap();
     let count = read_slowly(&mut client);
@@ -102,10 +95,7 @@
 /// A client that takes nothing at all does not hold its connection for long.
 #[test]
 fn a_client_that_reads_nothing_is_cut_off() {
-    let (_server, program, _discovery) = start_node(|_, stream| {
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {LONG}\r\n\r\n");
-        stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&vec![b'x'; LONG])).is_ok()
-    });
+    let (_server, program, _discovery) = node_with_server(|_, stream| write_long_answer(stream));
     let mut client = program.connect();
     client.write_all(safe_request(&fresh_id()).as_bytes()).unwrap();
     thread::sleep(Duration::from_secs(12));
@@ -179,7 +169,7 @@
         for (framing, late_body) in cases {
             scope.spawn(move || {
                 let (server, program, _discovery) =
-                    start_node(move |seen, stream| match seen.head.contains("/lumps") {
+                    node_with_server(move |seen, stream| match seen.head.contains("/lumps") {
                         true => write_in_lumps(framing, late_body, stream),
                         false => stream.write_all(&reply("200 OK", "fine")).is_ok(),
                     });
@@ -267,7 +257,7 @@
 #[test]
 fn a_client_that_pauses_within_a_long_request_is_served() {
     let (_server, program, _discovery) =
-        start_node(|_, stream| stream.write_all(&reply("200 OK", "fine")).is_ok());
+        node_with_server(|_, stream| stream.write_all(&reply("200 OK", "fine")).is_ok());
     const LENGTH: usize = 800_000;
     let request = unsafe_request(&fresh_id(), "").replace(": 4000", ": 500");
     let head = request.replace("Content-Length: 0", &format!("Content-Length: {LENGTH}"));
