Unread bytes of a client are asked for only where a peek has found some

Each HTTP request asked the kernel for the client's unread bytes (FIONREAD) right behind a peek that had mostly found none: a system call more on the path of every request. The check behind a read says the peer's state now instead of a bool, and only unread data leads to the question.

--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -127,20 +127,16 @@
         }
     }
 
-    /// Whether the peer has closed the connection behind a request that has just been read, the connection's first or a
-    /// later one. The runtime reads a new connection before it has polled it at all, and an old one on the strength of
+    /// The state of the peer behind a request that has just been read, the connection's first or a later one. The runtime reads a new connection before it has polled it at all, and an old one on the strength of
     /// an earlier event. On the first request of a connection, where the end of the stream may be behind unread data,
     /// the poller is given time to run.
-    pub async fn peer_closed_after_read(&self, first_request: bool) -> bool {
-        match self.peer_state() {
-            PeerState::Connected => false,
-            PeerState::Closed => true,
-            PeerState::Unknown if first_request => {
-                tokio::time::sleep(peer::POLLER_TURN).await;
-                self.peer_closed()
-            }
-            PeerState::Unknown => false,
+    pub async fn peer_state_after_read(&self, first_request: bool) -> PeerState {
+        let state = self.peer_state();
+        if state == PeerState::Unknown && first_request {
+            tokio::time::sleep(peer::POLLER_TURN).await;
+            return if self.peer_closed() { PeerState::Closed } else { PeerState::Unknown };
         }
+        state
     }
 
     /// Runs `f` on the descriptor, if the connection is open.
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -19,7 +19,7 @@
 use laurelroute_core::events::{self, Kind};
 use laurelroute_core::gateway::Gateway;
 use laurelroute_core::idle::IdleTracker;
-use laurelroute_core::peer::PEER_CHECK_INTERVAL;
+use laurelroute_core::peer::{PeerState, PEER_CHECK_INTERVAL};
 use laurelroute_core::route::{self, ServiceRoute, WaiterCount};
 use laurelroute_policy::interface::{self, Idempotency, Nanos};
 use std::cell::{Cell, RefCell};
@@ -389,11 +389,12 @@
     }
     // A request that has waited in the kernel's queue, or for the end of its body, is not sent on if its client has
     // gone meanwhile.
-    if client.socket.peer_closed_after_read(client.request_count() == 1).await {
-        return Err(RequestError::ClientGone);
-    }
-    if complete && client.socket.connection().may_hide_close() {
-        return Err(RequestError::TooMuchBehind);
+    match client.socket.peer_state_after_read(client.request_count() == 1).await {
+        PeerState::Closed => return Err(RequestError::ClientGone),
+        PeerState::Unknown if complete && client.socket.connection().may_hide_close() => {
+            return Err(RequestError::TooMuchBehind);
+        }
+        PeerState::Unknown | PeerState::Connected => {}
     }
     client.request_submitted();
     let now = gateway.clock.now();
@@ -406,7 +407,8 @@
                 route::wait_deadline(&gateway.config.settings, head.class, now + head.client_timeout);
             let limit = (&clients.waiters, (gateway.budget.max_clients() / WAITING_SHARE_DIVISOR).max(1));
             let (service_gateway, waited) = routed.gateway(&gateway.clock, wait_until, limit).await?;
-            if waited && client.socket.peer_closed_after_read(client.request_count() == 1).await {
+            let first = client.request_count() == 1;
+            if waited && client.socket.peer_state_after_read(first).await == PeerState::Closed {
                 return Err(RequestError::ClientGone);
             }
             service_gateway
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -3,6 +3,7 @@
 
 use crate::body::MAX_BODY_BYTES;
 use laurelroute_core::connection::Connection;
+use laurelroute_core::peer::PeerState;
 use std::any::Any;
 use std::cell::Cell;
 use std::io;
@@ -243,10 +244,9 @@
         self.connection.peer_closed()
     }
 
-    /// Whether the peer has closed the connection behind a request that has just been read, the connection's first or a
-    /// later one.
-    pub async fn peer_closed_after_read(&self, first: bool) -> bool {
-        self.connection.peer_closed_after_read(first).await
+    /// The state of the peer behind a request that has just been read, the connection's first or a later one.
+    pub async fn peer_state_after_read(&self, first: bool) -> PeerState {
+        self.connection.peer_state_after_read(first).await
     }
 
     /// Called when a request with a body of this length is about to be written; [`Socket::body_finished`] ends a body
--- a/crates/thrift/src/front.rs
+++ b/crates/thrift/src/front.rs
@@ -15,7 +15,7 @@
 use laurelroute_core::events::Label;
 use laurelroute_core::gateway::{route_key, Gateway, PendingRequest};
 use laurelroute_core::idle::IdleTracker;
-use laurelroute_core::peer;
+use laurelroute_core::peer::{self, PeerState};
 use laurelroute_core::request_ids::ClaimError;
 use laurelroute_core::running;
 use laurelroute_policy::interface::{Nanos, Request};
@@ -395,7 +395,8 @@
             let Some(item) = decoder.take_item() else { break };
             partial_lease.shrink_to(decoder.message_bytes().saturating_sub(READ));
             reading = !matches!(&item, Item::Malformed(m) if !m.in_step);
-            let left = stream.0.peer_closed_after_read(std::mem::take(&mut first)).await;
+            let state = stream.0.peer_state_after_read(std::mem::take(&mut first)).await;
+            let left = state == PeerState::Closed;
             client.rest.request_started();
             owed.extend(front.take(item, left, &stream.0));
             if owed.is_empty() {
