The head of a request is sent on without a length of its own

What the front inserted as Content-Length was never missing: a body of known length has the header, and hyper adds it where it is not there.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -15,8 +15,9 @@
 /// No client may hold a descriptor indefinitely, whether it is silent, slow or malicious. A connection without a
 /// request is closed after `IDLE_TIMEOUT`, and sooner when more than half of the client slots are taken
 /// ([`Client::sweep`]), one with an incomplete head after `HEAD_TIMEOUT` more, however slowly that arrives; a body has
-/// limits of its own (`intake.rs`), and a client has to take something of its response within [`write_stall_timeout`]. Clients may take 2 s
-/// for a head and send a body at 64 kB/s; slower connections would take up slots at the expense of honest clients.
+/// limits of its own (`intake.rs`), and a client has to take something of its response within [`write_stall_timeout`].
+/// Clients may take 2 s for a head and send a body at 64 kB/s; slower connections would take up slots at the expense of
+/// honest clients.
 const IDLE_TIMEOUT: Nanos = 2_000_000_000;
 /// A connection that has not yet sent anything is closed after this when more than half of the client slots are taken.
 const FIRST_REQUEST_TIMEOUT_CROWDED: Nanos = 150_000_000;
--- a/crates/http/src/front.rs
+++ b/crates/http/src/front.rs
@@ -375,7 +375,7 @@
     };
     let safe = gateway.config.settings.classes[head.class].idempotency == Idempotency::Safe;
     let request = policy_request(gateway, &head, &parts.headers);
-    let outbound = OutboundHead::new(gateway, parts, body.size_hint().exact())?;
+    let outbound = OutboundHead::new(gateway, parts)?;
     let mut intake = BodyIntake::new(&gateway.budget, body)?;
     let complete = intake.buffer().await?;
     if safe && !intake.buffered.is_empty() {
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -162,18 +162,11 @@
 }
 
 impl OutboundHead {
-    /// `length` is the length of the body, where it is known.
-    pub(crate) fn new(
-        gateway: &Gateway,
-        parts: Parts,
-        length: Option<u64>,
-    ) -> Result<OutboundHead, RequestError> {
+    /// The length of the body is among the headers, or is told by the body itself.
+    pub(crate) fn new(gateway: &Gateway, parts: Parts) -> Result<OutboundHead, RequestError> {
         let mut headers = parts.headers;
         upstream::strip_hop_by_hop(&mut headers);
         headers.remove(header::EXPECT);
-        if let Some(length) = length.filter(|l| *l > 0 && !headers.contains_key(header::CONTENT_LENGTH)) {
-            headers.insert(header::CONTENT_LENGTH, HeaderValue::from(length));
-        }
         let path = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
         // Of an absolute target, only the path is passed on. The text is copied: it is a part of the read buffer.
         let uri = Uri::from_maybe_shared(Bytes::copy_from_slice(path.as_bytes())).unwrap_or_default();
