The id of a long upload stays in use after its end

A streamed upload is sent with its first bytes: one that took longer had its id released as it ended, and a copy that came right behind ran again. The time counts from the request's end now, and one place decides it, beside the release of ids that no server can have run.

--- a/crates/core/src/gateway/ending.rs
+++ b/crates/core/src/gateway/ending.rs
@@ -100,17 +100,22 @@
         let finished = |l: &RequestState| !l.awaiting_response && l.attempts.iter().all(|a| !a.open);
         if state.in_flight.get(&request).is_some_and(finished) {
             if let Some(entry) = state.in_flight.remove(&request) {
-                let may_have_run =
-                    |attempt: &SentAttempt| attempt.ending.is_none_or(|ending| !ending.never_ran());
-                if let Some(claim) =
-                    entry.id_claim.as_ref().filter(|_| !entry.attempts.iter().any(may_have_run))
-                {
-                    claim.release();
-                }
+                self.end_id_claim(&entry);
                 entry.exchange.release_request();
             }
         }
     }
+
+    /// Decides until when the id of a request that is over stays in use: it is released if no server can have run the
+    /// request, and otherwise an attempt that ended only now may still run.
+    fn end_id_claim(&self, entry: &RequestState) {
+        let Some(claim) = &entry.id_claim else { return };
+        let may_have_run = |attempt: &SentAttempt| attempt.ending.is_none_or(|ending| !ending.never_ran());
+        match entry.attempts.iter().any(may_have_run) {
+            true => claim.keep_until(self.attempts_over_by()),
+            false => claim.release(),
+        }
+    }
 }
 
 /// Ends what is left of an attempt at its server, unless it may go on for a while.
--- a/crates/node/tests/upgrade_ids.rs
+++ b/crates/node/tests/upgrade_ids.rs
@@ -1,4 +1,5 @@
-//! Request ids while two processes of a node run: an id that is open at one of them is in use for the other one too.
+//! Request ids that are in use: while two processes of a node run, for both of them, and after a request has ended for as
+//! long as it may run.
 
 use laurelroute_testkit::boxes::Act;
 use laurelroute_testkit::client::{Client, Leaving};
@@ -165,3 +166,27 @@
 fn ids_open_at_a_killed_process_stay_in_use_thrift() {
     open_at_a_killed_process(thrift());
 }
+
+/// Guards against an id that is free as soon as a long upload has ended: it counted from the upload's beginning.
+#[test]
+fn an_id_stays_in_use_after_a_long_upload() {
+    const PARTS: usize = 8;
+    const PART_BYTES: usize = 80_000;
+    let bed = bed(Wire::Http);
+    let ask = Ask::new(Class::Write);
+    let head = format!(
+        "POST /write HTTP/1.1\r\nHost: app.svc\r\nX-Request-ID: {}\r\nX-Timeout-Ms: 4000\r\nContent-Length: {}\r\n\r\n",
+        ask.id,
+        PARTS * PART_BYTES
+    );
+    let mut client = bed.node.connect(Wire::Http);
+    client.raw(head.as_bytes());
+    for _ in 0..PARTS {
+        std::thread::sleep(EARLIER_IDS_EXPIRE / (PARTS as u32 - 1));
+        client.raw(&[b'x'; PART_BYTES]);
+    }
+    assert!(client.answer().is_some_and(|answer| answer.served()), "the upload is served");
+    let copy = bed.node.ask(Wire::Http, &ask);
+    assert!(matches!(copy, Some(Answer::Failed { .. })), "a copy is rejected: {copy:?}");
+    assert_eq!(bed.runs(&ask.id), 1, "{}", ask.id);
+}
