A planner's confirmation is as fresh as its own list of servers

By services a forwarder stayed with such a planner though another one had the list, and after 10 s believed an older one that nobody confirmed.

Planners keep the time of their source's last word, heartbeats included, and every message says how old the list is. After 3 s it is stale: forwarders turn to another planner or to discovery, and go by the latest where nobody has a fresh one. An earlier list is believed only while its source confirms it. The simulated sources send heartbeats too.

--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -5,7 +5,7 @@
 //! reachable, the server list is watched as on a standalone node.
 
 use crate::config::Config;
-use crate::discovery::Watcher;
+use crate::discovery::{OnHeartbeat, Watcher};
 use crate::levels::{ForwarderSettings, PeerSettings, RoleError};
 use crate::log::RateLimitedWarning;
 use crate::services;
@@ -84,7 +84,7 @@
     /// Thrift port of servers whose entry has no Thrift address.
     thrift_port: Option<u16>,
     identity: Identity,
-    /// The last time at which no planner was reachable.
+    /// The last time at which no planner with a fresh list was reachable.
     isolated_at: Cell<Nanos>,
 }
 
@@ -137,28 +137,41 @@
         }
         let watcher = {
             let (forwarder, config, site) = (forwarder.clone(), config.clone(), site.clone());
-            move || Watcher::new(forwarder.sink(), &config, &site, discovery.clone())
+            move || {
+                Watcher::new(forwarder.sink(), &config, &site, discovery.clone())
+                    .with_heartbeats(forwarder.on_heartbeat())
+            }
         };
         spawn_local(forwarder.tick(watcher));
     }
 }
 
 impl Forwarder {
-    /// Receives discovery's lists, which count while no planner is reachable.
+    /// Records discovery's heartbeats: the list is current.
+    fn on_heartbeat(self: &Rc<Self>) -> OnHeartbeat {
+        let forwarder = self.clone();
+        Box::new(move || {
+            forwarder.follower.borrow_mut().confirm_membership(forwarder.gateway.clock.now());
+        })
+    }
+
+    /// Receives discovery's lists, which count while no planner with a fresh list is reachable.
     fn sink(self: &Rc<Self>) -> crate::discovery::Sink {
         let forwarder = self.clone();
         Box::new(move |kind, version, entries| {
             let members: Vec<Member> = entries.into_iter().map(source::to_member).collect();
-            let full = match kind {
+            let now = forwarder.gateway.clock.now();
+            let mut follower = forwarder.follower.borrow_mut();
+            match kind {
                 ListKind::Failed => return,
                 // The configuration's list is used only at a start where neither planners nor discovery are
                 // reachable.
                 ListKind::Cached if members.is_empty() || !forwarder.applied.borrow().is_empty() => return,
-                ListKind::Cached | ListKind::Full => true,
-                ListKind::Changes => false,
-            };
-            let now = forwarder.gateway.clock.now();
-            forwarder.follower.borrow_mut().update_membership(now, version, full, members);
+                ListKind::Cached => drop(follower.use_configured_membership(version, members)),
+                ListKind::Full => follower.update_membership(now, version, true, members),
+                ListKind::Changes => follower.update_membership(now, version, false, members),
+            }
+            drop(follower);
             forwarder.apply();
         })
     }
@@ -197,26 +210,31 @@
         )
     }
 
-    /// Periodic work: expires plans and planners, and watches the server list while no planner is reachable.
+    /// Periodic work: expires plans and planners, and watches the server list while no planner with a fresh list is
+    /// reachable.
     async fn tick(self: Rc<Self>, watcher: impl Fn() -> Watcher) {
         let mut watch: Option<AbortHandle> = None;
         loop {
             let now = self.gateway.clock.now();
-            let isolated = {
+            let (isolated, reaches_planner) = {
                 let mut follower = self.follower.borrow_mut();
                 follower.poll(now);
-                follower.needs_membership(now)
+                (follower.needs_membership(now), follower.reaches_planner(now))
             };
             if isolated && watch.is_none() {
-                tracing::warn!("no planner is reachable: the server list is read from discovery");
+                let cause = match reaches_planner {
+                    true => "the server lists of all planners are stale",
+                    false => "no planner is reachable",
+                };
+                tracing::warn!("{cause}: the server list is read from discovery");
                 watch = Some(spawn_local(watcher().follow()).abort_handle());
             }
             if isolated {
                 self.isolated_at.set(now);
             } else if watch.is_some() && now.saturating_sub(self.isolated_at.get()) > WATCH_LINGER {
-                tracing::info!("a planner is reachable again");
+                tracing::info!("a planner with a current server list is reachable again");
                 watch.take().inspect(AbortHandle::abort);
-                self.follower.borrow_mut().forget_membership();
+                self.follower.borrow_mut().forget_membership(now);
             }
             self.apply();
             tokio::time::sleep(TICK).await;
--- a/crates/node/src/plan.rs
+++ b/crates/node/src/plan.rs
@@ -4,7 +4,7 @@
 //! Runs on one thread and stores nothing on disk. The state is borrowed only between awaits. Unauthenticated peers
 //! get nothing; authenticated ones are bounded in message size (the channel), rows (the planner) and time (here).
 
-use crate::discovery::Watcher;
+use crate::discovery::{OnHeartbeat, Watcher};
 use crate::levels::RoleError;
 use crate::log::RateLimitedWarning;
 use crate::run::{listen, load, reload, StartError};
@@ -124,7 +124,7 @@
         limit_warning: RefCell::default(),
     });
     let watcher = Watcher::new(server.sink(), &config, &site, discovery.subscribe());
-    spawn_local(watcher.with_all_addresses().follow());
+    spawn_local(watcher.with_all_addresses().with_heartbeats(server.on_heartbeat()).follow());
     spawn_local(reload(config, discovery, hangup));
     spawn_local(server.clone().tick());
     spawn_local(server.accept(listener));
@@ -176,6 +176,12 @@
         })
     }
 
+    /// Records discovery's heartbeats: the list is current.
+    fn on_heartbeat(self: &Rc<Self>) -> OnHeartbeat {
+        let server = self.clone();
+        Box::new(move || server.planner.borrow_mut().confirm_membership(server.clock.now()))
+    }
+
     /// Logs what exceeds the planner's limits.
     fn warn_of_limits(&self, planner: &Planner) {
         let limits = planner.limits().join("; ");
@@ -259,7 +265,7 @@
         if let Some(Body::ExplainRequest(query)) = frames::read(stream).await? {
             let text = match query.change > 0 || query.service.is_some() {
                 true => "this planner does not go by services\n".to_owned(),
-                false => self.planner.borrow().explain(&query),
+                false => self.planner.borrow().explain(self.clock.now(), &query),
             };
             frames::write(stream, Body::ExplainResponse(ExplainResponse { text })).await?;
         }
--- a/crates/node/src/services/planner.rs
+++ b/crates/node/src/services/planner.rs
@@ -4,7 +4,7 @@
 //! in message size (by the channel), in its subscriptions (by the publisher) and in time.
 
 use super::table::PlannerServices;
-use crate::discovery::{Sink, Watcher};
+use crate::discovery::{OnHeartbeat, Sink, Watcher};
 use crate::levels::{PeerSettings, PlannerSettings, RoleError};
 use crate::log::RateLimitedWarning;
 use crate::run::{listen, StartError};
@@ -91,7 +91,8 @@
         warnings: RefCell::default(),
         dropped_warnings: RefCell::default(),
     });
-    spawn_local(watch(server.sink()).with_all_addresses().with_services().follow());
+    let watcher = watch(server.sink()).with_all_addresses().with_services();
+    spawn_local(watcher.with_heartbeats(server.on_heartbeat()).follow());
     let publishing = server.publishing.clone();
     spawn_local(async move { publishing.run_timer().await });
     spawn_local(server.accept(listener));
@@ -127,6 +128,12 @@
         })
     }
 
+    /// Records discovery's heartbeats: the list is current.
+    fn on_heartbeat(self: &Rc<Self>) -> OnHeartbeat {
+        let server = self.clone();
+        Box::new(move || server.publishing.with(|publisher, now| publisher.confirm_list(now)))
+    }
+
     /// Accepts peers for good.
     async fn accept(self: Rc<Self>, listener: TcpListener) {
         loop {
--- a/crates/plan/src/explain.rs
+++ b/crates/plan/src/explain.rs
@@ -3,7 +3,7 @@
 use crate::follower::MAX_ROWS;
 use crate::planner::{Planner, Server, MAX_COUNTED_OVER_LIMIT, MAX_SERVERS};
 use crate::wire::{ExplainRequest, Suspicion};
-use laurelroute_policy::interface::Phase;
+use laurelroute_policy::interface::{Nanos, Phase};
 use std::fmt::Write;
 
 /// Maximum number of lines about single forwarders; the rest are only counted.
@@ -13,7 +13,7 @@
 
 impl Planner {
     /// Explains the plan for a server or a class, or summarizes it where neither is named.
-    pub fn explain(&self, ask: &ExplainRequest) -> String {
+    pub fn explain(&self, now: Nanos, ask: &ExplainRequest) -> String {
         if !ask.server.is_empty() {
             let id = self.by_name.get(&ask.server);
             return match id.and_then(|id| self.servers.get(id)) {
@@ -35,10 +35,10 @@
                 }
             };
         }
-        self.explain_all()
+        self.explain_all(now)
     }
 
-    fn explain_all(&self) -> String {
+    fn explain_all(&self, now: Nanos) -> String {
         let count = |phase| self.servers.values().filter(|s| s.member.server.phase == phase).count();
         let suspects = self.servers.values().filter(|s| s.suspicion() != Suspicion::None).count();
         let version = self.membership_version().map_or("none yet".to_owned(), |v| v.to_string());
@@ -48,10 +48,11 @@
             n => format!("{n} connections each"),
         };
         let mut text = format!(
-            "site {}, membership {version}, {}\nboxes: {} ready, {} draining, {} gone lately, {suspects} suspected\n\
+            "site {}, membership {version}, {}\nlist {}\nboxes: {} ready, {} draining, {} gone lately, {suspects} suspected\n\
              forwarders: {} connected, {} hold the plan as it is now, {} follow a planner\neach box has {} forwarders, with {limit}\n",
             self.settings.site,
             if self.settled() { "settled" } else { "still collecting reports" },
+            self.list_confirmation.describe(now),
             count(Phase::Ready),
             count(Phase::Draining),
             count(Phase::Removed),
--- a/crates/plan/src/follower.rs
+++ b/crates/plan/src/follower.rs
@@ -4,12 +4,17 @@
 //! - One planner is followed at a time. Another one is chosen only after it has been silent, or has used an older
 //!   membership than others, for [`FOLLOW_HOLD_TIME`], and is then kept for at least that long: a forwarder does not
 //!   alternate between planners.
+//! - A planner's confirmation is as fresh as its own list ([`list_age`](crate::list_age)). Planners with a stale list
+//!   yield to those with a fresh one; where none has one, the forwarder reads the membership itself and goes by the
+//!   latest of all.
 //! - Restrictions apply whichever planner sends them: drains and removals of all planners and of the forwarder's own
 //!   membership, and the lowest of the slow-start budgets.
 //! - As a plan ages, it is trusted less in steps ([`trust`]), and the forwarder's own measurements prevail. What the plan
-//!   has added to them decays by itself. While no planner is reachable, the forwarder reads the membership.
+//!   has added to them decays by itself. While no planner with a fresh list is reachable, the forwarder reads the
+//!   membership.
 
 use crate::grade;
+use crate::list_age::ListConfirmation;
 use crate::member::{Member, MAX_NAME_BYTES};
 use crate::subset::MIN_SERVERS;
 use crate::wire::{ClosedServer, PlanAck, PlanUpdate, RejectReason, Suspicion};
@@ -22,7 +27,8 @@
 pub const PLANNER_FRESH_TIME: Nanos = 1_000 * MS;
 /// Minimum time for which a planner is followed, and the silence after which another one is chosen.
 pub const FOLLOW_HOLD_TIME: Nanos = 2_000 * MS;
-/// The forwarder reads the membership itself after this time without an update of any planner.
+/// The forwarder reads the membership itself after this time without an update of any planner, or earlier where the
+/// lists of all planners are stale.
 pub const PLANNER_SILENCE_LIMIT: Nanos = 1_000 * MS;
 /// The same limit at the start, when clients wait for the first list.
 const INITIAL_SILENCE_LIMIT: Nanos = 300 * MS;
@@ -61,6 +67,32 @@
     connections: u32,
     rate_shares: [BTreeMap<String, f64>; 2],
     updated_at: Nanos,
+    /// When the planner's source last confirmed its membership, by the planner's last update.
+    list_confirmation: ListConfirmation,
+}
+
+impl PlanCopy {
+    /// Whether the planner has sent an update lately.
+    fn is_reachable(&self, now: Nanos) -> bool {
+        now.saturating_sub(self.updated_at) < PLANNER_FRESH_TIME
+    }
+
+    /// Whether the planner is reachable and has a fresh list.
+    fn is_current(&self, now: Nanos) -> bool {
+        self.is_reachable(now) && self.list_confirmation.is_fresh(now)
+    }
+
+    /// How good a reachable planner's membership is, the best last: a fresh one, then a later one.
+    fn standing(&self, now: Nanos) -> MembershipStanding {
+        MembershipStanding { fresh: self.list_confirmation.is_fresh(now), version: self.membership }
+    }
+}
+
+/// How good a membership is, compared to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct MembershipStanding {
+    fresh: bool,
+    version: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -83,6 +115,7 @@
 struct OwnMembership {
     version: u64,
     members: BTreeMap<String, Member>,
+    confirmation: ListConfirmation,
 }
 
 /// The plan's state of one server, in the units of the decision module.
@@ -128,7 +161,8 @@
     /// Since when another planner has used a later membership than the one followed.
     behind_since: Option<Nanos>,
     switches: u32,
-    updated_at: Nanos,
+    /// From this time on, a forwarder without a planner reads the membership.
+    initial_wait_until: Nanos,
     marks: BTreeMap<String, ClosedMark>,
     own: Option<OwnMembership>,
 }
@@ -146,11 +180,7 @@
             behind_since: None,
             switches: 0,
             // The first plan is awaited for a shorter time, as clients wait for it.
-            updated_at: now.saturating_sub(if planners.is_empty() {
-                PLANNER_SILENCE_LIMIT
-            } else {
-                PLANNER_SILENCE_LIMIT - INITIAL_SILENCE_LIMIT
-            }),
+            initial_wait_until: now + if planners.is_empty() { 0 } else { INITIAL_SILENCE_LIMIT },
             marks: BTreeMap::new(),
             own: None,
         }
@@ -170,7 +200,9 @@
             return Err(RejectReason::OtherSite);
         }
         let rows = validated(update)?;
-        let newest = self.newest_other_membership(now, planner);
+        let confirmation = ListConfirmation::received(now, update.list_age_ms);
+        let standing = MembershipStanding { fresh: confirmation.is_fresh(now), version: update.membership };
+        let best_other = self.best_other_standing(now, planner);
         let slot = self.slots.get_mut(planner).ok_or(RejectReason::Invalid)?;
         if update.incarnation < slot.incarnation {
             return Err(RejectReason::StaleIncarnation);
@@ -178,7 +210,7 @@
         if update.base == 0 {
             // An older membership than its own earlier one is accepted: the source of all planners may have lost its
             // version numbers.
-            if newest.is_some_and(|newest| update.membership < newest) {
+            if best_other.is_some_and(|best| standing < best) {
                 return Err(RejectReason::StaleMembership);
             }
             slot.copy = Some(PlanCopy {
@@ -189,6 +221,7 @@
                 connections: 0,
                 rate_shares: Default::default(),
                 updated_at: now,
+                list_confirmation: confirmation,
             });
         }
         slot.incarnation = update.incarnation;
@@ -203,7 +236,7 @@
         if copy.rows.len() + rows.len() > MAX_ROWS {
             return Err(RejectReason::Invalid);
         }
-        copy.updated_at = now;
+        (copy.updated_at, copy.list_confirmation) = (now, confirmation);
         copy.version = update.version;
         copy.membership = update.membership;
         copy.connections = update.connections;
@@ -230,17 +263,22 @@
             .filter_map(|r| copy.rows.get(&r.name))
             .map(|h| h.member.clone())
             .collect();
-        self.updated_at = now;
         listed.iter().for_each(|member| self.record_closed(now, member, update.membership));
         self.choose_planner(now);
         Ok(())
     }
 
-    /// The latest membership version of any other reachable planner.
-    fn newest_other_membership(&self, now: Nanos, planner: usize) -> Option<u64> {
+    /// The best membership of any other reachable planner.
+    fn best_other_standing(&self, now: Nanos, planner: usize) -> Option<MembershipStanding> {
         let others = self.slots.iter().enumerate().filter(|(k, _)| *k != planner);
         let copies = others.filter_map(|(_, s)| s.copy.as_ref());
-        copies.filter(|c| now.saturating_sub(c.updated_at) < PLANNER_FRESH_TIME).map(|c| c.membership).max()
+        copies.filter(|c| c.is_reachable(now)).map(|c| c.standing(now)).max()
+    }
+
+    /// The latest membership version of the planners with a fresh list.
+    fn newest_current_membership(&self, now: Nanos) -> Option<u64> {
+        let copies = self.slots.iter().filter_map(|s| s.copy.as_ref());
+        copies.filter(|c| c.is_current(now)).map(|c| c.membership).max()
     }
 
     /// Records a closed server, and removes the record of one that a later membership lists as ready.
@@ -263,11 +301,33 @@
         }
     }
 
+    /// Starts with the membership of the configuration, which may be old: it is used until a planner or the
+    /// membership's source sends a list, and closes no server. Returns false, and changes nothing, if there is a
+    /// membership already.
+    pub fn use_configured_membership(&mut self, version: u64, members: Vec<Member>) -> bool {
+        if self.own.is_some() {
+            return false;
+        }
+        let members = members.into_iter().map(|m| (m.name.clone(), m)).collect();
+        self.own = Some(OwnMembership { version, members, confirmation: ListConfirmation::default() });
+        true
+    }
+
+    /// Records that the source has confirmed the forwarder's own membership as it is: a heartbeat of its watch.
+    pub fn confirm_membership(&mut self, now: Nanos) {
+        if let Some(own) = self.own.as_mut().filter(|own| own.confirmation.is_confirmed()) {
+            own.confirmation = ListConfirmation::at(now);
+        }
+    }
+
     /// Applies a list of the membership itself: a full one, or changes.
     pub fn update_membership(&mut self, now: Nanos, version: u64, full: bool, members: Vec<Member>) {
-        let before = self.own.take().unwrap_or(OwnMembership { version: 0, members: BTreeMap::new() });
-        let mut own =
-            OwnMembership { version, members: if full { BTreeMap::new() } else { before.members.clone() } };
+        let before = self.own.take().map(|own| own.members).unwrap_or_default();
+        let mut own = OwnMembership {
+            version,
+            members: if full { BTreeMap::new() } else { before.clone() },
+            confirmation: ListConfirmation::at(now),
+        };
         for member in members {
             self.record_closed(now, &member, version);
             own.members.insert(member.name.clone(), member);
@@ -275,37 +335,71 @@
         if full {
             // Absent servers are removed, also those that only a plan lists.
             let planned = self.slots.iter().filter_map(|s| s.copy.as_ref()).flat_map(|c| c.rows.values());
-            let absent = planned.map(|h| &h.member).chain(before.members.values());
+            let absent = planned.map(|h| &h.member).chain(before.values());
             let absent: BTreeMap<String, Member> = absent
                 .filter(|m| !own.members.contains_key(&m.name))
                 .map(|m| (m.name.clone(), m.clone().in_phase(Phase::Removed)))
                 .collect();
             // A plan computed from a later list may contain servers that are not in this one yet.
-            let newest = self.newest_other_membership(now, usize::MAX);
-            if newest.is_none_or(|newest| newest <= version) {
+            if self.newest_current_membership(now).is_none_or(|newest| newest <= version) {
                 absent.values().for_each(|m| self.record_closed(now, m, version));
             }
         }
         self.own = Some(own);
     }
 
-    /// Discards the forwarder's own membership once planners are reachable.
-    pub fn forget_membership(&mut self) {
-        self.own = None;
+    /// Discards the forwarder's own membership, if a planner with a fresh list is reachable.
+    pub fn forget_membership(&mut self, now: Nanos) {
+        if self.newest_current_membership(now).is_some() {
+            self.own = None;
+        }
+    }
+
+    /// The servers as this process knows them, and the latest membership version that it has; `None` before it has been
+    /// sent any.
+    pub fn known_membership(&self, now: Nanos) -> Option<(u64, Vec<Member>)> {
+        let copies = self.slots.iter().filter_map(|s| s.copy.as_ref()).map(|copy| copy.membership);
+        let version = copies.chain(self.confirmed_membership().map(|own| own.version)).max()?;
+        Some((version, self.view(now).members))
+    }
+
+    /// Takes servers as another process of this forwarder knows them by this membership version. They are used where
+    /// there is neither a plan nor a later membership, and count as stale: a source is still looked for.
+    pub fn receive_from_process(&mut self, now: Nanos, version: u64, members: Vec<Member>) {
+        members.iter().for_each(|member| self.record_closed(now, member, version));
+        let confirmed = self.own.take().filter(|own| own.confirmation.is_confirmed());
+        let mut own = confirmed.unwrap_or(OwnMembership {
+            version: 0,
+            members: BTreeMap::new(),
+            confirmation: ListConfirmation::at(0),
+        });
+        if own.version <= version {
+            own.version = version;
+            own.members.extend(members.into_iter().map(|member| (member.name.clone(), member)));
+        }
+        self.own = Some(own);
     }
 
-    /// Whether the membership should be read because no planner has sent an update for [`PLANNER_SILENCE_LIMIT`].
+    /// Whether the membership should be read: no planner with a fresh list has sent an update for
+    /// [`PLANNER_SILENCE_LIMIT`], or the forwarder's own membership is fresh and later than theirs.
     pub fn needs_membership(&self, now: Nanos) -> bool {
-        now.saturating_sub(self.updated_at) >= PLANNER_SILENCE_LIMIT
+        let Some(newest) = self.newest_current_membership(now) else {
+            return now >= self.initial_wait_until;
+        };
+        self.own.as_ref().is_some_and(|own| own.confirmation.is_fresh(now) && own.version > newest)
+    }
+
+    /// Whether a planner is reachable, with a fresh list or not.
+    pub fn reaches_planner(&self, now: Nanos) -> bool {
+        self.slots.iter().filter_map(|s| s.copy.as_ref()).any(|c| c.is_reachable(now))
     }
 
     /// Runs timers: chooses the planner to follow and expires records of closed servers.
     pub fn poll(&mut self, now: Nanos) {
         self.choose_planner(now);
         let sources = self.slots.iter().filter_map(|s| s.copy.as_ref());
-        let fresh =
-            sources.filter(|c| now.saturating_sub(c.updated_at) < PLANNER_FRESH_TIME).map(|c| c.membership);
-        let known = fresh.chain(self.own.as_ref().map(|o| o.version)).max().unwrap_or(0);
+        let reachable = sources.filter(|c| c.is_reachable(now)).map(|c| c.membership);
+        let known = reachable.chain(self.own.as_ref().map(|o| o.version)).max().unwrap_or(0);
         self.marks.retain(|_, m| {
             if m.membership <= known {
                 m.at = now;
@@ -326,19 +420,27 @@
         self.slots[planner].copy.as_ref().map_or(Nanos::MAX, |c| now.saturating_sub(c.updated_at))
     }
 
-    /// Whether another reachable planner uses a later membership.
+    /// Whether another reachable planner has a better membership: a fresh one where this one's is stale, or a later
+    /// one.
     fn is_behind(&self, now: Nanos, planner: usize) -> bool {
-        let own = self.slots[planner].copy.as_ref().map(|c| c.membership);
-        self.newest_other_membership(now, planner).is_some_and(|newest| own.is_some_and(|own| own < newest))
+        let own = self.slots[planner].copy.as_ref().map(|c| c.standing(now));
+        self.best_other_standing(now, planner).is_some_and(|best| own.is_some_and(|own| own < best))
+    }
+
+    /// Whether this planner's list is stale and another reachable planner's is fresh.
+    fn is_outdated(&self, now: Nanos, planner: usize) -> bool {
+        let stale = |c: &PlanCopy| !c.list_confirmation.is_fresh(now);
+        self.slots[planner].copy.as_ref().is_some_and(stale)
+            && self.best_other_standing(now, planner).is_some_and(|best| best.fresh)
     }
 
     fn choose_planner(&mut self, now: Nanos) {
         if let Some(k) = self.following {
             self.behind_since = self.is_behind(now, k).then(|| self.behind_since.unwrap_or(now));
-            let outdated =
-                self.behind_since.is_some_and(|since| now.saturating_sub(since) >= FOLLOW_HOLD_TIME);
-            let abandoned = self.silence(now, k) >= FOLLOW_HOLD_TIME || outdated;
-            if !abandoned || now.saturating_sub(self.followed_since) < FOLLOW_HOLD_TIME {
+            let behind = self.behind_since.is_some_and(|since| now.saturating_sub(since) >= FOLLOW_HOLD_TIME);
+            let abandoned = self.silence(now, k) >= FOLLOW_HOLD_TIME || behind;
+            let held = now.saturating_sub(self.followed_since) < FOLLOW_HOLD_TIME;
+            if (!abandoned || held) && !self.is_outdated(now, k) {
                 return;
             }
         }
@@ -390,12 +492,12 @@
         let trusted =
             followed.map(|c| (c, trust(now.saturating_sub(c.updated_at)))).filter(|(_, t)| *t > 0.0);
         let Some((copy, trust)) = trusted else {
-            let members =
-                self.own.as_ref().map(|o| o.members.values().cloned().collect()).unwrap_or_default();
+            let members = self.members_without_plan(followed);
             return View { members: self.with_closed_applied(members), ..View::default() };
         };
+        let own = self.confirmed_membership();
         let mut members: Vec<Member> = copy.rows.values().map(|h| h.member.clone()).collect();
-        if let Some(own) = self.own.as_ref().filter(|o| o.version >= copy.membership) {
+        if let Some(own) = own.filter(|o| o.version >= copy.membership) {
             // The forwarder's own membership is newer than the plan's attributes.
             members.iter_mut().for_each(|m| {
                 if let Some(later) = own.members.get(&m.name) {
@@ -404,9 +506,7 @@
             });
         }
         let later = self.slots.iter().filter_map(|s| s.copy.as_ref());
-        let later = later.filter(|c| {
-            c.membership > copy.membership && now.saturating_sub(c.updated_at) < PLANNER_FRESH_TIME
-        });
+        let later = later.filter(|c| c.is_reachable(now) && c.standing(now) > copy.standing(now));
         for other in later {
             members.iter_mut().for_each(|m| {
                 if let Some(held) = other.rows.get(&m.name) {
@@ -415,7 +515,7 @@
             });
         }
         members = self.with_closed_applied(members);
-        if let Some(own) = &self.own {
+        if let Some(own) = own {
             self.replace_removed(&mut members, own);
         }
         let planned = |m: &Member| {
@@ -438,6 +538,20 @@
         }
     }
 
+    /// The forwarder's own membership, unless it is only the configured one.
+    fn confirmed_membership(&self) -> Option<&OwnMembership> {
+        self.own.as_ref().filter(|own| own.confirmation.is_confirmed())
+    }
+
+    /// The servers to use without a trusted plan: those of the forwarder's own membership, or else of the last plan.
+    fn members_without_plan(&self, last_plan: Option<&PlanCopy>) -> Vec<Member> {
+        let of_plan = |copy: &PlanCopy| copy.rows.values().map(|row| row.member.clone()).collect();
+        match (self.confirmed_membership(), last_plan) {
+            (None, Some(copy)) => of_plan(copy),
+            _ => self.own.iter().flat_map(|own| own.members.values().cloned()).collect(),
+        }
+    }
+
     /// The members with all known drains and removals applied.
     fn with_closed_applied(&self, members: Vec<Member>) -> Vec<Member> {
         let close = |m: Member| match self.marks.get(&m.name) {
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`subset`]: assigns servers to forwarders.
 //! - [`share`]: splits rate limits among forwarders.
 //! - [`follower`]: merges the plans of several planners into one view that is trusted less as it ages.
+//! - [`list_age`]: how old a server list is, for everybody who passes it on.
 //! - [`lead`]: converts that view into events of the decision module.
 //! - [`reporter`]: incremental reports of a forwarder within a byte rate.
 //! - [`services`]: the same per service, by subscription.
@@ -16,6 +17,7 @@
 pub mod follower;
 pub mod grade;
 pub mod lead;
+pub mod list_age;
 pub mod member;
 pub mod planner;
 pub mod reporter;
--- a/crates/plan/src/planner.rs
+++ b/crates/plan/src/planner.rs
@@ -11,6 +11,7 @@
 use crate::check::check;
 use crate::follower::MAX_ROWS;
 use crate::grade;
+use crate::list_age::ListConfirmation;
 use crate::member::{Member, MAX_NAME_BYTES};
 use crate::share;
 use crate::subset::{self, Coverage};
@@ -204,6 +205,8 @@
     pub(crate) settings: Settings,
     started_at: Nanos,
     membership: Option<u64>,
+    /// When the source last confirmed the membership.
+    pub(crate) list_confirmation: ListConfirmation,
     pub(crate) servers: BTreeMap<u32, Server>,
     pub(crate) by_name: BTreeMap<String, u32>,
     next_server: u32,
@@ -251,6 +254,7 @@
             settings,
             started_at: now,
             membership: None,
+            list_confirmation: ListConfirmation::default(),
             servers: BTreeMap::new(),
             by_name: BTreeMap::new(),
             next_server: 0,
@@ -307,6 +311,7 @@
     /// Applies a membership list: a full one, or changes.
     pub fn update_membership(&mut self, now: Nanos, version: u64, full: bool, members: Vec<Member>) {
         self.membership = Some(version);
+        self.list_confirmation = ListConfirmation::at(now);
         if full {
             self.over_limit_names.clear();
             let named: BTreeSet<&str> = members.iter().map(|m| m.name.as_str()).collect();
@@ -317,6 +322,13 @@
         members.into_iter().for_each(|m| self.update_member(now, version, m));
     }
 
+    /// Records that the source has confirmed the membership as it is: a heartbeat of its watch.
+    pub fn confirm_membership(&mut self, now: Nanos) {
+        if self.membership.is_some() {
+            self.list_confirmation = ListConfirmation::at(now);
+        }
+    }
+
     fn update_member(&mut self, now: Nanos, version: u64, member: Member) {
         let known = self.by_name.get(&member.name).copied();
         if known.is_none() {
@@ -836,10 +848,10 @@
         let f = self.forwarders.get_mut(&id)?;
         f.sent_at = now;
         let (version, base) = (f.version, f.version);
-        Some(self.update_header(version, base))
+        Some(self.update_header(now, version, base))
     }
 
-    fn update_header(&self, version: u64, base: u64) -> PlanUpdate {
+    fn update_header(&self, now: Nanos, version: u64, base: u64) -> PlanUpdate {
         PlanUpdate {
             site: self.settings.site.clone(),
             incarnation: self.settings.incarnation,
@@ -847,6 +859,7 @@
             base,
             membership: self.membership.unwrap_or(0),
             connections: self.cover.connections,
+            list_age_ms: Some(self.list_confirmation.age_ms(now)),
             ..PlanUpdate::default()
         }
     }
@@ -873,7 +886,7 @@
             f.version += 1;
         }
         let version = f.version;
-        Some(PlanUpdate { base: 0, ..update.unwrap_or_else(|| self.update_header(version, 0)) })
+        Some(PlanUpdate { base: 0, ..update.unwrap_or_else(|| self.update_header(now, version, 0)) })
     }
 
     /// The row of a server to send to a forwarder; `None` if the forwarder does not use the server.
@@ -980,7 +993,7 @@
             removed: removed_names,
             classes,
             tenants,
-            ..self.update_header(version, base)
+            ..self.update_header(now, version, base)
         })
     }
 
--- a/crates/plan/src/services/publisher/forwarders.rs
+++ b/crates/plan/src/services/publisher/forwarders.rs
@@ -23,7 +23,9 @@
         f.zone = zone;
         (f.disconnected_at, f.connected_at) = (None, now);
         f.in_flight.clear();
-        f.last_sent_at = now;
+        // A heartbeat tells it at once of a list that is stale.
+        let first_heartbeat_in = if self.list_confirmation.is_fresh(now) { HEARTBEAT_INTERVAL } else { 0 };
+        f.last_sent_at = (now + first_heartbeat_in).saturating_sub(HEARTBEAT_INTERVAL);
         // Updates sent on the previous connection may not have arrived.
         f.subscriptions.values_mut().for_each(|s| s.stale = true);
         (f.pending, f.urgent, f.pending_hints, f.unknown_services) = Default::default();
@@ -287,9 +289,9 @@
     }
 
     /// Restores the servers that this planner's own list has not closed within `STALE_LIST_TIMEOUT`: the source has
-    /// lost its versions, so the own list is authoritative.
+    /// lost its versions, so the own list is authoritative. While that list is stale, the servers stay closed.
     pub(super) fn expire_overrides(&mut self, now: Nanos) {
-        let Some(source) = self.list_version else { return };
+        let Some(source) = self.list_version.filter(|_| self.list_confirmation.is_fresh(now)) else { return };
         let expired: Vec<Name> =
             self.overrides.iter().filter(|(_, (until, _))| *until <= now).map(|(n, _)| n.clone()).collect();
         let restored = expired.iter().filter_map(|name| self.overrides.remove(name));
--- a/crates/plan/src/services/publisher/list.rs
+++ b/crates/plan/src/services/publisher/list.rs
@@ -16,6 +16,7 @@
             return Dropped::default();
         }
         let first = self.list_version.is_none();
+        self.list_confirmation = ListConfirmation::at(now);
         let version = self.advance_list_version(version);
         let named: BTreeSet<Name> = match full {
             true => BTreeSet::new(),
@@ -36,15 +37,28 @@
             false => self.list_digest.wrapping_sub(before).wrapping_add(sum(&mut named.iter())),
         };
         self.history.push(VersionDigest { version, digest: self.list_digest });
-        // Unblocks the subscriptions that waited for this list version.
-        let blocked: Vec<u32> = self.blocked_forwarders.iter().copied().collect();
-        blocked.into_iter().for_each(|f| self.unblock_subscriptions(now, f));
+        self.release_waiting(now);
         if first {
             self.process_deferred_interests(now);
         }
         dropped
     }
 
+    /// Records that the source has confirmed the list as it is: a heartbeat of its watch.
+    pub fn confirm_list(&mut self, now: Nanos) {
+        if self.list_version.is_some() {
+            self.list_confirmation = ListConfirmation::at(now);
+            self.release_waiting(now);
+        }
+    }
+
+    /// Resumes what waited for this list version, or for the source to confirm the list.
+    fn release_waiting(&mut self, now: Nanos) {
+        let blocked: Vec<u32> = self.blocked_forwarders.iter().copied().collect();
+        blocked.into_iter().for_each(|f| self.unblock_subscriptions(now, f));
+        self.expire_overrides(now);
+    }
+
     /// Advances to this version number. If the number goes back, the source has restarted and a new epoch begins.
     fn advance_list_version(&mut self, number: u64) -> ListVersion {
         let epoch = match self.list_version {
--- a/crates/plan/src/services/publisher/mod.rs
+++ b/crates/plan/src/services/publisher/mod.rs
@@ -15,6 +15,7 @@
 pub use slice::MAX_REMOVED;
 pub use stream::{ACK_TIMEOUT, FRAMING_BYTES, MAX_UPDATE_BYTES};
 
+use crate::list_age::ListConfirmation;
 use crate::member::{Member, MAX_NAME_BYTES};
 use crate::planner::ReportError;
 use crate::services::digest;
@@ -42,7 +43,8 @@
 /// Time after which a disconnected forwarder is forgotten. Until then it counts as lagging.
 pub const FORWARDER_EXPIRY: Nanos = 600 * S;
 /// Time for which a forwarder keeps its state if it comes from a later list than this planner's. If the planner's
-/// list has not caught up by then, the source has lost its versions and the planner's list becomes authoritative.
+/// list has not caught up by then although its source confirms it, the source has lost its versions and the planner's
+/// list becomes authoritative.
 pub const STALE_LIST_TIMEOUT: Nanos = 10 * S;
 /// Maximum number of list changes whose rollout is tracked.
 const MAX_RECORDED_CHANGES: usize = 4_096;
@@ -278,6 +280,8 @@
 pub struct Publisher {
     settings: Settings,
     list_version: Option<ListVersion>,
+    /// When the source last confirmed the list.
+    list_confirmation: ListConfirmation,
     /// List versions that this planner has applied.
     history: History,
     /// Digest of the list as received, without the closings that forwarders reported.
@@ -313,6 +317,7 @@
         Publisher {
             settings,
             list_version: None,
+            list_confirmation: ListConfirmation::default(),
             history: History::new(MAX_RECORDED_CHANGES),
             list_digest: 0,
             servers: BTreeMap::new(),
@@ -404,10 +409,13 @@
     /// timed out.
     pub(super) fn unblock_subscriptions(&mut self, now: Nanos, id: u32) {
         let source = self.list_version.unwrap_or_default();
+        // A list that is stale itself proves nothing about the source's versions.
+        let fresh = self.list_confirmation.is_fresh(now);
         let Some(f) = self.forwarders.get_mut(&id) else { return };
         let mut waits = false;
         for (service, s) in &mut f.subscriptions {
-            if s.blocked_until.is_some_and(|(version, until)| version <= source || until <= now) {
+            let released = |(version, until)| version <= source || fresh && until <= now;
+            if s.blocked_until.is_some_and(released) {
                 s.blocked_until = None;
                 f.pending.insert(*service);
                 f.urgent.insert(*service);
--- a/crates/plan/src/services/publisher/rollout.rs
+++ b/crates/plan/src/services/publisher/rollout.rs
@@ -73,9 +73,10 @@
         let stats = self.stats();
         let version = self.list_number().map_or("none yet".to_owned(), |v| v.to_string());
         format!(
-            "site {}, list {version}\nservices: {} with {} servers\nforwarders: {} connected of {} known, {} \
+            "site {}, list {version}\nlist {}\nservices: {} with {} servers\nforwarders: {} connected of {} known, {} \
              subscriptions\nsent: {} updates with {} bytes, {} wholes\n",
             self.settings.site,
+            self.list_confirmation.describe(now),
             stats.services,
             stats.servers,
             stats.forwarders,
--- a/crates/plan/src/services/publisher/stream.rs
+++ b/crates/plan/src/services/publisher/stream.rs
@@ -57,6 +57,7 @@
             source: self.list_version.unwrap_or_default().number,
             epoch: f.remote_epoch(self.list_version.unwrap_or_default().epoch),
             list_digest: self.list_digest,
+            list_age_ms: Some(self.list_confirmation.age_ms(now)),
             ..Update::default()
         };
         if f.in_flight.len() < MAX_UPDATES_IN_FLIGHT && self.list_version.is_some() {
--- a/crates/plan/src/services/subscriber/mod.rs
+++ b/crates/plan/src/services/subscriber/mod.rs
@@ -2,7 +2,8 @@
 //! a time.
 //!
 //! Held state outlives the connection: losing the planner removes nothing, and the next planner is sent what is
-//! held. Services in use are never dropped to make room. Names of services that do not exist have a separate limit,
+//! held. A planner whose own list is stale yields to the next one; where the lists of all are stale, the latest is
+//! used on. Services in use are never dropped to make room. Names of services that do not exist have a separate limit,
 //! so that they cannot displace services.
 
 mod held_service;
@@ -11,6 +12,7 @@
 
 use super::publisher::{FRAMING_BYTES, HEARTBEAT_INTERVAL};
 use crate::follower::PlannedServer;
+use crate::list_age::ListConfirmation;
 use crate::member::{Member, MAX_NAME_BYTES};
 use crate::services::list_version::{History, ListVersion, VersionDigest};
 use crate::wire::{
@@ -32,8 +34,8 @@
 pub const MAX_UNKNOWN_SERVICES: usize = 4_096;
 /// Granularity of the last use of a service.
 const LAST_USE_GRANULARITY: Nanos = S;
-/// Time after which a planner with an earlier list than the held state is believed: its source has lost its
-/// versions.
+/// Time after which a planner with an earlier list than the held state is believed, if its source confirms that
+/// list: the source has lost its versions.
 const STALE_LIST_TIMEOUT: Nanos = 9 * S;
 /// Delay before a service is requested again after an unusable or unbelieved answer.
 const RETRY_DELAY: Nanos = 5 * S;
@@ -320,6 +322,7 @@
         // A planner that does not count epochs is compared by its numbers alone.
         let epoch = if update.epoch == 0 { self.latest_list().epoch } else { update.epoch };
         let source = ListVersion { epoch, number: update.source };
+        self.choice.list_confirmed(planner, ListConfirmation::received(now, update.list_age_ms));
         let reason = match () {
             () if update.site != self.settings.site => RejectReason::OtherSite,
             () if update.incarnation != incarnation => RejectReason::StaleIncarnation,
@@ -380,7 +383,7 @@
         (incarnation, source): (u64, ListVersion),
         changes: &ServiceChanges,
     ) -> Result<(), RejectReason> {
-        let believed = self.choice.connected_for(now, STALE_LIST_TIMEOUT);
+        let believed = self.choice.connected_for(now, STALE_LIST_TIMEOUT) && self.choice.has_fresh_list(now);
         let planners = self.settings.planners.len().max(1) as u32;
         // The service was dropped after it was requested, so its changes are not acknowledged.
         let Some(held) = self.services.get_mut(&changes.service) else {
--- a/crates/plan/src/wire.rs
+++ b/crates/plan/src/wire.rs
@@ -146,6 +146,10 @@
     /// This forwarder's shares of class limits that have changed.
     #[prost(message, repeated, tag = "10")]
     pub classes: Vec<RateShare>,
+    /// Time since the planner's source last confirmed this membership, in milliseconds
+    /// ([`crate::list_age::UNCONFIRMED_AGE_MS`] if it never has). Older planners do not state it.
+    #[prost(uint64, optional, tag = "11")]
+    pub list_age_ms: Option<u64>,
 }
 
 /// One server of a plan.
@@ -453,6 +457,10 @@
     /// Digest of the full list of that version.
     #[prost(fixed64, tag = "8")]
     pub list_digest: u64,
+    /// Time since the planner's source last confirmed the list, in milliseconds
+    /// ([`crate::list_age::UNCONFIRMED_AGE_MS`] if it never has). Older planners do not state it.
+    #[prost(uint64, optional, tag = "9")]
+    pub list_age_ms: Option<u64>,
 }
 
 /// Services of an update, before compression.
--- a/crates/plan/tests/services.rs
+++ b/crates/plan/tests/services.rs
@@ -1,5 +1,6 @@
 //! Exchanges messages between publishers and subscribers and checks what each side holds.
 
+use laurelroute_plan::list_age::STALE_LIST_AGE;
 use laurelroute_plan::member::Member;
 use laurelroute_plan::services::publisher::{
     LagReason, ListedServer, Publisher, Settings as PublisherSettings, ACK_TIMEOUT, FRAMING_BYTES,
@@ -443,13 +444,14 @@
     b.apply_list(5 * S, 6, false, vec![draining("tide", "tide-0001"), removed("tide", "tide-0002")]);
     exchange(5 * S, &mut b, &mut f0, "f0", 1);
     assert_equal_state(&b, &f0, "f0", "tide");
-    // A source that has lost its versions is accepted after the timeout.
+    // A source that has lost its versions is accepted after the timeout, if it speaks.
     let mut c = publisher(11);
     c.apply_list(0, 1, true, servers("tide", 10));
     f0.connection_lost(6 * S, 1);
     connect_to(6 * S, &mut c, &mut f0, "f0", (0, 11));
     now = 6 * S;
     while now <= 7 * S + STALE_LIST_TIMEOUT {
+        c.confirm_list(now);
         c.poll(now);
         exchange(now, &mut c, &mut f0, "f0", 0);
         now += S / 2;
@@ -830,3 +832,97 @@
     assert_eq!(draining_names(&f0), Vec::<String>::new());
     assert_equal_state(&late, &f0, "f0", "tide");
 }
+
+fn phase_of(subscriber: &Subscriber, service: &str, server: &str) -> Option<Phase> {
+    subscriber.members_of(service)?.iter().find(|m| m.name == server).map(|m| m.server.phase)
+}
+
+// Guards against a forwarder that keeps to a planner which hears nothing of discovery, beside one that does.
+#[test]
+fn a_planner_with_a_stale_list_yields_to_one_with_a_fresh_list_in_time() {
+    let mut planners = [publisher(7), publisher(9)];
+    for planner in &mut planners {
+        planner.apply_list(0, 5, true, servers("tide", 10));
+    }
+    let mut f0 = Subscriber::new(0, settings("f0"));
+    let first = f0.try_next(0).expect("a planner to connect to");
+    connect_to(0, &mut planners[first], &mut f0, "f0", (first, [7, 9][first]));
+    f0.lookup(0, "tide");
+    let other = 1 - first;
+    let drain = vec![draining("tide", "tide-0001")];
+    planners[other].apply_list(100 * MS, 6, false, drain);
+    let mut now = 0;
+    while f0.planner() == Some(first) {
+        assert!(now < 6 * S, "it still follows the planner with the stale list");
+        planners[other].confirm_list(now);
+        exchange(now, &mut planners[first], &mut f0, "f0", first);
+        f0.poll(now);
+        if let Some(next) = f0.try_next(now) {
+            assert_eq!(next, other);
+            connect_to(now, &mut planners[other], &mut f0, "f0", (other, [7, 9][other]));
+        }
+        now += 100 * MS;
+    }
+    assert!(now >= STALE_LIST_AGE, "a fresh list is kept to");
+    exchange(now, &mut planners[other], &mut f0, "f0", other);
+    assert_eq!(phase_of(&f0, "tide", "tide-0001"), Some(Phase::Draining));
+}
+
+// Guards against a drained server that is used again because a planner with an older, stale list is believed.
+#[test]
+fn an_earlier_list_is_not_believed_while_it_is_stale() {
+    let (mut a, mut b) = (publisher(7), publisher(9));
+    for p in [&mut a, &mut b] {
+        p.apply_list(0, 5, true, servers("tide", 10));
+    }
+    let mut f0 = connect(0, &mut a, "f0", 7);
+    f0.lookup(0, "tide");
+    a.apply_list(0, 6, false, vec![draining("tide", "tide-0001")]);
+    exchange(0, &mut a, &mut f0, "f0", 0);
+    f0.connection_lost(S, 0);
+    connect_to(S, &mut b, &mut f0, "f0", (1, 9));
+    let mut now = S;
+    while now < 40 * S {
+        b.poll(now);
+        exchange(now, &mut b, &mut f0, "f0", 1);
+        f0.poll(now);
+        assert_eq!(phase_of(&f0, "tide", "tide-0001"), Some(Phase::Draining), "at {now}");
+        now += S / 2;
+    }
+    // Its source speaks again, and has not heard of the drain: its list counts from now on.
+    b.apply_list(now, 1, true, servers("tide", 10));
+    while now < 60 * S {
+        b.confirm_list(now);
+        b.poll(now);
+        exchange(now, &mut b, &mut f0, "f0", 1);
+        now += S / 2;
+    }
+    assert_eq!(phase_of(&f0, "tide", "tide-0001"), Some(Phase::Ready));
+}
+
+// Guards against forwarders that alternate between planners whose lists are all stale.
+#[test]
+fn the_latest_list_is_kept_to_where_all_are_stale() {
+    let mut planners = [publisher(7), publisher(9)];
+    planners[0].apply_list(0, 5, true, servers("tide", 10));
+    planners[1].apply_list(0, 5, true, servers("tide", 10));
+    planners[1].apply_list(S, 6, false, vec![draining("tide", "tide-0001")]);
+    let mut f0 = connect(0, &mut planners[0], "f0", 7);
+    f0.lookup(0, "tide");
+    let (mut now, mut with_latest) = (S, 0);
+    while now < 60 * S {
+        let current = f0.planner().expect("a planner");
+        exchange(now, &mut planners[current], &mut f0, "f0", current);
+        f0.poll(now);
+        if now > 10 * S {
+            with_latest += usize::from(f0.planner() == Some(1));
+        }
+        if let Some(next) = f0.try_next(now) {
+            connect_to(now, &mut planners[next], &mut f0, "f0", (next, [7, 9][next]));
+        }
+        now += 100 * MS;
+    }
+    assert!(with_latest > 450, "{with_latest} of 500 looks");
+    assert_eq!(phase_of(&f0, "tide", "tide-0001"), Some(Phase::Draining));
+    assert!(f0.members_of("tide").is_some_and(|servers| servers.len() == 10), "it serves on");
+}
--- a/crates/rig/src/capacity/planner.rs
+++ b/crates/rig/src/capacity/planner.rs
@@ -116,7 +116,7 @@
 
 /// Boxes that a planner says it has, of those that it was told of.
 fn kept(told: usize) -> Result<f64, Failure> {
-    let said = Bench::new(FORWARDERS, told)?.planner.explain(&ExplainRequest::default());
+    let said = Bench::new(FORWARDERS, told)?.planner.explain(0, &ExplainRequest::default());
     let ready = said.lines().find_map(|l| l.strip_prefix("boxes: ")?.split(' ').next()?.parse().ok());
     ready.ok_or_else(|| Failure(format!("the planner says `{said}`")))
 }
--- a/crates/simulation/src/services/source.rs
+++ b/crates/simulation/src/services/source.rs
@@ -346,6 +346,8 @@
     pub(super) whole: bool,
     pub(super) frozen: bool,
     pub(super) delay: Nanos,
+    /// When its watch was last sent a heartbeat.
+    pub(super) heartbeat_at: Nanos,
 }
 
 impl Feed {
--- a/crates/simulation/src/services/world.rs
+++ b/crates/simulation/src/services/world.rs
@@ -19,6 +19,8 @@
 const CONNECT: Nanos = S;
 /// Updates at one time, before it counts as endless.
 const ENDLESS: usize = 2_000;
+/// Interval between heartbeats of the list's source.
+const LIST_HEARTBEAT: Nanos = 2 * S;
 /// Changes that each planner is asked for.
 const ASKED: usize = 8;
 
@@ -242,6 +244,7 @@
             Event::Poll(f, life) if self.forwarders[f].life == life => self.poll(f),
             Event::PollPlanner(p, life) if self.planners[p].life == life => {
                 let now = self.now;
+                self.source_heartbeat(p);
                 if let Some(publisher) = &mut self.planners[p].publisher {
                     publisher.poll(now);
                     self.pump(p);
@@ -279,6 +282,22 @@
         }
     }
 
+    /// The list's source sends a heartbeat to a planner that has heard all that was sent before, if one is due.
+    fn source_heartbeat(&mut self, p: usize) {
+        let now = self.now;
+        let planner = &mut self.planners[p];
+        let feed = &mut planner.feed;
+        let due = self.source.log.partition_point(|b| b.at + feed.delay <= now);
+        let waits = feed.frozen || feed.whole || feed.heard < due;
+        if waits || now.saturating_sub(feed.heartbeat_at) < LIST_HEARTBEAT {
+            return;
+        }
+        feed.heartbeat_at = now;
+        if let Some(publisher) = &mut planner.publisher {
+            publisher.confirm_list(now);
+        }
+    }
+
     pub(super) fn hear(&mut self, p: usize) {
         let now = self.now;
         let planner = &mut self.planners[p];
--- a/crates/simulation/src/world/levels.rs
+++ b/crates/simulation/src/world/levels.rs
@@ -137,6 +137,7 @@
         for p in 0..self.brains.len() {
             self.keep_session(p, f);
         }
+        self.send_heartbeat_to_mover(f);
         let mover = &mut self.movers[f];
         let own = skewed(now, mover.skew);
         mover.follower.poll(own);
@@ -147,7 +148,7 @@
             }
         } else if mover.watching && now.saturating_sub(mover.alone_at) > STILL_WATCH {
             mover.watching = false;
-            mover.follower.forget_membership();
+            mover.follower.forget_membership(own);
         }
         self.apply(f);
         if count.is_multiple_of(REPORT_EVERY) {
@@ -250,7 +251,7 @@
     }
 
     pub(super) fn watch(&mut self, f: usize) {
-        self.movers[f].watching = true;
+        (self.movers[f].watching, self.movers[f].list_version) = (true, 0);
         self.tell_mover(f);
     }
 
@@ -260,6 +261,51 @@
         self.push(at, Ev::ListToMover(f, self.list()));
     }
 
+    /// The source sends a heartbeat to a planner that watches it, if one is due; it arrives behind what was sent before.
+    pub(super) fn send_heartbeat_to_brain(&mut self, p: usize) {
+        let (now, version) = (self.now, self.version);
+        let brain = &mut self.brains[p];
+        if brain.frozen || now.saturating_sub(brain.heartbeat_at) < LIST_HEARTBEAT {
+            return;
+        }
+        brain.heartbeat_at = now;
+        let (at, life) = ((now + self.lag).max(brain.list_at), brain.life);
+        self.push(at, Ev::HeartbeatToBrain(p, life, version));
+    }
+
+    pub(super) fn heartbeat_to_brain(&mut self, p: usize, life: u64, version: u64) {
+        let brain = &mut self.brains[p];
+        let now = skewed(self.now, brain.skew);
+        let heard = brain.life == life && !brain.frozen;
+        if let Some(planner) = brain.planner.as_mut().filter(|_| heard) {
+            // A watch that was cut since then begins with a list.
+            if planner.membership_version().is_some_and(|held| held >= version) {
+                planner.confirm_membership(now);
+            }
+        }
+    }
+
+    /// The same for a forwarder that watches the list.
+    fn send_heartbeat_to_mover(&mut self, f: usize) {
+        let (now, version) = (self.now, self.version);
+        let mover = &mut self.movers[f];
+        if !mover.watching || now.saturating_sub(mover.heartbeat_at) < LIST_HEARTBEAT {
+            return;
+        }
+        mover.heartbeat_at = now;
+        let at = (now + self.lag).max(mover.list_at);
+        self.push(at, Ev::HeartbeatToMover(f, version));
+    }
+
+    pub(super) fn heartbeat_to_mover(&mut self, f: usize, version: u64) {
+        let now = self.now;
+        let mover = &mut self.movers[f];
+        // Whoever has begun to watch again since then begins with a list.
+        if mover.watching && mover.list_version >= version {
+            mover.follower.confirm_membership(skewed(now, mover.skew));
+        }
+    }
+
     pub(super) fn list_to_mover(&mut self, f: usize, list: &List) {
         let (now, one_level) = (self.now, self.setup.mode == Mode::OneLevel);
         let mover = &mut self.movers[f];
@@ -274,6 +320,7 @@
             let view = View { members: list.1.clone(), ..View::default() };
             return self.show(f, &view);
         }
+        mover.list_version = list.0;
         mover.follower.update_membership(skewed(now, mover.skew), list.0, true, list.1.clone());
         self.apply(f);
     }
--- a/crates/simulation/src/world/mod.rs
+++ b/crates/simulation/src/world/mod.rs
@@ -32,6 +32,8 @@
 const SILENCE: Nanos = 3 * S;
 const RETRY: Nanos = 300 * MS;
 const STILL_WATCH: Nanos = 2 * S;
+/// Interval between heartbeats of a watch of the list.
+const LIST_HEARTBEAT: Nanos = 2 * S;
 
 /// Who decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -129,6 +131,10 @@
     watching: bool,
     alone_at: Nanos,
     list_at: Nanos,
+    /// The version of the last list that its watch has brought.
+    list_version: u64,
+    /// When its watch of the list was last sent a heartbeat.
+    heartbeat_at: Nanos,
 }
 
 pub(crate) struct Brain {
@@ -137,6 +143,8 @@
     /// Its source of the list has stopped, and where it stood.
     pub(crate) frozen: bool,
     list_at: Nanos,
+    /// When its watch of the list was last sent a heartbeat.
+    heartbeat_at: Nanos,
     skew: i64,
     /// It says that every box is suspected.
     pub(crate) lies: bool,
@@ -171,6 +179,10 @@
     BrainTick(usize),
     ListToBrain(usize, u64, List),
     ListToMover(usize, List),
+    /// A heartbeat of the list's source to a planner in this life: the list is still of this version.
+    HeartbeatToBrain(usize, u64, u64),
+    /// The same to a forwarder.
+    HeartbeatToMover(usize, u64),
     Fault(usize),
 }
 
@@ -246,6 +258,8 @@
                 watching: false,
                 alone_at: BEGIN,
                 list_at: 0,
+                list_version: 0,
+                heartbeat_at: 0,
             }
         });
         let movers: Vec<Mover> = movers.collect();
@@ -254,6 +268,7 @@
             life: 0,
             frozen: false,
             list_at: 0,
+            heartbeat_at: 0,
             skew: skew(&mut draw),
             lies: false,
         });
@@ -365,6 +380,7 @@
                 self.push(self.now + TICK, Ev::MoverTick(f, count + 1));
             }
             Ev::BrainTick(p) => {
+                self.send_heartbeat_to_brain(p);
                 self.pump(p);
                 if self.brains[p].planner.is_some() {
                     self.push(self.now + TICK, Ev::BrainTick(p));
@@ -381,6 +397,8 @@
                 }
             }
             Ev::ListToMover(f, list) => self.list_to_mover(f, &list),
+            Ev::HeartbeatToBrain(p, life, version) => self.heartbeat_to_brain(p, life, version),
+            Ev::HeartbeatToMover(f, version) => self.heartbeat_to_mover(f, version),
             Ev::Fault(k) => {
                 let fault = self.faults[k].clone();
                 self.strike(fault);
