The processes of an upgrade know one list of servers

Each process knew only what it was told itself.

One place decides which list counts, whoever told it (discovery::store, out of the watcher). The processes share one list (handover::server_list, upgrade::lists): the old one sends it ahead of the sockets in as many packets as it needs, later changes go both ways and on to further processes, versions are ordered, and who is behind is sent the whole. A configured list yields to any other. A forwarder shares the servers of its view. Older programs are sent nothing.

What the kill test found: an offer that comes late lost what had come of it in time, bans too, and was not read before the new process was ready; and a process that started while another one had just died was reset, and left the old one's socket path to a dead one.

operations::sigterm_waits_for_a_successor_that_is_still_starting: its new process has no list of its own and becomes ready by the old one's now. The test asks that the old one runs until then, that all is served throughout, and that it is so within the 1.2 s in which it had only asked for the old one.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod bans;
 pub mod ledger;
 pub mod message;
+pub mod server_list;
 pub mod share;
 pub mod states;
--- a/crates/handover/src/message.rs
+++ b/crates/handover/src/message.rs
@@ -1,6 +1,7 @@
 //! The messages of a takeover: one JSON object per packet.
 
 use crate::bans::BanRecord;
+use crate::server_list::ListFragment;
 use laurelroute_policy::interface::{Endpoint, LearnedServer, LearnedState, Nanos};
 use serde::{Deserialize, Serialize};
 
@@ -92,6 +93,9 @@
         /// The new process sends [`Message::Heartbeat`]s. Older programs do not.
         #[serde(rename = "beats", default)]
         sends_heartbeats: bool,
+        /// The new process understands [`Message::ServerList`]. Older programs do not.
+        #[serde(rename = "lists", default)]
+        shares_lists: bool,
     },
     /// The old process offers its sockets, which are the packet's descriptors in the same order, and an initial quota
     /// of descriptors.
@@ -107,6 +111,9 @@
         /// The old process expects heartbeats and answers them. Older programs do not.
         #[serde(rename = "beats", default)]
         sends_heartbeats: bool,
+        /// The old process understands [`Message::ServerList`]. Older programs do not.
+        #[serde(rename = "lists", default)]
+        shares_lists: bool,
     },
     /// The new process accepts clients.
     Ready,
@@ -134,6 +141,9 @@
     /// A part of the old process's learned state, which takes as many packets as its servers need.
     #[serde(rename = "learnt")]
     LearnedState(LearnedStateChunk),
+    /// A part of an update of the server list, in either direction.
+    #[serde(rename = "list")]
+    ServerList(ListFragment),
     /// Records of servers that operators have banned or restored.
     Bans {
         /// The batch's number, which the acknowledgement repeats.
--- a/crates/handover/src/states.rs
+++ b/crates/handover/src/states.rs
@@ -73,6 +73,8 @@
     stage: Stage,
     /// The new process sends heartbeats and expects answers.
     peer_sends_heartbeats: bool,
+    /// The new process understands server lists.
+    peer_shares_lists: bool,
     /// How long it has sent none, in this process's running time.
     silence: Nanos,
     last_tick: Option<Nanos>,
@@ -94,6 +96,7 @@
             quota: total,
             stage: Stage::Alone,
             peer_sends_heartbeats: false,
+            peer_shares_lists: false,
             silence: 0,
             last_tick: None,
             last_heartbeat: 0,
@@ -113,6 +116,11 @@
         self.peer_sends_heartbeats
     }
 
+    /// Whether the new process understands server lists.
+    pub fn peer_shares_lists(&self) -> bool {
+        self.peer_shares_lists
+    }
+
     /// Whether the new process has begun to accept clients; it may be silent now ([`OldProcess::in_fallback`]).
     pub fn has_yielded(&self) -> bool {
         matches!(self.stage, Stage::Yielded | Stage::Fallback)
@@ -126,9 +134,11 @@
     /// Handles a message of the new process while this one holds `held` descriptors.
     pub fn handle(&mut self, message: Message, held: usize) -> Vec<Effect> {
         match (message, self.stage) {
-            (Message::TakeoverRequest { version, sends_heartbeats }, Stage::Alone) if version == VERSION => {
+            (Message::TakeoverRequest { version, sends_heartbeats, shares_lists }, Stage::Alone)
+                if version == VERSION =>
+            {
                 self.stage = Stage::Offered;
-                self.peer_sends_heartbeats = sends_heartbeats;
+                (self.peer_sends_heartbeats, self.peer_shares_lists) = (sends_heartbeats, shares_lists);
                 self.quota = share::old_serving(self.total, held);
                 // Until the first heartbeat reports the actual number.
                 self.peer_base_limit = base_limit(self.total, self.total - self.quota, 0);
--- a/crates/handover/tests/states.rs
+++ b/crates/handover/tests/states.rs
@@ -2,6 +2,7 @@
 
 use laurelroute_handover::bans::{BanRecord, Bans, MAX_RECORDS};
 use laurelroute_handover::message::{Message, SocketKind, MAX_PACKET_BYTES, VERSION};
+use laurelroute_handover::server_list::ListFragment;
 use laurelroute_handover::share::{max_held_after_heartbeat, MIN_DESCRIPTORS};
 use laurelroute_handover::states::{
     Effect, NewProcess, OldProcess, HEARTBEAT_INTERVAL, QUOTA_LEASE, SILENCE_TIMEOUT,
@@ -71,13 +72,15 @@
 fn messages_round_trip_and_malformed_packets_are_rejected() {
     let record = BanRecord { host: "s-\"1\"".into(), banned: true, updated_at: u64::MAX, banned_at: 1 };
     let messages = [
-        Message::TakeoverRequest { version: VERSION, sends_heartbeats: true },
+        Message::TakeoverRequest { version: VERSION, sends_heartbeats: true, shares_lists: true },
         Message::Offer {
             version: VERSION,
             sockets: vec![SocketKind::Http, SocketKind::IdleQueue],
             quota: 7,
             sends_heartbeats: true,
+            shares_lists: true,
         },
+        Message::ServerList(ListFragment { text: "{\"version\"".into(), last: false }),
         Message::Heartbeat { number: 9, held: 60, received: Some(5) },
         Message::Quota { quota: 7, heartbeat: 9 },
         Message::Ready,
@@ -97,11 +100,17 @@
     let mut old = OldProcess::new(400);
     assert_eq!(old.handle(Message::Ready, 100), vec![]);
     assert_eq!(
-        old.handle(Message::TakeoverRequest { version: VERSION + 1, sends_heartbeats: true }, 100),
+        old.handle(
+            Message::TakeoverRequest { version: VERSION + 1, sends_heartbeats: true, shares_lists: true },
+            100
+        ),
         vec![Effect::RejectPeer]
     );
     assert_eq!(
-        old.handle(Message::TakeoverRequest { version: VERSION, sends_heartbeats: true }, 100),
+        old.handle(
+            Message::TakeoverRequest { version: VERSION, sends_heartbeats: true, shares_lists: true },
+            100
+        ),
         vec![Effect::SetQuota(200), Effect::Offer(200)]
     );
     assert!(!old.has_yielded() && old.tick(0, 10).is_empty());
@@ -116,7 +125,7 @@
 fn quotas_never_exceed_the_total() {
     proptest!(|(total in 128usize..4096, held in prop::collection::vec(0usize..4096, 1..20))| {
         let mut old = OldProcess::new(total);
-        let mut effects = old.handle(Message::TakeoverRequest { version: VERSION, sends_heartbeats: true }, held[0]);
+        let mut effects = old.handle(Message::TakeoverRequest { version: VERSION, sends_heartbeats: true, shares_lists: true }, held[0]);
         let Some(Effect::Offer(quota)) = effects.pop() else { panic!("no offer") };
         let Some(Effect::SetQuota(mut old_quota)) = effects.pop() else { panic!("no quota") };
         let (mut new, effects) = NewProcess::new(total, quota, false, 0);
@@ -144,7 +153,10 @@
 /// An old process that has yielded, and the new process that serves, both at `now`.
 fn pair(total: usize, held: usize, now: u64) -> (OldProcess, NewProcess) {
     let mut old = OldProcess::new(total);
-    let effects = old.handle(Message::TakeoverRequest { version: VERSION, sends_heartbeats: true }, held);
+    let effects = old.handle(
+        Message::TakeoverRequest { version: VERSION, sends_heartbeats: true, shares_lists: true },
+        held,
+    );
     let Some(Effect::Offer(quota)) = effects.last() else { panic!("no offer") };
     let (new, _) = NewProcess::new(total, *quota, true, now);
     old.tick(now, held);
@@ -194,7 +206,10 @@
 #[test]
 fn a_new_process_without_heartbeats_is_never_taken_for_silent() {
     let mut old = OldProcess::new(400);
-    old.handle(Message::TakeoverRequest { version: VERSION, sends_heartbeats: false }, 100);
+    old.handle(
+        Message::TakeoverRequest { version: VERSION, sends_heartbeats: false, shares_lists: true },
+        100,
+    );
     old.handle(Message::Ready, 100);
     for k in 0..1_000 {
         assert_eq!(last_accept(&old.tick(k * 5 * MS, 100)), None);
--- a/crates/node/src/forward.rs
+++ b/crates/node/src/forward.rs
@@ -5,12 +5,13 @@
 //! reachable, the server list is watched as on a standalone node.
 
 use crate::config::Config;
-use crate::discovery::{OnHeartbeat, Watcher};
+use crate::discovery::{Host, HostConverter, ListUse, OnHeartbeat, Watcher};
 use crate::levels::{ForwarderSettings, PeerSettings, RoleError};
 use crate::log::RateLimitedWarning;
 use crate::services;
 use crate::site::Site;
 use crate::source;
+use crate::upgrade::lists::{ListExchange, PeerChanges};
 use laurelroute_channel::frames::{self, FrameError};
 use laurelroute_channel::hello::{self, HelloError, Identity};
 use laurelroute_channel::tls::Tls;
@@ -84,6 +85,11 @@
     /// Thrift port of servers whose entry has no Thrift address.
     thrift_port: Option<u16>,
     identity: Identity,
+    /// The list that the processes of the node share.
+    lists: Rc<ListExchange>,
+    /// The configuration, for the form of that list.
+    config: Config,
+    converter: HostConverter,
     /// The last time at which no planner with a fresh list was reachable.
     isolated_at: Cell<Nanos>,
 }
@@ -110,6 +116,7 @@
         config: &Config,
         site: &Site,
         discovery: watch::Receiver<SocketAddr>,
+        lists: Rc<ListExchange>,
     ) {
         let now = gateway.clock.now();
         let planner_names: Vec<String> = self.forward.planners.iter().map(SocketAddr::to_string).collect();
@@ -129,8 +136,12 @@
             max_connections: gateway.config.max_connections_per_server,
             thrift_port: site.thrift.as_ref().and_then(|t| t.port),
             identity,
+            lists,
+            config: config.clone(),
+            converter: HostConverter::new(config, site).with_all_addresses(),
             isolated_at: Cell::new(0),
         });
+        forwarder.follow_other_processes();
         for (index, address) in self.forward.planners.iter().enumerate() {
             let report_bytes = f64::from(self.forward.report_bytes);
             spawn_local(forwarder.clone().keep_session(index, *address, self.tls.clone(), report_bytes));
@@ -163,24 +174,68 @@
             let now = forwarder.gateway.clock.now();
             let mut follower = forwarder.follower.borrow_mut();
             match kind {
-                ListKind::Failed => return,
+                ListKind::Failed => return ListUse::Ignored,
                 // The configuration's list is used only at a start where neither planners nor discovery are
                 // reachable.
-                ListKind::Cached if members.is_empty() || !forwarder.applied.borrow().is_empty() => return,
-                ListKind::Cached => drop(follower.use_configured_membership(version, members)),
+                ListKind::Cached if members.is_empty() || !forwarder.applied.borrow().is_empty() => {
+                    return ListUse::Ignored
+                }
+                ListKind::Cached if !follower.use_configured_membership(version, members.clone()) => {
+                    return ListUse::Ignored
+                }
+                ListKind::Cached => {}
                 ListKind::Full => follower.update_membership(now, version, true, members),
                 ListKind::Changes => follower.update_membership(now, version, false, members),
             }
             drop(follower);
             forwarder.apply();
+            ListUse::Used
         })
     }
 
+    /// Begins with the servers that another process of the node has sent, and takes its later changes.
+    fn follow_other_processes(self: &Rc<Self>) {
+        if let Some(list) = self.lists.snapshot() {
+            self.receive_from_process(list.version.number, list.servers.into_values().flatten());
+        }
+        let forwarder = Rc::downgrade(self);
+        self.lists.on_changes(Box::new(move |PeerChanges { version, servers, .. }| {
+            let Some(forwarder) = forwarder.upgrade() else { return };
+            let hosts = servers.into_iter().filter_map(|s| s.after.or(s.before.map(Host::left)));
+            forwarder.receive_from_process(version.number, hosts);
+        }));
+    }
+
+    fn receive_from_process(&self, version: u64, hosts: impl Iterator<Item = Host>) {
+        let now = self.gateway.clock.now();
+        let members = hosts.map(|host| source::to_member(self.converter.entry(host))).collect();
+        self.follower.borrow_mut().receive_from_process(now, version, members);
+        self.apply();
+    }
+
+    /// Passes the servers on to the other processes of the node, if a later membership has come.
+    fn share_membership(&self) {
+        let known = self.follower.borrow().known_membership(self.gateway.clock.now());
+        let Some((version, members)) = known else { return };
+        // Planners may differ in how late their lists are: an earlier version is no news.
+        if self.lists.version().is_some_and(|shared| shared.number > version) {
+            return;
+        }
+        let entries = members.into_iter().map(|member| source::to_entry(member, None));
+        let hosts = entries.filter_map(|entry| Host::of_entry(entry, &self.config));
+        // Those that have left are named too: a planner with an earlier list may still have them.
+        let servers = hosts.map(|host| (host.name().to_owned(), Some(host))).collect();
+        self.lists.update(version, None, true, servers);
+    }
+
     /// Passes the changes of the current view to the gateway.
     fn apply(&self) {
         let now = self.gateway.clock.now();
         let view = self.follower.borrow().view(now);
         let changes = self.applied.borrow_mut().changes(&view);
+        if !changes.is_empty() {
+            self.share_membership();
+        }
         let entries: Vec<_> = changes.into_iter().map(|m| source::to_entry(m, self.thrift_port)).collect();
         if !entries.is_empty() {
             self.gateway.update_servers(ListKind::Changes, entries);
@@ -231,9 +286,11 @@
             }
             if isolated {
                 self.isolated_at.set(now);
-            } else if watch.is_some() && now.saturating_sub(self.isolated_at.get()) > WATCH_LINGER {
-                tracing::info!("a planner with a current server list is reachable again");
-                watch.take().inspect(AbortHandle::abort);
+            } else if now.saturating_sub(self.isolated_at.get()) > WATCH_LINGER {
+                if let Some(watch) = watch.take() {
+                    tracing::info!("a planner with a current server list is reachable again");
+                    watch.abort();
+                }
                 self.follower.borrow_mut().forget_membership(now);
             }
             self.apply();
--- a/crates/node/src/plan.rs
+++ b/crates/node/src/plan.rs
@@ -4,7 +4,7 @@
 //! Runs on one thread and stores nothing on disk. The state is borrowed only between awaits. Unauthenticated peers
 //! get nothing; authenticated ones are bounded in message size (the channel), rows (the planner) and time (here).
 
-use crate::discovery::{OnHeartbeat, Watcher};
+use crate::discovery::{ListUse, OnHeartbeat, Watcher};
 use crate::levels::RoleError;
 use crate::log::RateLimitedWarning;
 use crate::run::{listen, load, reload, StartError};
@@ -165,7 +165,7 @@
         Box::new(move |kind, version, entries| {
             // The configuration's list may be hours old and must not override a newer one of the forwarders.
             if matches!(kind, ListKind::Failed | ListKind::Cached) {
-                return;
+                return ListUse::Used;
             }
             let members = entries.into_iter().map(source::to_member).collect();
             let now = server.clock.now();
@@ -173,6 +173,7 @@
             planner.update_membership(now, version, kind == ListKind::Full, members);
             server.warn_of_limits(&planner);
             server.changed.notify_waiters();
+            ListUse::Used
         })
     }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -9,6 +9,7 @@
 use crate::signals::Signal;
 use crate::site::{Site, SiteError};
 use crate::upgrade::link::runtime_path;
+use crate::upgrade::lists::ListExchange;
 use crate::upgrade::predecessor::PredecessorReply;
 use crate::upgrade::takeover::{AcceptFn, ClientListener, Takeover};
 use crate::{plan, source};
@@ -186,6 +187,8 @@
     // Read after the claim: bans made in between are in the file or are sent to this process.
     ledger.load(&gateway);
     gateway.merge_bans(predecessor.take_ban_updates());
+    let lists = Rc::new(ListExchange::default());
+    predecessor.server_list().iter().for_each(|list| lists.adopt(list));
     let member = match &site.fleet {
         Some(fleet) => {
             Some(crate::fleet::start(&gateway, fleet, config.gateway.settings.peers, config.listen)?)
@@ -196,7 +199,7 @@
         let inherited = predecessor.listeners(kind, address);
         Ok::<_, StartError>(match predecessor {
             _ if !inherited.is_empty() => ClientListener::Listening(inherited),
-            PredecessorReply::Silent(_) => ClientListener::Bound(bind(address)?, address),
+            PredecessorReply::Silent(..) => ClientListener::Bound(bind(address)?, address),
             PredecessorReply::None | PredecessorReply::Offered(..) => {
                 ClientListener::Listening(vec![listen(address)?])
             }
@@ -208,18 +211,19 @@
         listeners.push((SocketKind::Thrift, open_listener(SocketKind::Thrift, thrift.listen)?));
         front = Some(Front::new(gateway.clone(), thrift.front.clone()));
     }
-    let takeover = Takeover::new(config.gateway.max_descriptors, ledger.clone());
+    let takeover = Takeover::new(config.gateway.max_descriptors, ledger.clone(), lists.clone());
     let standalone_watcher = || {
         let heartbeat_gateway = gateway.clone();
-        Watcher::new(source::gateway_sink(&gateway, member.clone()), &config, &site, discovery.subscribe())
+        let sink = source::gateway_sink(&gateway, member.clone());
+        Watcher::sharing(sink, &config, &site, discovery.subscribe(), lists.clone())
             .with_heartbeats(Box::new(move || heartbeat_gateway.record_discovery_contact()))
     };
     let routing = forwarder_role.as_ref().and_then(|role| role.start_service_routing(&gateway, &site));
     // A node that routes by services is ready without a list: each request waits for that of its service.
-    let ready_without_discovery = has_cached_list || routing.is_some();
+    let ready_without_discovery = has_cached_list || lists.version().is_some() || routing.is_some();
     match forwarder_role {
         Some(_) if routing.is_some() => {}
-        Some(role) => role.start(&gateway, &config, &site, discovery.subscribe()),
+        Some(role) => role.start(&gateway, &config, &site, discovery.subscribe(), lists.clone()),
         None if push => drop(spawn_local(standalone_watcher().follow())),
         None => drop(spawn_local(standalone_watcher().serve_calls(list_request_receiver))),
     }
--- a/crates/node/src/services/planner.rs
+++ b/crates/node/src/services/planner.rs
@@ -4,7 +4,7 @@
 //! in message size (by the channel), in its subscriptions (by the publisher) and in time.
 
 use super::table::PlannerServices;
-use crate::discovery::{OnHeartbeat, Sink, Watcher};
+use crate::discovery::{ListUse, OnHeartbeat, Sink, Watcher};
 use crate::levels::{PeerSettings, PlannerSettings, RoleError};
 use crate::log::RateLimitedWarning;
 use crate::run::{listen, StartError};
@@ -106,7 +106,7 @@
         Box::new(move |kind, version, entries| {
             // The configuration's list may be hours old and must not reach forwarders that have a newer one.
             if matches!(kind, ListKind::Failed | ListKind::Cached) {
-                return;
+                return ListUse::Used;
             }
             let listed = entries.into_iter().map(|mut entry| {
                 let services =
@@ -125,6 +125,7 @@
                     )
                 });
             }
+            ListUse::Used
         })
     }
 
--- a/crates/node/src/source.rs
+++ b/crates/node/src/source.rs
@@ -1,6 +1,6 @@
 //! Conversion of discovery's server entries for the gateway, the planner and the forwarders.
 
-use crate::discovery::Sink;
+use crate::discovery::{ListUse, Sink};
 use crate::fleet::replica::drain_flags;
 use laurelroute_core::fleet::ServerEntry;
 use laurelroute_core::gateway::Gateway;
@@ -22,6 +22,7 @@
         if matches!(kind, ListKind::Full | ListKind::Changes) {
             gateway.set_ready();
         }
+        ListUse::Used
     })
 }
 
--- a/crates/node/src/upgrade/link.rs
+++ b/crates/node/src/upgrade/link.rs
@@ -10,6 +10,7 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
+use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use tokio::io::Interest;
 use tokio::net::{UnixDatagram, UnixListener};
@@ -168,8 +169,29 @@
     Ok(net::socket_with(AddressFamily::UNIX, SocketType::SEQPACKET, flags, None)?)
 }
 
+/// A listening socket for takeover requests, and the file that it is bound to.
+pub(super) struct RequestListener {
+    pub(super) listener: UnixListener,
+    path: PathBuf,
+    /// Device and inode of the file.
+    file: Option<(u64, u64)>,
+}
+
+impl RequestListener {
+    /// Whether requests still come here: another process may have bound the path since.
+    pub(super) fn owns_path(&self) -> bool {
+        self.file.is_some() && file_id(&self.path) == self.file
+    }
+}
+
+/// Device and inode of a file.
+fn file_id(path: &Path) -> Option<(u64, u64)> {
+    let metadata = std::fs::symlink_metadata(path).ok()?;
+    Some((metadata.dev(), metadata.ino()))
+}
+
 /// Listens for takeover requests at `path`, replacing a socket file that is already there.
-pub(super) fn bind(path: &Path) -> Result<UnixListener, LinkError> {
+pub(super) fn bind(path: &Path) -> Result<RequestListener, LinkError> {
     let (_folder, address) = socket_address(path)?;
     match std::fs::remove_file(path) {
         Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e.into()),
@@ -178,5 +200,6 @@
     let socket = socket()?;
     net::bind(&socket, &address)?;
     net::listen(&socket, 4)?;
-    Ok(UnixListener::from_std(socket.into())?)
+    let listener = UnixListener::from_std(socket.into())?;
+    Ok(RequestListener { listener, path: path.to_owned(), file: file_id(path) })
 }
--- a/crates/node/src/upgrade/mod.rs
+++ b/crates/node/src/upgrade/mod.rs
@@ -3,6 +3,7 @@
 //! The decisions of both sides are made by the state machines in `laurelroute-handover`.
 
 pub(crate) mod link;
+pub(crate) mod lists;
 pub(crate) mod predecessor;
 mod reuseport;
 pub(crate) mod takeover;
--- a/crates/node/src/upgrade/takeover.rs
+++ b/crates/node/src/upgrade/takeover.rs
@@ -1,8 +1,10 @@
 //! This process's part in takeovers: it takes over from the old process at its start and later hands over to a new one.
 
-use super::link::{bind, runtime_path, IdleQueue, Link, LinkError, SOCKET};
-use super::predecessor::{receive_offer, Offer, PredecessorReply};
+use super::link::{bind, runtime_path, IdleQueue, Link, LinkError, RequestListener, SOCKET};
+use super::lists::ListExchange;
+use super::predecessor::{receive_offer, Offer, PartialOffer, PredecessorReply};
 use super::reuseport;
+use crate::discovery::Host;
 use crate::ledger::BanLedger;
 use laurelroute_core::accept::AcceptState;
 use laurelroute_core::gateway::Gateway;
@@ -10,6 +12,7 @@
 use laurelroute_handover::message::{
     LearnedStateChunk, Message, SocketKind, MAX_PACKET_DESCRIPTORS, VERSION,
 };
+use laurelroute_handover::server_list::ServerListUpdate;
 use laurelroute_handover::share;
 use laurelroute_handover::states::{Effect, NewProcess, OldProcess, HEARTBEAT_INTERVAL};
 use laurelroute_http::front::Clients;
@@ -19,9 +22,10 @@
 use std::os::fd::{AsFd, OwnedFd};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream, UnixListener};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::timeout;
 
 /// Interval at which the old process checks for idle connections, released descriptors and the new process.
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
@@ -66,10 +70,16 @@
     /// Number of descriptors that the node may hold.
     descriptor_limit: usize,
     ledger: Rc<BanLedger>,
+    /// The server list that the node's processes share.
+    lists: Rc<ListExchange>,
 }
 
 impl Takeover {
-    pub(crate) fn new(descriptor_limit: usize, ledger: Rc<BanLedger>) -> Rc<Takeover> {
+    pub(crate) fn new(
+        descriptor_limit: usize,
+        ledger: Rc<BanLedger>,
+        lists: Rc<ListExchange>,
+    ) -> Rc<Takeover> {
         Rc::new(Takeover {
             gate: watch::Sender::new(AcceptState::Paused),
             clients: RefCell::default(),
@@ -84,6 +94,7 @@
             ack_received: Notify::new(),
             descriptor_limit,
             ledger,
+            lists,
         })
     }
 
@@ -172,22 +183,22 @@
                 self.gate.send_replace(AcceptState::Accepting);
             }
             PredecessorReply::Offered(link, offer) => self.take_over(&gateway, link, offer).await,
-            PredecessorReply::Silent(link) => {
+            PredecessorReply::Silent(link, state) => {
                 // Keeps both processes within the limit even before the old process has reported what it holds.
                 let held = link.peer_pid().and_then(open_descriptors);
                 gateway.set_descriptor_limit(share::new_beside_silent(self.descriptor_limit, held));
                 gateway.process.request_ids.set_accompanied(true);
+                spawn_local(self.clone().await_offer(gateway.clone(), link, state));
                 gateway.wait_ready().await;
                 self.listen_on_bound(bound);
                 self.gate.send_replace(AcceptState::Accepting);
-                spawn_local(self.clone().await_offer(gateway.clone(), link));
             }
         }
         let Some(path) = runtime_path(listen, SOCKET) else { return };
-        // Bound again after each new process has ended: it may have bound the path itself, to await the next takeover.
+        // Bound again after a new process that has bound the path itself, to await the next takeover, has ended.
         loop {
             match bind(&path) {
-                Ok(listener) => self.await_successor(&gateway, listener).await,
+                Ok(listener) => self.serve_successors(&gateway, &listener).await,
                 Err(error) => {
                     tracing::warn!("takeover: no other process can take over from this one: {error}");
                     tokio::time::sleep(BIND_RETRY_INTERVAL).await;
@@ -204,21 +215,36 @@
         let link = Rc::new(link);
         self.apply_effects(gateway, &link, effects);
         self.add_link(gateway, &link);
+        if offer.shares_lists {
+            self.share_lists_with_predecessor(&link, offer.state.server_list.take());
+        }
         spawn_local(self.clone().follow_predecessor(gateway.clone(), link.clone(), idle_queue, new_role));
         gateway.wait_ready().await;
         // After the list has arrived: learned state is applied only to listed servers.
-        gateway.import_learned(offer.learned_state);
+        gateway.import_learned(offer.state.learned_state);
         self.gate.send_replace(AcceptState::Accepting);
         let _ = link.send(&Message::Ready, &[]).await;
     }
 
-    /// Waits for an old process that did not answer when this one started. When it runs again, its listening sockets
-    /// are served and it hands over as usual.
-    async fn await_offer(self: Rc<Self>, gateway: Rc<Gateway>, link: Link) {
-        match receive_offer(&link).await {
+    /// Begins to share the server list with the old process, which has sent this one.
+    fn share_lists_with_predecessor(&self, link: &Rc<Link>, received: Option<ServerListUpdate<Host>>) {
+        let peer = self.lists.open(link);
+        if let Some(update) = received {
+            self.lists.apply(&peer, update);
+        }
+        peer.start(&self.lists, std::future::ready(Ok(())));
+    }
+
+    /// Waits for an old process that did not answer when this one started. When it runs again, what it knows counts at
+    /// once, its listening sockets are served and it hands over as usual.
+    async fn await_offer(self: Rc<Self>, gateway: Rc<Gateway>, link: Link, state: PartialOffer) {
+        match receive_offer(&link, state).await {
             Ok(mut offer) => {
                 tracing::info!("takeover: the old process has answered now");
-                gateway.merge_bans(std::mem::take(&mut offer.ban_records));
+                gateway.merge_bans(std::mem::take(&mut offer.state.ban_records));
+                offer.state.server_list.iter().for_each(|list| self.lists.adopt(list));
+                // This process's own sockets listen from then on.
+                let _ = self.gate.subscribe().wait_for(|state| *state != AcceptState::Paused).await;
                 let addresses: Vec<_> = {
                     let listeners = self.listeners.borrow();
                     listeners
@@ -256,6 +282,7 @@
                         let effects = new_role.connections_received(self.take_clients(descriptors, used));
                         self.apply_effects(&gateway, &link, effects);
                     }
+                    Ok((Message::ServerList(fragment), _)) => self.lists.receive(&link, fragment),
                     Ok((message, _)) => {
                         let effects = new_role.handle(message, gateway.clock.now(), gateway.budget.descriptors_in_use());
                         self.apply_effects(&gateway, &link, effects);
@@ -301,18 +328,33 @@
         }
     }
 
-    /// Serves one new process from its connection to its end. A second one at the same time gets no answer and shares
-    /// the address without a handover.
-    async fn await_successor(&self, gateway: &Rc<Gateway>, listener: UnixListener) {
-        let accepted = listener.accept().await.and_then(|(stream, _)| Link::new(stream.into_std()?.into()));
-        let Ok(link) = accepted.map(Rc::new) else { return tokio::time::sleep(TICK_INTERVAL).await };
-        self.add_link(gateway, &link);
-        let error = self.follow_successor(gateway, &link).await;
+    /// Serves new processes one after the other, until the path belongs to another process and none is waiting here: one
+    /// that starts while another one has not ended yet gets its answer as soon as that has.
+    async fn serve_successors(&self, gateway: &Rc<Gateway>, requests: &RequestListener) {
+        let mut next = requests.listener.accept().await;
+        loop {
+            match next.and_then(|(stream, _)| Link::new(stream.into_std()?.into())) {
+                Ok(link) => self.serve_successor(gateway, &Rc::new(link)).await,
+                Err(_) => tokio::time::sleep(TICK_INTERVAL).await,
+            }
+            let waiting = timeout(Duration::ZERO, requests.listener.accept()).await;
+            next = match waiting {
+                Ok(waiting) => waiting,
+                Err(_) if requests.owns_path() => requests.listener.accept().await,
+                Err(_) => return,
+            };
+        }
+    }
+
+    /// Serves one new process from its connection to its end.
+    async fn serve_successor(&self, gateway: &Rc<Gateway>, link: &Rc<Link>) {
+        self.add_link(gateway, link);
+        let error = self.follow_successor(gateway, link).await;
         tracing::info!("takeover: {error}");
-        self.drop_link(gateway, &link);
+        self.drop_link(gateway, link);
         if !gateway.is_draining() {
             let effects = self.old_role.borrow_mut().peer_lost();
-            self.apply_effects(gateway, &link, effects);
+            self.apply_effects(gateway, link, effects);
         }
         *self.idle_queue.borrow_mut() = None;
     }
@@ -324,6 +366,7 @@
         loop {
             tokio::select! {
                 packet = link.receive() => match packet {
+                    Ok((Message::ServerList(fragment), _)) => self.lists.receive(link, fragment),
                     Ok((message, _)) => {
                         let effects = self.old_role.borrow_mut().handle(message, gateway.budget.descriptors_in_use());
                         self.apply_effects(gateway, link, effects);
@@ -433,6 +476,7 @@
             Message::ban_batches(0, records).chain(chunks.into_iter().map(Message::LearnedState)).collect();
         let (link, listeners) = (link.clone(), self.listeners.borrow().clone());
         let sends_heartbeats = self.old_role.borrow().peer_sends_heartbeats();
+        let shares_lists = self.old_role.borrow().peer_shares_lists();
         let idle_queue = sends_heartbeats.then(IdleQueue::new).and_then(|queue| {
             queue
                 .inspect_err(|error| {
@@ -442,11 +486,18 @@
         });
         let receiver = idle_queue.as_ref().and_then(|queue| queue.receiver.try_clone().ok());
         *self.idle_queue.borrow_mut() = idle_queue.filter(|_| receiver.is_some());
-        spawn_local(async move {
-            let sent = async {
+        let lists = self.lists.clone();
+        let peer = shares_lists.then(|| lists.open(&link));
+        let offer = {
+            let peer = peer.clone();
+            async move {
                 for message in &state {
                     link.send(message, &[]).await?;
                 }
+                // Ahead of the sockets: the new process starts with this list.
+                if let Some(peer) = peer {
+                    peer.send_pending(&lists).await?;
+                }
                 let newest_listeners = listeners.iter().rev().take(MAX_PACKET_DESCRIPTORS - 1).rev();
                 let (mut kinds, mut descriptors): (Vec<_>, Vec<_>) =
                     newest_listeners.map(|(kind, listener)| (*kind, listener.as_fd())).unzip();
@@ -454,16 +505,24 @@
                     kinds.push(SocketKind::IdleQueue);
                     descriptors.push(receiver.as_fd());
                 }
-                link.send(
-                    &Message::Offer { version: VERSION, sockets: kinds, quota, sends_heartbeats },
-                    &descriptors,
-                )
-                .await
-            };
-            if let Err(error) = sent.await {
-                tracing::warn!("takeover: the offer cannot be sent: {error}");
+                let offer = Message::Offer {
+                    version: VERSION,
+                    sockets: kinds,
+                    quota,
+                    sends_heartbeats,
+                    shares_lists,
+                };
+                link.send(&offer, &descriptors).await
             }
-        });
+        };
+        match peer {
+            Some(peer) => peer.start(&self.lists, offer),
+            None => drop(spawn_local(async move {
+                if let Err(error) = offer.await {
+                    tracing::warn!("takeover: the offer cannot be sent: {error}");
+                }
+            })),
+        }
     }
 
     /// Sends a packet, or queues it until the socket has room.
@@ -510,6 +569,7 @@
 
     /// Forgets a link that has ended.
     fn drop_link(&self, gateway: &Gateway, link: &Rc<Link>) {
+        self.lists.close(link);
         let mut links = self.links.borrow_mut();
         links.retain(|l| !Rc::ptr_eq(l, link));
         gateway.process.request_ids.set_accompanied(!links.is_empty());
--- a/crates/node/tests/operations.rs
+++ b/crates/node/tests/operations.rs
@@ -282,8 +282,8 @@
     drop(next);
 }
 
-/// The old process receives SIGTERM while the new one has no list yet: it keeps serving until the new one
-/// accepts clients.
+/// The old process receives SIGTERM while the new one is not ready yet, as discovery is silent for it: the old one keeps
+/// serving until the new one accepts clients, by the list that it has sent it.
 #[test]
 fn sigterm_waits_for_a_successor_that_is_still_starting() {
     let (_servers, _, discovery, mut program) = two_servers();
@@ -302,14 +302,23 @@
     });
     program.signal("TERM");
     let signalled = Instant::now();
+    let ready = || next.call("GET", "/_ready") == Some(200);
+    assert!(!ready(), "the new process is still starting");
+    let mut ready_at = None;
     while signalled.elapsed() < Duration::from_millis(1_200) {
-        assert!(served(&mut kept) && program.running(), "after {:?}", signalled.elapsed());
+        // Asked in this order: the old one must not end before the new one is ready.
+        let running = program.running();
+        if ready() {
+            ready_at.get_or_insert(signalled.elapsed());
+        }
+        assert!(running || ready_at.is_some(), "nobody serves after {:?}", signalled.elapsed());
+        assert!(served(&mut kept), "after {:?}", signalled.elapsed());
         assert!(program.ask().starts_with("HTTP/1.1 200"), "after {:?}", signalled.elapsed());
         thread::sleep(Duration::from_millis(20));
     }
+    assert!(ready_at.is_some(), "the new process goes by the old one's list");
     next.configure(discovery.address);
     next.signal("HUP");
-    until("the new process accepts clients", || next.call("GET", "/_ready") == Some(200));
     until("the old process exits", || !program.running());
     assert!(signalled.elapsed() < Duration::from_millis(3_000), "{:?}", signalled.elapsed());
     assert!(served(&mut kept));
--- a/crates/node/tests/stale_planner.rs
+++ b/crates/node/tests/stale_planner.rs
@@ -60,7 +60,9 @@
             self.planners.iter().map(|(p, _)| format!("{:?}", p.address.to_string())).collect();
         let peers = self.authority.peers("suite", "f0");
         let site = format!("{peers}[forward]\nplanners = [{}]\n{settings}", addresses.join(", "));
-        let wishes = Wishes { site, levels: Some(Levels::Up), ..Wishes::default() };
+        // The configuration's list is from before any drain.
+        let known = Some((1, self.entries.clone()));
+        let wishes = Wishes { site, levels: Some(Levels::Up), managed: true, known, ..Wishes::default() };
         Program::start(Path::new(PROGRAM), self.own_discovery.address, FORMS[0].1, wishes)
     }
 
@@ -162,3 +164,31 @@
         assert_eq!((tally.failed, tally.lost.len()), (0, 0), "{tally:?}");
     }
 }
+
+// Guards against a forwarder's new process that goes by its configuration's list, while neither planners nor discovery
+// speak and the old process was told of a drain.
+#[test]
+fn a_forwarder_that_takes_over_while_nobody_speaks_knows_what_the_old_process_was_told() {
+    let mut fleet = Levelled::start(1, "settle_ms = 100\n", &[]);
+    let mut node = fleet.forwarder("");
+    let loads = loads(&node, None);
+    until("the server is used", || fleet.servers[0].came().len() > 20);
+    let discovery = &fleet.planners[0].1;
+    let closed_from = discovery.told(discovery.tell(&fleet.drained())) + GRACE;
+    until("the plan has the drain", || {
+        fleet.planners[0].0.explain(&["--box", "box-0"]).is_ok_and(|text| text.contains("draining"))
+    });
+    thread::sleep(GRACE);
+    fleet.own_discovery.cut(UNANSWERED);
+    fleet.planners[0].0.kill();
+    let new = node.ready_successor();
+    node.signal("TERM");
+    until("the old process ends", || !node.running());
+    let begun = Instant::now();
+    until("the others serve", || fleet.servers[1..].iter().all(|server| server.since(begun) > 20));
+    assert_eq!(fleet.servers[0].since(closed_from), 0, "sent to a draining server");
+    for tally in loads.into_iter().map(Load::finish) {
+        assert_eq!((tally.failed, tally.lost.len()), (0, 0), "{tally:?}");
+    }
+    drop(new);
+}
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -57,7 +57,7 @@
         Entry { born_ms, ..self }
     }
 
-    fn json(&self) -> serde_json::Value {
+    pub(crate) fn json(&self) -> serde_json::Value {
         let mut entry = serde_json::json!({"host": self.name, "dial": self.http, "site": "a", "class": "m",
             "block": self.block, "health": self.health, "share": 1.0, "born_ms": self.born_ms});
         if let Some(thrift) = self.thrift {
--- a/crates/testkit/src/program.rs
+++ b/crates/testkit/src/program.rs
@@ -73,6 +73,8 @@
     pub ask_within_ms: u64,
     /// The node's number among the nodes of its tier, and how many these are.
     pub ordinal: (usize, usize),
+    /// The list of servers in its configuration, with its version.
+    pub known: Option<(u64, Vec<Entry>)>,
 }
 
 impl Default for Wishes {
@@ -103,6 +105,7 @@
             asked: false,
             ask_within_ms: 10_000,
             ordinal: (0, 1),
+            known: None,
         }
     }
 }
@@ -366,7 +369,7 @@
         serde_json::json!({"name": name, "aimNs": wishes.aim_ms * 1_000_000, "giveUpNs": wishes.give_up_ms * 1_000_000, "worth": 1.0,
             "effect": effect, "group": wishes.group, "windowNs": wishes.window_ms * 1_000_000})
     };
-    let config = serde_json::json!({
+    let mut config = serde_json::json!({
         "name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
         "limits": {"cores": 1.0, "memory_mb": wishes.memory_mb, "sockets": wishes.sockets},
         "settings": {
@@ -381,6 +384,10 @@
                 "stopSendingWithinNs": 250_000_000u64},
         },
     });
+    if let Some((seq, entries)) = &wishes.known {
+        let hosts: Vec<_> = entries.iter().map(Entry::json).collect();
+        config["known"] = serde_json::json!({"seq": seq, "whole": true, "hosts": hosts});
+    }
     // Renamed into place: the program must never read half a file.
     let draft = path.with_extension("new");
     std::fs::write(&draft, config.to_string()).expect("the configuration can be written");
