A planner with a list in its configuration asks discovery for a whole one

A planner by services published nothing.

Who receives a list says whether it is used; an unused one leaves the watcher without a version. Freshness is one rule with stale lists: a configured one is confirmed by nobody. By services, where there is no other source, it is published as the earliest version, which overrides nothing, and nothing is said of services that it does not have.

The stand-in for discovery can tell changes instead of whole lists.

--- a/crates/node/src/plan.rs
+++ b/crates/node/src/plan.rs
@@ -165,7 +165,7 @@
         Box::new(move |kind, version, entries| {
             // The configuration's list may be hours old and must not override a newer one of the forwarders.
             if matches!(kind, ListKind::Failed | ListKind::Cached) {
-                return ListUse::Used;
+                return ListUse::Ignored;
             }
             let members = entries.into_iter().map(source::to_member).collect();
             let now = server.clock.now();
--- a/crates/node/src/services/planner.rs
+++ b/crates/node/src/services/planner.rs
@@ -104,9 +104,8 @@
     fn sink(self: &Rc<Self>) -> Sink {
         let server = self.clone();
         Box::new(move |kind, version, entries| {
-            // The configuration's list may be hours old and must not reach forwarders that have a newer one.
-            if matches!(kind, ListKind::Failed | ListKind::Cached) {
-                return ListUse::Used;
+            if kind == ListKind::Failed || kind == ListKind::Cached && entries.is_empty() {
+                return ListUse::Ignored;
             }
             let listed = entries.into_iter().map(|mut entry| {
                 let services =
@@ -114,8 +113,11 @@
                 ListedServer { services, member: source::to_member(entry) }
             });
             let listed = listed.collect();
-            let full = kind == ListKind::Full;
-            let dropped = server.publishing.with(|p, now| p.apply_list(now, version, full, listed));
+            let dropped = server.publishing.with(|p, now| match kind {
+                // It may be hours old: it is for forwarders that have no other, and discovery's whole list follows.
+                ListKind::Cached => p.apply_configured_list(now, listed),
+                _ => p.apply_list(now, version, kind == ListKind::Full, listed),
+            });
             if dropped != Dropped::default() {
                 let Dropped { servers, services, names } = dropped;
                 server.dropped_warnings.borrow_mut().warn(|more| {
@@ -125,7 +127,10 @@
                     )
                 });
             }
-            ListUse::Used
+            match kind {
+                ListKind::Cached => ListUse::Ignored,
+                _ => ListUse::Used,
+            }
         })
     }
 
--- a/crates/plan/src/services/publisher/forwarders.rs
+++ b/crates/plan/src/services/publisher/forwarders.rs
@@ -153,7 +153,11 @@
         id: u32,
         interest: &Interest,
     ) -> Result<(), PublishError> {
-        if self.list_version.is_none() {
+        let service_id = self.service_ids.get(interest.service.as_str()).copied();
+        let is_empty = |s: &u32| self.services.get(s).is_none_or(|s| s.size() == 0);
+        let known = service_id;
+        // Without a list of the source, nothing is said of services that a configured one does not have.
+        if !self.list_confirmation.is_confirmed() && known.is_none_or(|s| is_empty(&s)) {
             let Some(f) = self.forwarders.get_mut(&id) else { return Ok(()) };
             f.deferred_interests.retain(|other| other.service != interest.service);
             if f.deferred_interests.len() >= MAX_SUBSCRIPTIONS {
@@ -162,9 +166,6 @@
             f.deferred_interests.push(interest.clone());
             return Ok(());
         }
-        let service_id = self.service_ids.get(interest.service.as_str()).copied();
-        let is_empty = |s: &u32| self.services.get(s).is_none_or(|s| s.size() == 0);
-        let known = service_id;
         let Some(service_id) = service_id.filter(|s| interest.incarnation != 0 || !is_empty(s)) else {
             // The forwarder's state from before it dropped the service is of no use as a base for updates.
             known.into_iter().for_each(|service| self.remove_subscription(now, id, service));
--- a/crates/plan/src/services/publisher/list.rs
+++ b/crates/plan/src/services/publisher/list.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// The version under which a configured list is published.
+const CONFIGURED_LIST_VERSION: u64 = 0;
+
 impl Publisher {
     /// Applies a full list of servers, or changes to the last one.
     pub fn apply_list(
@@ -11,12 +14,31 @@
         full: bool,
         entries: Vec<ListedServer>,
     ) -> Dropped {
-        if self.list_version.is_none() && !full {
+        let first = !self.list_confirmation.is_confirmed();
+        if first && !full {
             // Without a base, servers that the changes do not mention must not be taken for removed.
             return Dropped::default();
         }
-        let first = self.list_version.is_none();
         self.list_confirmation = ListConfirmation::at(now);
+        let dropped = self.replace_list(now, version, full, entries);
+        if first {
+            self.process_deferred_interests(now);
+        }
+        dropped
+    }
+
+    /// Applies a configured list before the source has sent one. Its number may be of any count, so it is published as
+    /// the earliest version, which overrides nothing that forwarders hold.
+    pub fn apply_configured_list(&mut self, now: Nanos, entries: Vec<ListedServer>) -> Dropped {
+        if self.list_version.is_some() {
+            return Dropped::default();
+        }
+        let dropped = self.replace_list(now, CONFIGURED_LIST_VERSION, true, entries);
+        self.process_deferred_interests(now);
+        dropped
+    }
+
+    fn replace_list(&mut self, now: Nanos, version: u64, full: bool, entries: Vec<ListedServer>) -> Dropped {
         let version = self.advance_list_version(version);
         let named: BTreeSet<Name> = match full {
             true => BTreeSet::new(),
@@ -38,15 +60,12 @@
         };
         self.history.push(VersionDigest { version, digest: self.list_digest });
         self.release_waiting(now);
-        if first {
-            self.process_deferred_interests(now);
-        }
         dropped
     }
 
     /// Records that the source has confirmed the list as it is: a heartbeat of its watch.
     pub fn confirm_list(&mut self, now: Nanos) {
-        if self.list_version.is_some() {
+        if self.list_confirmation.is_confirmed() {
             self.list_confirmation = ListConfirmation::at(now);
             self.release_waiting(now);
         }
@@ -83,7 +102,7 @@
         digest::entry_digest(server.digest, services.map(|service| &*service.name))
     }
 
-    /// Processes the interests received before the first list.
+    /// Processes the interests received before the first list, or that a configured one does not have.
     fn process_deferred_interests(&mut self, now: Nanos) {
         let ids: Vec<u32> = self.forwarders.keys().copied().collect();
         for id in ids {
--- a/crates/plan/tests/services.rs
+++ b/crates/plan/tests/services.rs
@@ -926,3 +926,43 @@
     assert_eq!(phase_of(&f0, "tide", "tide-0001"), Some(Phase::Draining));
     assert!(f0.members_of("tide").is_some_and(|servers| servers.len() == 10), "it serves on");
 }
+
+// Guards against a configured list that overrides what forwarders hold, whatever its number, and that answers for services
+// which it does not have.
+#[test]
+fn a_configured_list_is_for_forwarders_without_another_one_until_the_source_speaks() {
+    let (mut a, mut b) = (publisher(7), publisher(9));
+    a.apply_list(0, 5, true, servers("tide", 10));
+    a.apply_list(0, 6, false, vec![draining("tide", "tide-0001")]);
+    b.apply_configured_list(0, servers("tide", 10));
+    let mut holder = connect(0, &mut a, "f0", 7);
+    holder.lookup(0, "tide");
+    exchange(0, &mut a, &mut holder, "f0", 0);
+    holder.connection_lost(S, 0);
+    connect_to(S, &mut b, &mut holder, "f0", (1, 9));
+    let mut fresh = connect(S, &mut b, "f1", 9);
+    fresh.lookup(S, "tide");
+    fresh.lookup(S, "rain");
+    let mut now = S;
+    while now < 20 * S {
+        b.poll(now);
+        exchange(now, &mut b, &mut holder, "f0", 1);
+        exchange(now, &mut b, &mut fresh, "f1", 0);
+        assert_eq!(phase_of(&holder, "tide", "tide-0001"), Some(Phase::Draining), "at {now}");
+        now += S / 2;
+    }
+    assert_eq!(fresh.members_of("tide").map(|servers| servers.len()), Some(10), "it has no other list");
+    assert_eq!(fresh.lookup(now, "rain"), ServiceStatus::Pending, "nothing is known of it");
+    // The source speaks: changes alone are no list, whatever they follow on.
+    b.apply_list(now, 6, false, vec![draining("tide", "tide-0002")]);
+    assert_eq!(b.list_number(), Some(0));
+    let mut list = servers("tide", 10);
+    list[1] = draining("tide", "tide-0001");
+    list.extend(servers("rain", 2));
+    b.apply_list(now, 6, true, list);
+    exchange(now, &mut b, &mut fresh, "f1", 0);
+    exchange(now, &mut b, &mut holder, "f0", 1);
+    assert_eq!(phase_of(&fresh, "tide", "tide-0001"), Some(Phase::Draining));
+    assert_eq!(fresh.members_of("rain").map(|servers| servers.len()), Some(2));
+    assert_equal_state(&b, &holder, "f0", "tide");
+}
--- a/crates/testkit/src/discovery.rs
+++ b/crates/testkit/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::boxes::StandIn;
 use crate::lock;
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -87,6 +88,33 @@
     down: bool,
     /// Lists go out over many lines.
     indented: bool,
+    /// Earlier versions that it can tell the changes from; `None` where every list is told whole.
+    kept: Option<BTreeMap<u64, Vec<serde_json::Value>>>,
+}
+
+impl State {
+    /// The list for somebody who has this version.
+    fn list_since(&self, version: u64) -> serde_json::Value {
+        let seq = self.seq;
+        let Some(before) = self.kept.as_ref().and_then(|kept| kept.get(&version)) else {
+            return serde_json::json!({"seq": seq, "whole": true, "hosts": self.hosts});
+        };
+        let mut changed: Vec<_> = self.hosts.iter().filter(|host| !before.contains(host)).cloned().collect();
+        let is_listed =
+            |host: &serde_json::Value| self.hosts.iter().any(|other| other["host"] == host["host"]);
+        for host in before.iter().filter(|host| !is_listed(host)) {
+            let mut left = host.clone();
+            left["health"] = serde_json::json!("left");
+            changed.push(left);
+        }
+        serde_json::json!({"seq": seq, "whole": false, "hosts": changed})
+    }
+
+    /// Keeps the present version.
+    fn keep(&mut self) {
+        let (seq, hosts) = (self.seq, self.hosts.clone());
+        self.kept.iter_mut().for_each(|kept| drop(kept.insert(seq, hosts.clone())));
+    }
 }
 
 /// What a watch does instead of telling anything.
@@ -124,6 +152,7 @@
             ended: 0,
             down: false,
             indented: false,
+            kept: None,
         };
         let state = Arc::new(Mutex::new(state));
         let told = Arc::new(Mutex::new(None));
@@ -166,12 +195,21 @@
         lock(&self.state).indented = true;
     }
 
+    /// From now on whoever has the present version or a later one is told what has changed since, and anybody else the
+    /// whole list.
+    pub fn tell_changes(&self) {
+        let mut state = lock(&self.state);
+        state.kept = Some(BTreeMap::new());
+        state.keep();
+    }
+
     /// Changes the list; gives its version.
     pub fn tell(&self, entries: &[Entry]) -> u64 {
         let mut state = lock(&self.state);
         state.seq += 1;
         state.hosts = entries.iter().map(Entry::json).collect();
         state.changed = Instant::now();
+        state.keep();
         state.seq
     }
 
@@ -186,6 +224,13 @@
     }
 }
 
+/// The version that a watch's head says the node has; 0 where it has none.
+fn since(head: &[u8]) -> u64 {
+    let head = String::from_utf8_lossy(head);
+    let digits = head.split("since=").nth(1).unwrap_or_default().split(|c: char| !c.is_ascii_digit()).next();
+    digits.and_then(|digits| digits.parse().ok()).unwrap_or(0)
+}
+
 fn watch(
     mut stream: TcpStream,
     number: usize,
@@ -210,13 +255,14 @@
     }
     stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").ok()?;
     let (mut last, mut spoken) = (0, Instant::now());
+    let mut held = since(&head);
     loop {
         let (seq, line, due, spoilt) = {
             let state = lock(state);
             if state.down || number < state.ended {
                 return None;
             }
-            let list = serde_json::json!({"seq": state.seq, "whole": true, "hosts": state.hosts});
+            let list = state.list_since(held);
             let line = if state.indented { format!("{list:#}\n") } else { format!("{list}\n") };
             let spoilt = (number < state.spoilt.0).then_some(state.spoilt.1);
             (state.seq, line, state.changed.elapsed() >= state.lag, spoilt)
@@ -229,7 +275,7 @@
         } else if seq != last && (due || last == 0) {
             let at = Instant::now();
             write!(stream, "{:x}\r\n{line}\r\n", line.len()).ok()?;
-            (last, spoken) = (seq, Instant::now());
+            (last, held, spoken) = (seq, seq, Instant::now());
             let mut told = lock(told);
             if told.is_none_or(|(before, _)| before < seq) {
                 *told = Some((seq, at));
