A new process that is told to end has the old one accept at once

The new process says that it is ending (Message::Ending); the old one accepts from then on, heard or not. Sent only to a program whose offer says that it understands it.

--- a/crates/handover/src/message.rs
+++ b/crates/handover/src/message.rs
@@ -114,9 +114,14 @@
         /// The old process understands [`Message::ServerList`]. Older programs do not.
         #[serde(rename = "lists", default)]
         shares_lists: bool,
+        /// The old process understands [`Message::Ending`]. Older programs do not.
+        #[serde(rename = "resumes", default)]
+        resumes: bool,
     },
     /// The new process accepts clients.
     Ready,
+    /// The new process is told to end: it still answers what it holds, and accepts nobody any more.
+    Ending,
     /// The new process is alive.
     #[serde(rename = "beat")]
     Heartbeat {
--- a/crates/handover/src/states.rs
+++ b/crates/handover/src/states.rs
@@ -63,6 +63,8 @@
     Yielded,
     /// The new process has accepted clients and is silent now: both accept.
     Fallback,
+    /// The new process has accepted clients and is told to end: this one accepts, whether that one is heard or not.
+    Resumed,
 }
 
 /// The process that serves and is to be replaced.
@@ -150,6 +152,10 @@
                 self.silence = 0;
                 vec![Effect::Accept(false)]
             }
+            (Message::Ending, Stage::Offered | Stage::Yielded | Stage::Fallback) => {
+                self.stage = Stage::Resumed;
+                vec![Effect::Accept(true), Effect::Reclaim]
+            }
             (Message::Heartbeat { number, held, received }, stage) => {
                 (self.last_heartbeat, self.silence) = (number, 0);
                 // An older program does not report this: it is assumed to have received all.
@@ -198,7 +204,7 @@
 
     /// Idle connections have been taken back from the queue ([`Effect::Reclaim`]).
     pub fn connections_reclaimed(&mut self, connections: usize) -> Vec<Effect> {
-        if self.stage != Stage::Fallback {
+        if !matches!(self.stage, Stage::Fallback | Stage::Resumed) {
             return Vec::new();
         }
         self.given = self.given.saturating_sub(connections);
--- a/crates/handover/tests/states.rs
+++ b/crates/handover/tests/states.rs
@@ -79,7 +79,9 @@
             quota: 7,
             sends_heartbeats: true,
             shares_lists: true,
+            resumes: true,
         },
+        Message::Ending,
         Message::ServerList(ListFragment { text: "{\"version\"".into(), last: false }),
         Message::Heartbeat { number: 9, held: 60, received: Some(5) },
         Message::Quota { quota: 7, heartbeat: 9 },
@@ -392,3 +394,18 @@
     bans.merge_received([restored(now - 5)], now);
     assert_eq!(bans.overlay("a", server(0)).started_at, now - 5);
 }
+
+// Guards against an address that nobody serves while a new process that was told to end still answers what it holds.
+#[test]
+fn the_old_process_accepts_again_once_the_new_one_is_told_to_end_though_that_still_beats() {
+    let mut old = OldProcess::new(100);
+    let request = Message::TakeoverRequest { version: VERSION, sends_heartbeats: true, shares_lists: true };
+    old.handle(request, 10);
+    old.handle(Message::Ready, 10);
+    assert!(old.has_yielded());
+    assert_eq!(old.handle(Message::Ending, 10), [Effect::Accept(true), Effect::Reclaim]);
+    let beat = Message::Heartbeat { number: 1, held: 20, received: Some(0) };
+    assert!(!old.handle(beat, 10).contains(&Effect::Accept(false)));
+    assert!(!old.has_yielded() && !old.is_alone(), "it still counts the other one's descriptors");
+    assert!(old.peer_lost().contains(&Effect::Accept(true)));
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -292,6 +292,7 @@
     }
     gateway.process.draining.set(true);
     if !takeover.successor_serves() {
+        takeover.return_to_predecessor().await;
         tokio::time::sleep(ACCEPT_LINGER).await;
         takeover.stop_accepting().await;
     }
--- a/crates/node/src/upgrade/predecessor.rs
+++ b/crates/node/src/upgrade/predecessor.rs
@@ -39,6 +39,8 @@
     pub(super) sends_heartbeats: bool,
     /// The old process understands server lists.
     pub(super) shares_lists: bool,
+    /// The old process understands [`Message::Ending`].
+    pub(super) resumes: bool,
     /// What came ahead of the sockets.
     pub(super) state: PartialOffer,
 }
@@ -123,6 +125,7 @@
     quota: usize,
     sends_heartbeats: bool,
     shares_lists: bool,
+    resumes: bool,
 }
 
 impl OfferedSockets {
@@ -132,6 +135,7 @@
             quota: self.quota,
             sends_heartbeats: self.sends_heartbeats,
             shares_lists: self.shares_lists,
+            resumes: self.resumes,
             state,
         }
     }
@@ -171,9 +175,16 @@
                 Ok(update) => self.server_list = update.or(self.server_list.take()),
                 Err(error) => tracing::warn!("takeover: {error}"),
             },
-            Message::Offer { version: VERSION, sockets: kinds, quota, sends_heartbeats, shares_lists } => {
+            Message::Offer {
+                version: VERSION,
+                sockets: kinds,
+                quota,
+                sends_heartbeats,
+                shares_lists,
+                resumes,
+            } => {
                 let sockets = kinds.into_iter().zip(descriptors).collect();
-                return Some(OfferedSockets { sockets, quota, sends_heartbeats, shares_lists });
+                return Some(OfferedSockets { sockets, quota, sends_heartbeats, shares_lists, resumes });
             }
             _ => {}
         }
--- a/crates/node/src/upgrade/takeover.rs
+++ b/crates/node/src/upgrade/takeover.rs
@@ -59,6 +59,8 @@
     idle_queue: RefCell<Option<IdleQueue>>,
     /// State of this process's role as the old process of the next takeover.
     old_role: RefCell<OldProcess>,
+    /// The connection to the old process, if that accepts again when this one is told to end.
+    predecessor: RefCell<Option<Rc<Link>>>,
     /// Connections to the node's other processes.
     links: RefCell<Vec<Rc<Link>>>,
     /// Number of the next batch of ban updates.
@@ -88,6 +90,7 @@
             accept_tasks: RefCell::default(),
             idle_queue: RefCell::default(),
             old_role: RefCell::new(OldProcess::new(descriptor_limit)),
+            predecessor: RefCell::default(),
             links: RefCell::default(),
             next_batch: Cell::new(1),
             pending_acks: RefCell::default(),
@@ -119,6 +122,16 @@
         old_role.has_yielded() && !old_role.in_fallback()
     }
 
+    /// Has the old process, if it still runs, accept clients again: this one is told to end.
+    pub(crate) async fn return_to_predecessor(&self) {
+        let predecessor = self.predecessor.borrow().clone();
+        if let Some(link) = predecessor {
+            if let Err(error) = link.send(&Message::Ending, &[]).await {
+                tracing::warn!("takeover: the old process is not told to accept again: {error}");
+            }
+        }
+    }
+
     /// Stops accepting: connections in the backlog are still accepted unless the new process accepts them. Returns
     /// when that is done.
     pub(crate) async fn stop_accepting(&self) {
@@ -215,6 +228,9 @@
         let link = Rc::new(link);
         self.apply_effects(gateway, &link, effects);
         self.add_link(gateway, &link);
+        if offer.resumes {
+            self.predecessor.replace(Some(link.clone()));
+        }
         if offer.shares_lists {
             self.share_lists_with_predecessor(&link, offer.state.server_list.take());
         }
@@ -305,6 +321,7 @@
                 }
             }
         }
+        self.predecessor.replace(None);
         self.apply_effects(&gateway, &link, new_role.peer_lost());
         self.drop_link(&gateway, &link);
         let Some(idle_queue) = idle_queue else { return };
@@ -511,6 +528,7 @@
                     quota,
                     sends_heartbeats,
                     shares_lists,
+                    resumes: true,
                 };
                 link.send(&offer, &descriptors).await
             }
