A ban said at another member counts at both processes of an upgrade

What the fleet decides on a server goes to the node's other process from the one place that applies it.

--- a/crates/core/src/gateway/servers.rs
+++ b/crates/core/src/gateway/servers.rs
@@ -83,17 +83,19 @@
         Ok(record)
     }
 
-    /// Applies the fleet's decision on a server, which overrides local commands.
-    pub fn apply_fleet_ban(self: &Rc<Self>, host: &str, banned: bool) {
+    /// Applies the fleet's decision on a server, which overrides local commands. Returns the record of the change, for
+    /// the other processes of this node, unless it changes nothing.
+    pub fn apply_fleet_ban(self: &Rc<Self>, host: &str, banned: bool) -> Option<BanRecord> {
         let now = self.clock.now();
         let record = self.fleet(|f| match banned {
             true => f.bans.detach(host, now).ok().flatten(),
             false => f.bans.attach(host, now),
         });
-        if let Some(record) = record {
+        if let Some(record) = &record {
             self.reapply_bans_and_drains(&[host.to_owned()]);
             self.process.others(self).iter().for_each(|g| g.merge_ban_records(vec![record.clone()]));
         }
+        record
     }
 
     /// Sets whether other nodes report a server as draining, which may be ahead of the list here.
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 use history::History;
 use laurelroute_core::gateway::Gateway;
 use laurelroute_core::retry_io::retry_interrupted;
+use laurelroute_handover::bans::BanRecord;
 use laurelroute_membership::{Machine, MemberId, Nanos, Output, RejectReason, View, MS, TICK_INTERVAL};
 use replica::LocalReplica;
 use ring::hmac;
@@ -66,8 +67,13 @@
     share: RefCell<f64>,
     /// The last accusations recorded in the history.
     accused: RefCell<Vec<MemberId>>,
+    /// Passes the fleet's bans on to the other process of a takeover, which does not have the port.
+    on_ban: RefCell<Option<OnBan>>,
 }
 
+/// Called with each ban, and each lifted one, that the fleet has decided on.
+type OnBan = Box<dyn Fn(BanRecord)>;
+
 /// Joins the fleet configured in the operator's file.
 pub(crate) fn start(
     gateway: &Rc<Gateway>,
@@ -108,6 +114,7 @@
         current_view: RefCell::default(),
         share: RefCell::new(-1.0),
         accused: RefCell::default(),
+        on_ban: RefCell::default(),
     });
     member.record("start", "");
     spawn_local(member.clone().run(gateway.clone()));
@@ -133,6 +140,11 @@
 }
 
 impl FleetMember {
+    /// Sets what is called with each ban that the fleet has decided on.
+    pub(crate) fn on_ban(&self, on_ban: impl Fn(BanRecord) + 'static) {
+        self.on_ban.replace(Some(Box::new(on_ban)));
+    }
+
     /// Binds the socket, then drives the membership and replica state machines for good.
     async fn run(self: Rc<Self>, gateway: Rc<Gateway>) {
         let socket = loop {
--- a/crates/node/src/fleet/replica.rs
+++ b/crates/node/src/fleet/replica.rs
@@ -228,12 +228,20 @@
             Key::Ban(host) => {
                 let banned = self.replica.machine.borrow().bans(host).is_some_and(|b| b.is_banned());
                 self.record_ban(host);
-                gateway.apply_fleet_ban(host, banned);
+                self.apply_fleet_ban(gateway, host, banned);
             }
             Key::Drain(host) => self.apply_drain(gateway, host),
         }
     }
 
+    /// Applies the fleet's decision here, and at the other process of a takeover.
+    fn apply_fleet_ban(&self, gateway: &Rc<Gateway>, host: &str, banned: bool) {
+        let record = gateway.apply_fleet_ban(host, banned);
+        if let (Some(record), Some(on_ban)) = (record, &*self.on_ban.borrow()) {
+            on_ban(record);
+        }
+    }
+
     /// Applies a drain to the gateway where the fleet's entry is newer than this node's own list.
     fn apply_drain(&self, gateway: &Rc<Gateway>, host: &str) {
         let drain = self.replica.machine.borrow().store().drain(host);
@@ -307,7 +315,7 @@
         for (host, banned) in local_bans {
             let known = self.replica.machine.borrow().bans(&host).map(|b| b.is_banned());
             match known {
-                Some(known) if known != banned => gateway.apply_fleet_ban(&host, known),
+                Some(known) if known != banned => self.apply_fleet_ban(gateway, &host, known),
                 None if banned => drop(self.change_ban(gateway, &host, true)),
                 _ => {}
             }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -212,6 +212,13 @@
         front = Some(Front::new(gateway.clone(), thrift.front.clone()));
     }
     let takeover = Takeover::new(config.gateway.max_descriptors, ledger.clone(), lists.clone());
+    if let Some(member) = &member {
+        let takeover = takeover.clone();
+        member.on_ban(move |record| {
+            let takeover = takeover.clone();
+            spawn_local(async move { takeover.send_ban_update(record).await });
+        });
+    }
     let standalone_watcher = || {
         let heartbeat_gateway = gateway.clone();
         let sink = source::gateway_sink(&gateway, member.clone());
--- a/crates/node/tests/fleet.rs
+++ b/crates/node/tests/fleet.rs
@@ -123,6 +123,24 @@
     assert!(verdict.broken.is_empty(), "{verdict:#?}");
 }
 
+// Guards against a new process of an upgrade that sends to a server which was taken out at another member, while the old
+// process has the fleet's port.
+#[test]
+fn a_ban_at_another_member_counts_at_both_processes_of_an_upgrade() {
+    let mesh = Mesh::start(Path::new(PROGRAM), &small_mesh(3), 5);
+    let new = mesh.process(0).ready_successor();
+    until("both servers are used", || mesh.boxes().iter().all(|server| server.came().len() > 50));
+    let (code, text) = servers(&mesh, 1, &["detach", "box-1"]);
+    assert_eq!(code, 0, "{text}");
+    // The bound on a detach, 1 s, counts from the call; the grace and 50 ms come on top.
+    let closed_from = Instant::now() + Duration::from_millis(300);
+    std::thread::sleep(Duration::from_millis(1_300));
+    let begun = Instant::now();
+    until("the other server is used", || mesh.boxes()[0].since(begun) > 100);
+    assert_eq!(mesh.boxes()[1].since(closed_from), 0, "sent to a server that is out");
+    drop(new);
+}
+
 /// All replicas converge after bans on both sides of a partition, kills with and without the disk, and pauses.
 #[test]
 fn replicas_converge_under_faults() {
--- a/crates/testkit/src/mesh/mod.rs
+++ b/crates/testkit/src/mesh/mod.rs
@@ -178,6 +178,11 @@
         mesh
     }
 
+    /// The servers.
+    pub fn boxes(&self) -> &[StandIn] {
+        &self.boxes
+    }
+
     /// A process.
     pub fn process(&self, k: usize) -> &Program {
         &self.members[k].program
